--- /dev/null
+++ b/benchmarks/__init__.py
@@ -0,0 +1,1 @@
+"""Benchmarks in virtual time and cost measurements."""
--- /dev/null
+++ b/benchmarks/policies.py
@@ -0,0 +1,97 @@
+"""Compare the scheduler with baseline policies, in virtual time.
+
+Run ``python -m benchmarks.policies`` for all sites and loads, or name one
+with ``--site`` and ``--load``.
+"""
+
+import argparse
+from collections.abc import Iterable
+from typing import Final, NamedTuple
+
+from tabulate import tabulate
+
+from benchmarks.harness import make_bench, run
+from benchmarks.outcome import Summary, summarise
+from benchmarks.workloads import SITES, make_arrivals
+from bluebellhub.scheduler.room import whole_window
+from bluebellhub.scheduler.state import Plan
+from bluebellhub.standins.faults import make_fault
+
+__all__ = ['PLANS', 'main', 'measure']
+
+PLANS: Final = {
+    'bluebellhub': Plan(),
+    'random': Plan('random', 'immediate'),
+    'round_robin': Plan('round_robin', 'immediate'),
+    'least_outstanding': Plan('least_outstanding', 'immediate'),
+    'power_of_two': Plan('power_of_two', 'immediate'),
+}
+LOADS: Final = (0.7, 1.0, 1.3)
+DURATION_S: Final = 90.0
+WARM_UP_S: Final = 15.0
+DRAIN_S: Final = 60.0
+STRAGGLER_SLOWDOWN: Final = 3.0
+
+
+class Case(NamedTuple):
+    """One cell of the comparison."""
+
+    site: str
+    plan: str
+    load: float
+    vms: int = 1
+    seed: int = 1
+
+
+def measure(case: Case) -> Summary:
+    """Run one case; the last engine is a straggler."""
+    site = SITES[case.site]
+    plan = PLANS[case.plan]
+    bench = make_bench(site, plan, [whole_window] * case.vms, case.seed)
+    straggler = bench.engines[site.profiles[-1].name]
+    straggler.faults.append(
+        make_fault('slow', slowdown=STRAGGLER_SLOWDOWN)
+    )
+    arrivals = make_arrivals(
+        site, case.load, DURATION_S, case.vms, case.seed
+    )
+    outcomes = run(bench, arrivals, DURATION_S + DRAIN_S)
+    return summarise(outcomes, bench.engines, WARM_UP_S, DURATION_S)
+
+
+def _row(case: Case, summary: Summary) -> list[object]:
+    tiers = ('check', 'quote', 'plan', 'batch')
+    goodput = [round(summary.goodput.get(tier, 0.0), 3) for tier in tiers]
+    return [
+        case.site,
+        case.load,
+        case.plan,
+        *goodput,
+        round(summary.total, 3),
+        round(summary.tokens_per_s),
+        round(summary.wasted_prefill, 3),
+    ]
+
+
+def _cases(args: argparse.Namespace) -> Iterable[Case]:
+    for site in [args.site] if args.site else SITES:
+        for load in [args.load] if args.load else LOADS:
+            for plan in PLANS:
+                yield Case(site, plan, load, seed=args.seed)
+
+
+def main() -> None:
+    """Print the table."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument('--site', choices=SITES)
+    parser.add_argument('--load', type=float)
+    parser.add_argument('--seed', type=int, default=1)
+    args = parser.parse_args()
+    header = ['site', 'load', 'policy', 'check', 'quote', 'plan', 'batch']
+    header += ['total', 'tokens/s', 'wasted prefill']
+    rows = [_row(case, measure(case)) for case in _cases(args)]
+    print(tabulate(rows, header, tablefmt='github'))
+
+
+if __name__ == '__main__':
+    main()
--- /dev/null
+++ b/benchmarks/workloads.py
@@ -0,0 +1,182 @@
+"""Seeded workloads of the two sites and their engines."""
+
+from random import Random
+from typing import Final, NamedTuple
+
+from bluebellhub.contract import Contract, find_tier, make_contract
+from bluebellhub.request import Ask, make_ask
+from bluebellhub.routing.prefix import BLOCK_TOKENS
+from bluebellhub.standins.engine_model import EngineProfile
+
+__all__ = ['SITES', 'Arrival', 'Site', 'make_arrivals', 'make_contracts']
+
+SYSTEM_PROMPTS: Final = 12
+SYSTEM_PROMPT_BLOCKS: Final = 8
+
+
+class Kind(NamedTuple):
+    """A kind of request: token ranges are drawn log-uniformly."""
+
+    route: str
+    tier: str
+    share: float
+    prompt_low: int
+    prompt_high: int
+    output_low: int
+    output_high: int
+
+
+class Site(NamedTuple):
+    """Engines, their failure domains and the requests of one site.
+
+    ``capacity_per_s`` is the rate at which the engines are fully used.
+    """
+
+    name: str
+    model: str
+    profiles: tuple[EngineProfile, ...]
+    domains: tuple[str, ...]
+    kinds: tuple[Kind, ...]
+    accounts: tuple[tuple[str, float], ...]
+    capacity_per_s: float
+
+
+class Arrival(NamedTuple):
+    """A request that reaches VM ``vm`` at ``at_s``."""
+
+    at_s: float
+    vm: int
+    ask: Ask
+
+
+KINDS: Final = (
+    Kind('availability', 'check', 0.68, 60, 400, 10, 60),
+    Kind('quote', 'quote', 0.20, 200, 1500, 40, 200),
+    Kind('plan', 'plan', 0.08, 1500, 6000, 200, 1000),
+    Kind('digest', 'batch', 0.04, 1500, 6000, 200, 1000),
+)
+
+ACCOUNTS: Final = (
+    ('large-1', 0.4),
+    ('large-2', 0.3),
+    ('small-1', 0.12),
+    ('small-2', 0.1),
+    ('small-3', 0.08),
+)
+
+
+def _profiles(prefix: str, count: int) -> tuple[EngineProfile, ...]:
+    """Engines of two hardware generations, the second at half speed.
+
+    The chunk sizes keep a full step below 69 ms, as their operators would.
+    """
+    found = []
+    for number in range(count):
+        old = number % 2 == 1
+        found.append(
+            EngineProfile(
+                name=f'{prefix}-{number}',
+                prefill_tokens_per_s=7000.0 if old else 14000.0,
+                step_base_s=0.022 if old else 0.012,
+                step_per_request_s=0.0005 if old else 0.0003,
+                chunk_tokens=160 if old else 448,
+                cache_blocks=1200,
+            )
+        )
+    return tuple(found)
+
+
+SITES: Final = {
+    'kerlann': Site(
+        'kerlann',
+        'hire-assistant',
+        _profiles('hire', 5),
+        ('rennes', 'vannes', 'brest'),
+        KINDS,
+        ACCOUNTS,
+        capacity_per_s=44.0,
+    ),
+    'maclachlan': Site(
+        'maclachlan',
+        'drafting',
+        _profiles('draft', 10),
+        ('forth', 'clyde', 'tay'),
+        KINDS,
+        ACCOUNTS,
+        capacity_per_s=92.0,
+    ),
+}
+
+
+def make_contracts(site: Site) -> dict[str, Contract]:
+    """Return contracts without effective limits for the accounts."""
+    tiers = tuple(kind.tier for kind in site.kinds)
+    return {
+        account: make_contract(
+            account,
+            'secret',
+            tiers=tiers,
+            models=(site.model,),
+            rate_per_s=1e6,
+            concurrency=10**6,
+        )
+        for account, _ in site.accounts
+    }
+
+
+def make_arrivals(
+    site: Site, load: float, duration_s: float, vms: int, seed: int
+) -> list[Arrival]:
+    """Draw Poisson arrivals at ``load`` times the site's capacity."""
+    random = Random(seed)
+    rate_per_s = site.capacity_per_s * load
+    now_s = 0.0
+    found = []
+    while True:
+        now_s += random.expovariate(rate_per_s)
+        if now_s >= duration_s:
+            return found
+        ask = _draw_ask(random, site, len(found), now_s)
+        found.append(Arrival(now_s, random.randrange(vms), ask))
+
+
+def _draw_ask(random: Random, site: Site, number: int, now_s: float) -> Ask:
+    shares = [kind.share for kind in site.kinds]
+    kind = random.choices(site.kinds, shares)[0]
+    accounts = [account for account, _ in site.accounts]
+    weights = [weight for _, weight in site.accounts]
+    prompt = _log_uniform(random, kind.prompt_low, kind.prompt_high)
+    return make_ask(
+        f'r{number}',
+        find_tier(kind.tier),
+        site.model,
+        account=random.choices(accounts, weights)[0],
+        route=kind.route,
+        prompt_tokens=prompt,
+        output_tokens=_log_uniform(
+            random, kind.output_low, kind.output_high
+        ),
+        prefix_blocks=_draw_prefix(random, kind.route, prompt, number),
+        arrived_at_s=now_s,
+    )
+
+
+def _draw_prefix(
+    random: Random, route: str, prompt_tokens: int, number: int
+) -> tuple[int, ...]:
+    """Prompts start with one of a few shared system prompts."""
+    shared = random.randrange(SYSTEM_PROMPTS)
+    blocks = prompt_tokens // BLOCK_TOKENS
+    common = min(blocks, SYSTEM_PROMPT_BLOCKS)
+    own = number + SYSTEM_PROMPTS
+    head = [_block(route, shared, place) for place in range(common)]
+    tail = [_block(route, own, place) for place in range(common, blocks)]
+    return tuple(head + tail)
+
+
+def _block(route: str, owner: int, position: int) -> int:
+    return (len(route) * 1_000_003 + owner) * 4096 + position
+
+
+def _log_uniform(random: Random, low: int, high: int) -> int:
+    return int(low * (high / low) ** random.random())
--- /dev/null
+++ b/bluebellhub/__init__.py
@@ -0,0 +1,5 @@
+"""bluebellhub schedules requests onto unlike model engines and services."""
+
+__all__ = ['__version__']
+
+__version__ = '0.1.0'
--- /dev/null
+++ b/bluebellhub/contract/__init__.py
@@ -0,0 +1,37 @@
+"""Contracts of client accounts: tiers, limits and what may be asked for."""
+
+from bluebellhub.contract.contract import (
+    Contract,
+    authenticate,
+    check_ask,
+    hash_key,
+    make_contract,
+)
+from bluebellhub.contract.tier import (
+    DEFAULT_TIERS,
+    Tier,
+    find_tier,
+)
+from bluebellhub.contract.usage import (
+    AccountLimits,
+    AccountUse,
+    admit,
+    make_account_use,
+    release,
+)
+
+__all__ = [
+    'DEFAULT_TIERS',
+    'AccountLimits',
+    'AccountUse',
+    'Contract',
+    'Tier',
+    'admit',
+    'authenticate',
+    'check_ask',
+    'find_tier',
+    'hash_key',
+    'make_account_use',
+    'make_contract',
+    'release',
+]
--- /dev/null
+++ b/bluebellhub/errors.py
@@ -0,0 +1,90 @@
+"""The root of the exception tree and the errors shared by all packages.
+
+Every failure raised by bluebellhub derives from `HubError`.  Packages define
+their own branches beside the rules that raise them.
+"""
+
+from collections.abc import Iterable
+
+__all__ = [
+    'ConflictError',
+    'DuplicateEntryError',
+    'HubError',
+    'InvariantError',
+    'ObjectError',
+    'PeerMessageError',
+    'SettingsError',
+    'StoreError',
+    'StoreUnavailableError',
+    'UnknownEntryError',
+]
+
+
+class HubError(Exception):
+    """Base of all errors raised by bluebellhub."""
+
+
+class DuplicateEntryError(HubError):
+    """Two entries of a registry have the same name."""
+
+    def __init__(self, kind: str, name: str) -> None:
+        super().__init__(f'{kind} {name!r} is registered already')
+
+
+class UnknownEntryError(HubError):
+    """A name was looked up that no decorator has registered."""
+
+    def __init__(self, kind: str, got: str, expected: Iterable[str]) -> None:
+        known = ', '.join(expected)
+        super().__init__(f'got {kind} {got!r}, expected one of: {known}')
+        self.got = got
+
+
+class InvariantError(HubError):
+    """A promise of the system does not hold; the message names it."""
+
+    def __init__(self, invariant: str, detail: str) -> None:
+        super().__init__(f'invariant {invariant} violated: {detail}')
+        self.invariant = invariant
+
+
+class SettingsError(HubError):
+    """A settings file is missing or a field of it is not usable."""
+
+    def __init__(self, field: str, got: object, expected: str) -> None:
+        super().__init__(f'{field}: got {got!r}, expected {expected}')
+        self.field = field
+
+
+class ObjectError(HubError):
+    """A configuration object does not pass its checks."""
+
+    def __init__(self, kind: str, name: str, reason: str) -> None:
+        super().__init__(f'{kind} {name!r}: {reason}')
+        self.reason = reason
+
+
+class PeerMessageError(HubError):
+    """A message from another VM cannot be decoded or is of unknown kind."""
+
+
+class StoreError(HubError):
+    """Base of the failures of the platform's object API."""
+
+
+class StoreUnavailableError(StoreError):
+    """The object API gave no answer; the call may have taken effect."""
+
+    def __init__(self, call: str, cause: str) -> None:
+        super().__init__(f'{call}: no answer from the object API ({cause})')
+
+
+class ConflictError(StoreError):
+    """A conditional update met a newer version of the object."""
+
+    def __init__(self, name: str, expected: int, found: int) -> None:
+        super().__init__(
+            f'{name}: update expected version {expected}, '
+            f'the object is at version {found}'
+        )
+        self.found = found
--- /dev/null
+++ b/bluebellhub/invariants.py
@@ -0,0 +1,33 @@
+"""Invariants that are checked while the program runs.
+
+A violated invariant is counted by name.  In tests it is also raised; a
+daemon logs it and goes on, since stopping a VM would cut off requests that
+are not affected.
+"""
+
+from collections import Counter
+from typing import Final
+
+from bluebellhub.errors import InvariantError
+
+__all__ = ['check_invariant', 'make_fatal', 'violations']
+
+violations: Final[Counter[str]] = Counter()
+_modes: Final[dict[str, bool]] = {'fatal': True}
+
+
+def make_fatal(*, fatal: bool) -> None:
+    """Choose whether a violated invariant raises `InvariantError`."""
+    _modes['fatal'] = fatal
+
+
+def check_invariant(name: str, *, holds: bool, detail: str = '') -> None:
+    """Count a violation of the invariant ``name`` unless it ``holds``.
+
+    Raises `InvariantError` on a violation while invariants are fatal.
+    """
+    if holds:
+        return
+    violations[name] += 1
+    if _modes['fatal']:
+        raise InvariantError(name, detail)
--- /dev/null
+++ b/bluebellhub/request/__init__.py
@@ -0,0 +1,38 @@
+"""One request's life: deadlines, attempts, the whole answer, refusals."""
+
+from bluebellhub.request.life import (
+    Ask,
+    Attempt,
+    Life,
+    begin_attempt,
+    end_attempt,
+    make_ask,
+    make_life,
+    record_sent,
+    record_tokens,
+    run_claim,
+)
+from bluebellhub.request.refusal import RefusalError, refusal_reasons
+from bluebellhub.request.retry import (
+    AttemptFailure,
+    may_retry,
+    retry_rules,
+)
+
+__all__ = [
+    'Ask',
+    'Attempt',
+    'AttemptFailure',
+    'Life',
+    'RefusalError',
+    'begin_attempt',
+    'end_attempt',
+    'make_ask',
+    'make_life',
+    'may_retry',
+    'record_sent',
+    'record_tokens',
+    'refusal_reasons',
+    'retry_rules',
+    'run_claim',
+]
--- /dev/null
+++ b/bluebellhub/request/life.py
@@ -0,0 +1,158 @@
+"""The aggregate of one request, from arrival to the end of its answer."""
+
+from typing import Literal, NamedTuple
+
+from bluebellhub.contract.tier import Tier
+from bluebellhub.invariants import check_invariant
+from bluebellhub.request.refusal import Run
+
+__all__ = [
+    'Ask',
+    'Attempt',
+    'Life',
+    'begin_attempt',
+    'end_attempt',
+    'make_ask',
+    'make_life',
+    'record_sent',
+    'record_tokens',
+    'run_claim',
+]
+
+Phase = Literal['queued', 'sent', 'streaming', 'ended']
+
+
+class Ask(NamedTuple):
+    """What a caller asked for.
+
+    ``target`` names the model or service and ``route`` the application's
+    kind of call, used to compare versions.  ``prefix_blocks`` are hashes of
+    the prompt's leading blocks.  Times are seconds on the VM's clock.
+    """
+
+    request_id: str
+    account: str
+    tier: Tier
+    target: str
+    route: str
+    prompt_tokens: int
+    output_tokens: int
+    prefix_blocks: tuple[int, ...]
+    arrived_at_s: float
+    idempotent: bool
+
+    @property
+    def deadline_s(self) -> float:
+        """The latest moment for the first token."""
+        return self.arrived_at_s + self.tier.first_token_s
+
+
+class Attempt(NamedTuple):
+    """One try at one upstream; ``sent`` once a byte may have left."""
+
+    upstream: str
+    started_at_s: float
+    sent: bool
+
+
+class Life(NamedTuple):
+    """The root: the ask, its attempts and how much was answered.
+
+    ``tokens`` counts the answer's tokens that went to the caller;
+    ``past_sent`` tells whether an ended attempt may have reached an
+    upstream.
+    """
+
+    ask: Ask
+    phase: Phase = 'queued'
+    attempt: Attempt | None = None
+    attempts: int = 0
+    past_sent: bool = False
+    tokens: int = 0
+    first_token_at_s: float | None = None
+
+
+def make_ask(request_id: str, tier: Tier, target: str, **fields) -> Ask:
+    """Create an ask; fields left out get the values of a small request."""
+    defaults: dict = {
+        'account': '',
+        'route': 'default',
+        'prompt_tokens': 0,
+        'output_tokens': 1,
+        'prefix_blocks': (),
+        'arrived_at_s': 0.0,
+        'idempotent': True,
+    }
+    return Ask(
+        request_id=request_id,
+        tier=tier,
+        target=target,
+        **{**defaults, **fields},
+    )
+
+
+def make_life(ask: Ask) -> Life:
+    """Create the life of a request that was just queued."""
+    return Life(ask)
+
+
+def begin_attempt(life: Life, upstream: str, now_s: float) -> Life:
+    """Start an attempt at ``upstream``.
+
+    Asserts that a request that is not idempotent gets no second attempt
+    once an earlier one may have reached an upstream.
+    """
+    check_invariant(
+        'dispatched_at_most_once',
+        holds=life.ask.idempotent or not life.past_sent,
+        detail=f'{life.ask.request_id} at {upstream}',
+    )
+    check_invariant(
+        'one_attempt_at_a_time',
+        holds=life.attempt is None,
+        detail=life.ask.request_id,
+    )
+    return life._replace(
+        phase='sent',
+        attempt=Attempt(upstream, now_s, sent=False),
+        attempts=life.attempts + 1,
+    )
+
+
+def record_sent(life: Life) -> Life:
+    """Note that a byte of the current attempt may have left this VM."""
+    if life.attempt is None:
+        return life
+    return life._replace(attempt=life.attempt._replace(sent=True))
+
+
+def record_tokens(life: Life, offset: int, count: int, now_s: float) -> Life:
+    """Note ``count`` tokens from ``offset`` on that go to the caller.
+
+    Asserts that the answer has neither a gap nor a repetition.
+    """
+    check_invariant(
+        'whole_answer',
+        holds=offset == life.tokens,
+        detail=f'{life.ask.request_id}: token {offset} after {life.tokens}',
+    )
+    first_s = life.first_token_at_s
+    return life._replace(
+        phase='streaming',
+        tokens=life.tokens + count,
+        first_token_at_s=now_s if first_s is None else first_s,
+    )
+
+
+def end_attempt(life: Life, phase: Phase = 'queued') -> Life:
+    """End the current attempt and move to ``phase``."""
+    sent = life.attempt is not None and life.attempt.sent
+    return life._replace(
+        phase=phase, attempt=None, past_sent=life.past_sent or sent
+    )
+
+
+def run_claim(life: Life) -> Run:
+    """Return what may be said of a refused request: did it run?"""
+    sent = life.attempt is not None and life.attempt.sent
+    return 'unknown' if sent or life.past_sent else 'no'
--- /dev/null
+++ b/bluebellhub/request/refusal.py
@@ -0,0 +1,186 @@
+"""Refusals: every reason why a request is not answered, each its own type.
+
+A refusal states whether the request may have run.  ``run`` is ``'no'`` only
+when nothing of the request can have reached an upstream; otherwise it is
+``'unknown'``.
+"""
+
+from typing import ClassVar, Literal
+
+from bluebellhub.errors import HubError
+from bluebellhub.registry import Registry, make_registry
+
+__all__ = [
+    'AccountGoneError',
+    'AnswerMismatchError',
+    'BadRequestError',
+    'BodyTooLargeError',
+    'ConcurrencyLimitError',
+    'DeadlineError',
+    'DrainingError',
+    'IsolatedError',
+    'KeyReuseError',
+    'LedgerUnavailableError',
+    'NoUpstreamError',
+    'NotAllowedError',
+    'OrderUnknownError',
+    'RateLimitError',
+    'RefusalError',
+    'Run',
+    'ShedError',
+    'TooManyTokensError',
+    'UnauthenticatedError',
+    'UnknownTargetError',
+    'UpstreamFailedError',
+    'refusal_reasons',
+]
+
+Run = Literal['no', 'unknown']
+
+
+class RefusalError(HubError):
+    """Base of the refusals.
+
+    ``status`` is the HTTP status that fits the reason and ``retry_after_s``
+    the number of seconds after which a new try makes sense, or ``None``.
+    """
+
+    reason: ClassVar[str] = 'refused'
+    status: ClassVar[int] = 503
+
+    def __init__(
+        self,
+        detail: str,
+        *,
+        run: Run = 'no',
+        retry_after_s: float | None = None,
+    ) -> None:
+        super().__init__(detail)
+        self.run = run
+        self.retry_after_s = retry_after_s
+
+
+refusal_reasons: Registry[type[RefusalError]] = make_registry(
+    'refusal reason'
+)
+
+
+def _reason(name: str, status: int):
+    def store(refusal: type[RefusalError]) -> type[RefusalError]:
+        refusal.reason = name
+        refusal.status = status
+        return refusal_reasons.register(name)(refusal)
+
+    return store
+
+
+@_reason('bad_request', 400)
+class BadRequestError(RefusalError):
+    """The request cannot be read; the message says what was expected."""
+
+
+@_reason('body_too_large', 413)
+class BodyTooLargeError(RefusalError):
+    """The body is larger than the limit in the settings."""
+
+
+@_reason('unauthenticated', 401)
+class UnauthenticatedError(RefusalError):
+    """The key belongs to no client account."""
+
+
+@_reason('not_allowed', 403)
+class NotAllowedError(RefusalError):
+    """The contract does not allow the tier, model or service."""
+
+
+@_reason('unknown_target', 404)
+class UnknownTargetError(RefusalError):
+    """No upstream serves the model or service."""
+
+
+@_reason('too_many_tokens', 400)
+class TooManyTokensError(RefusalError):
+    """The prompt or the asked output exceeds the contract's limit."""
+
+    def __init__(self, part: str, got: int, limit: int) -> None:
+        super().__init__(
+            f'{part}: got {got} tokens, expected at most {limit}'
+        )
+
+
+@_reason('rate_limit', 429)
+class RateLimitError(RefusalError):
+    """The account has used up its request rate."""
+
+    def __init__(self, rate_per_s: float, retry_after_s: float) -> None:
+        super().__init__(
+            f'more than {rate_per_s:g} requests a second on this VM',
+            retry_after_s=retry_after_s,
+        )
+
+
+@_reason('concurrency_limit', 429)
+class ConcurrencyLimitError(RefusalError):
+    """The account has too many requests in progress."""
+
+    def __init__(self, in_progress: int, limit: int) -> None:
+        super().__init__(
+            f'{in_progress} requests in progress, limit {limit} on this VM',
+            retry_after_s=1.0,
+        )
+
+
+@_reason('deadline', 503)
+class DeadlineError(RefusalError):
+    """Even an idle upstream could not answer in time for the tier."""
+
+
+@_reason('shed', 503)
+class ShedError(RefusalError):
+    """The upstreams have no capacity left for the tier."""
+
+
+@_reason('no_upstream', 503)
+class NoUpstreamError(RefusalError):
+    """No upstream of the model or service takes work now."""
+
+
+@_reason('draining', 503)
+class DrainingError(RefusalError):
+    """The VM is shutting down."""
+
+
+@_reason('isolated', 503)
+class IsolatedError(RefusalError):
+    """The VM hears neither the object API nor another VM."""
+
+
+@_reason('account_gone', 403)
+class AccountGoneError(RefusalError):
+    """The contract was withdrawn while the request waited."""
+
+
+@_reason('key_reuse', 422)
+class KeyReuseError(RefusalError):
+    """The idempotency key was used before with another request."""
+
+
+@_reason('order_unknown', 409)
+class OrderUnknownError(RefusalError):
+    """A request with the same key was dispatched; its outcome is unknown."""
+
+
+@_reason('ledger_unavailable', 503)
+class LedgerUnavailableError(RefusalError):
+    """The idempotency key could not be claimed in the object API."""
+
+
+@_reason('upstream_failed', 502)
+class UpstreamFailedError(RefusalError):
+    """The upstream failed and the request may not be tried again."""
+
+
+@_reason('answer_mismatch', 502)
+class AnswerMismatchError(RefusalError):
+    """The upstream sent a part of another request's answer."""
--- /dev/null
+++ b/bluebellhub/request/retry.py
@@ -0,0 +1,87 @@
+"""Rules that decide whether a failed attempt is followed by another."""
+
+from collections.abc import Callable
+from typing import NamedTuple
+
+from bluebellhub.registry import Registry, make_registry
+from bluebellhub.request.life import Life
+
+__all__ = ['AttemptFailure', 'may_retry', 'retry_rules']
+
+ATTEMPTS_MAX = 4
+
+
+class AttemptFailure(NamedTuple):
+    """How an attempt failed; ``kind`` names the rule that judges it."""
+
+    kind: str
+    detail: str = ''
+
+
+Rule = Callable[[Life], bool]
+
+retry_rules: Registry[Rule] = make_registry('retry rule')
+
+
+@retry_rules.register('connect_failed')
+def retry_unsent(life: Life) -> bool:
+    """No byte left this VM, so every request may try again."""
+    return True
+
+
+@retry_rules.register('not_run')
+def retry_not_run(life: Life) -> bool:
+    """The upstream stated that it did not start the request.
+
+    Bytes have left this VM, so only an idempotent request tries again.
+    """
+    return life.ask.idempotent
+
+
+@retry_rules.register('cut')
+def retry_cut(life: Life) -> bool:
+    """The stream ended early: it is resumed if the call is idempotent."""
+    return life.ask.idempotent
+
+
+@retry_rules.register('silent')
+def retry_silent(life: Life) -> bool:
+    """No byte came in time: another upstream may answer."""
+    return life.ask.idempotent
+
+
+@retry_rules.register('mismatch')
+def retry_mismatch(life: Life) -> bool:
+    """The bytes belonged to another request and were dropped."""
+    return life.ask.idempotent
+
+
+@retry_rules.register('upstream_error')
+def retry_error(life: Life) -> bool:
+    """The upstream answered with an error of its own."""
+    return life.ask.idempotent
+
+
+@retry_rules.register('preempted')
+def retry_preempted(life: Life) -> bool:
+    """A higher tier took the place."""
+    return life.ask.idempotent
+
+
+@retry_rules.register('lease_lapsed')
+def retry_lapsed(life: Life) -> bool:
+    """The lease on a cold upstream lapsed while the request ran there."""
+    return life.ask.idempotent
+
+
+def may_retry(life: Life, failure: AttemptFailure, now_s: float) -> bool:
+    """Tell whether the rules allow another attempt at ``now_s``.
+
+    A request that has sent no token yet is not tried after its deadline.
+    """
+    if life.attempts >= ATTEMPTS_MAX and failure.kind != 'preempted':
+        return False
+    unstarted = life.first_token_at_s is None
+    if unstarted and now_s >= life.ask.deadline_s:
+        return False
+    return retry_rules.find(failure.kind)(life)
--- /dev/null
+++ b/bluebellhub/routing/__init__.py
@@ -0,0 +1,27 @@
+"""Routing: which upstream a request goes to."""
+
+from bluebellhub.routing.policy import (
+    Candidate,
+    Policy,
+    policies,
+)
+from bluebellhub.routing.prefix import (
+    PrefixIndex,
+    cached_blocks,
+    correct,
+    forget_upstream,
+    learn,
+    make_prefix_index,
+)
+
+__all__ = [
+    'Candidate',
+    'Policy',
+    'PrefixIndex',
+    'cached_blocks',
+    'correct',
+    'forget_upstream',
+    'learn',
+    'make_prefix_index',
+    'policies',
+]
--- /dev/null
+++ b/bluebellhub/routing/length.py
@@ -0,0 +1,50 @@
+"""Estimates of output length by account and route.
+
+Lengths differ a hundredfold, so they are counted in buckets that double.
+"""
+
+from typing import Final, NamedTuple
+
+__all__ = ['Lengths', 'expected_tokens', 'make_lengths', 'note_length']
+
+BUCKETS: Final = 16
+QUANTILE: Final = 0.75
+HALVE_AFTER: Final = 256
+SAMPLES_MIN: Final = 8
+
+
+class Lengths(NamedTuple):
+    """The root: bucket counts by ``(account, route)``."""
+
+    counts: dict[tuple[str, str], list[int]]
+
+
+def make_lengths() -> Lengths:
+    """Create estimates without observations."""
+    return Lengths({})
+
+
+def note_length(
+    lengths: Lengths, account: str, route: str, tokens: int
+) -> None:
+    """Count one answer's length; old observations lose weight."""
+    counts = lengths.counts.setdefault((account, route), [0] * BUCKETS)
+    counts[min(tokens.bit_length(), BUCKETS - 1)] += 1
+    if sum(counts) >= HALVE_AFTER:
+        counts[:] = [count // 2 for count in counts]
+
+
+def expected_tokens(
+    lengths: Lengths, account: str, route: str, asked_max: int
+) -> int:
+    """Return the 0.75 quantile of past lengths, at most ``asked_max``."""
+    counts = lengths.counts.get((account, route))
+    if counts is None or sum(counts) < SAMPLES_MIN:
+        return asked_max
+    wanted = QUANTILE * sum(counts)
+    seen = 0
+    for bucket, count in enumerate(counts):
+        seen += count
+        if seen >= wanted:
+            return min(asked_max, 2**bucket)
+    return asked_max
--- /dev/null
+++ b/bluebellhub/routing/policy.py
@@ -0,0 +1,86 @@
+"""Routing policies: the product's own and the baselines it is held against.
+
+A policy receives the candidates that may take the request now, the random
+generator and the count of decisions so far, and returns one candidate.
+"""
+
+from collections.abc import Callable, Sequence
+from random import Random
+from typing import Final, NamedTuple
+
+from bluebellhub.registry import Registry, make_registry
+
+__all__ = ['Candidate', 'Policy', 'policies']
+
+NEAR_TIE_RATIO: Final = 1.05
+NEAR_TIE_S: Final = 0.005
+
+
+class Candidate(NamedTuple):
+    """An upstream as a policy sees it.
+
+    ``outstanding`` counts requests from this VM, ``predicted_s`` is the
+    time to the first token.
+    """
+
+    upstream: str
+    outstanding: int
+    predicted_s: float
+    uncached_tokens: int
+
+
+Policy = Callable[[Sequence[Candidate], Random, int], Candidate]
+
+policies: Registry[Policy] = make_registry('routing policy')
+
+
+@policies.register('predicted')
+def choose_predicted(
+    candidates: Sequence[Candidate], random: Random, decisions: int
+) -> Candidate:
+    """Choose the least predicted first-token time.
+
+    Near ties are broken at random, so that many VMs do not choose the same
+    upstream at once.
+    """
+    least_s = min(candidate.predicted_s for candidate in candidates)
+    bound_s = max(least_s * NEAR_TIE_RATIO, least_s + NEAR_TIE_S)
+    near = [entry for entry in candidates if entry.predicted_s <= bound_s]
+    return random.choice(near)
+
+
+@policies.register('random')
+def choose_random(
+    candidates: Sequence[Candidate], random: Random, decisions: int
+) -> Candidate:
+    """Choose any candidate."""
+    return random.choice(candidates)
+
+
+@policies.register('round_robin')
+def choose_round_robin(
+    candidates: Sequence[Candidate], random: Random, decisions: int
+) -> Candidate:
+    """Choose the candidates in turn."""
+    return candidates[decisions % len(candidates)]
+
+
+@policies.register('least_outstanding')
+def choose_least_outstanding(
+    candidates: Sequence[Candidate], random: Random, decisions: int
+) -> Candidate:
+    """Choose the candidate with the fewest requests from this VM."""
+    least = min(candidate.outstanding for candidate in candidates)
+    idle = [entry for entry in candidates if entry.outstanding == least]
+    return random.choice(idle)
+
+
+@policies.register('power_of_two')
+def choose_power_of_two(
+    candidates: Sequence[Candidate], random: Random, decisions: int
+) -> Candidate:
+    """Choose the less loaded of two candidates drawn at random."""
+    if len(candidates) == 1:
+        return candidates[0]
+    first, second = random.sample(candidates, 2)
+    return min(first, second, key=lambda entry: entry.outstanding)
--- /dev/null
+++ b/bluebellhub/routing/prefix.py
@@ -0,0 +1,92 @@
+"""An approximate index of the prompt prefixes that upstreams have cached.
+
+Engines publish cache events late and with gaps, so the index also learns
+from dispatches and is corrected by the cached-token counts in answers.
+"""
+
+from collections import OrderedDict
+from typing import Final, NamedTuple
+
+__all__ = [
+    'BLOCK_TOKENS',
+    'PrefixIndex',
+    'cached_blocks',
+    'correct',
+    'forget_upstream',
+    'learn',
+    'make_prefix_index',
+]
+
+BLOCK_TOKENS: Final = 64
+BLOCKS_PER_UPSTREAM_MAX: Final = 4096
+
+
+class PrefixIndex(NamedTuple):
+    """The root: for each upstream its blocks, least recently used first."""
+
+    blocks: dict[str, OrderedDict[int, None]]
+    blocks_max: int
+
+
+def make_prefix_index(
+    blocks_max: int = BLOCKS_PER_UPSTREAM_MAX,
+) -> PrefixIndex:
+    """Create an empty index of at most ``blocks_max`` per upstream."""
+    return PrefixIndex({}, blocks_max)
+
+
+def cached_blocks(
+    index: PrefixIndex, upstream: str, prefix: tuple[int, ...]
+) -> int:
+    """Count the leading blocks of ``prefix`` that are probably cached."""
+    known = index.blocks.get(upstream)
+    if not known:
+        return 0
+    for position, block in enumerate(prefix):
+        if block not in known:
+            return position
+    return len(prefix)
+
+
+def learn(
+    index: PrefixIndex, upstream: str, prefix: tuple[int, ...]
+) -> None:
+    """Note that ``upstream`` has or will soon have these blocks."""
+    known = index.blocks.setdefault(upstream, OrderedDict())
+    for block in prefix:
+        known[block] = None
+        known.move_to_end(block)
+    while len(known) > index.blocks_max:
+        known.popitem(last=False)
+
+
+def correct(
+    index: PrefixIndex,
+    upstream: str,
+    prefix: tuple[int, ...],
+    cached_tokens: int,
+) -> None:
+    """Drop blocks that an answer's cached-token count shows were absent.
+
+    The blocks of the prompt itself are cached from then on.
+    """
+    known = index.blocks.setdefault(upstream, OrderedDict())
+    for block in prefix[cached_tokens // BLOCK_TOKENS :]:
+        known.pop(block, None)
+    learn(index, upstream, prefix)
+
+
+def forget_blocks(
+    index: PrefixIndex, upstream: str, evicted: tuple[int, ...]
+) -> None:
+    """Drop blocks that a cache event names as evicted."""
+    known = index.blocks.get(upstream)
+    if known is None:
+        return
+    for block in evicted:
+        known.pop(block, None)
+
+
+def forget_upstream(index: PrefixIndex, upstream: str) -> None:
+    """Drop all blocks of an upstream that restarted or left."""
+    index.blocks.pop(upstream, None)
--- /dev/null
+++ b/bluebellhub/scheduler/__init__.py
@@ -0,0 +1,49 @@
+"""One VM's scheduling decisions, composed from the aggregates.
+
+The functions take the time, change the scheduler and return events; they do
+no input or output, so that any front end can carry out the events.
+"""
+
+from bluebellhub.scheduler.dispatch import pump
+from bluebellhub.scheduler.events import (
+    Cancel,
+    Dispatch,
+    Event,
+    Probe,
+    Refuse,
+)
+from bluebellhub.scheduler.progress import (
+    answer_ended,
+    attempt_failed,
+    caller_left,
+    request_sent,
+    tokens_arrived,
+)
+from bluebellhub.scheduler.shedding import tick
+from bluebellhub.scheduler.state import (
+    Scheduler,
+    add_upstream,
+    make_scheduler,
+    remove_upstream,
+)
+from bluebellhub.scheduler.submit import submit
+
+__all__ = [
+    'Cancel',
+    'Dispatch',
+    'Event',
+    'Probe',
+    'Refuse',
+    'Scheduler',
+    'add_upstream',
+    'answer_ended',
+    'attempt_failed',
+    'caller_left',
+    'make_scheduler',
+    'pump',
+    'remove_upstream',
+    'request_sent',
+    'submit',
+    'tick',
+    'tokens_arrived',
+]
--- /dev/null
+++ b/bluebellhub/scheduler/dispatch.py
@@ -0,0 +1,140 @@
+"""Placement of queued requests on upstreams, in the queue's order."""
+
+from typing import Final
+
+from bluebellhub.admission import Queue, Waiting, charge, head, remove
+from bluebellhub.request import Life, begin_attempt
+from bluebellhub.routing import Candidate, cached_blocks, learn, policies
+from bluebellhub.routing.prefix import BLOCK_TOKENS
+from bluebellhub.scheduler.events import Dispatch, Event
+from bluebellhub.scheduler.finish import leave_upstream
+from bluebellhub.scheduler.gates import is_eligible
+from bluebellhub.scheduler.preemption import find_victim, requeue
+from bluebellhub.scheduler.room import has_room
+from bluebellhub.scheduler.state import Scheduler, queue_of, upstreams_for
+from bluebellhub.upstream import (
+    Upstream,
+    add_work,
+    predict_first_token_s,
+)
+from bluebellhub.version_move.gate import count_dispatch
+
+__all__ = ['candidates_for', 'place', 'pump']
+
+PREEMPT_SLACK_SHARE: Final = 0.5
+
+
+def pump(scheduler: Scheduler, target: str, now_s: float) -> list[Event]:
+    """Dispatch queued requests while there is room for the first of them.
+
+    A request whose deadline is near takes the place of a lower tier.
+    """
+    events: list[Event] = []
+    queue = queue_of(scheduler, target)
+    while True:
+        entry = head(queue)
+        if entry is None:
+            return events
+        if not _place_head(scheduler, events, queue, entry, now_s):
+            return events
+
+
+def _place_head(
+    scheduler: Scheduler,
+    events: list[Event],
+    queue: Queue,
+    entry: Waiting,
+    now_s: float,
+) -> bool:
+    life = scheduler.lives[entry.request_id]
+    candidates = candidates_for(scheduler, life, now_s)
+    if not candidates:
+        return _preempt(scheduler, events, life, now_s)
+    policy = policies.find(scheduler.plan.policy)
+    decisions = scheduler.flags['decisions']
+    chosen = policy(candidates, scheduler.random, decisions)
+    scheduler.flags['decisions'] = decisions + 1
+    remove(queue, entry.request_id)
+    charge(queue, entry)
+    events.append(place(scheduler, life, chosen, now_s))
+    return True
+
+
+def candidates_for(
+    scheduler: Scheduler, life: Life, now_s: float
+) -> list[Candidate]:
+    """Return the upstreams that may take the request now."""
+    ask = life.ask
+    found = []
+    peers = upstreams_for(scheduler, ask.target)
+    for upstream in peers:
+        if not is_eligible(scheduler, ask, upstream, now_s):
+            continue
+        candidate = _make_candidate(scheduler, life, upstream, now_s)
+        if has_room(scheduler, upstream, peers, ask, candidate, now_s):
+            found.append(candidate)
+    return found
+
+
+def _make_candidate(
+    scheduler: Scheduler, life: Life, upstream: Upstream, now_s: float
+) -> Candidate:
+    ask = life.ask
+    name = upstream.spec.name
+    cached = cached_blocks(scheduler.prefixes, name, ask.prefix_blocks)
+    uncached = max(0, ask.prompt_tokens - cached * BLOCK_TOKENS)
+    predicted_s = predict_first_token_s(upstream, uncached, now_s)
+    return Candidate(name, len(upstream.work), predicted_s, uncached)
+
+
+def place(
+    scheduler: Scheduler, life: Life, chosen: Candidate, now_s: float
+) -> Dispatch:
+    """Start an attempt at the chosen upstream."""
+    ask = life.ask
+    upstream = scheduler.upstreams[chosen.upstream]
+    gate = scheduler.moves.get(ask.target)
+    if gate is not None:
+        scheduler.moves[ask.target] = count_dispatch(
+            gate, upstream.spec.version, now_s
+        )
+    add_work(
+        upstream,
+        ask.request_id,
+        ask.tier.rank,
+        chosen.uncached_tokens,
+        now_s,
+    )
+    learn(scheduler.prefixes, chosen.upstream, ask.prefix_blocks)
+    started = begin_attempt(life, chosen.upstream, now_s)
+    scheduler.lives[ask.request_id] = started
+    scheduler.counters['dispatches', ask.tier.name] += 1
+    return Dispatch(
+        ask.request_id, chosen.upstream, started.attempts, life.tokens
+    )
+
+
+def _preempt(
+    scheduler: Scheduler, events: list[Event], life: Life, now_s: float
+) -> bool:
+    """Free a slot for a request that cannot wait; true if one was freed."""
+    ask = life.ask
+    slack_s = ask.deadline_s - now_s
+    if scheduler.plan.discipline != 'tiered':
+        return False
+    if slack_s > ask.tier.first_token_s * PREEMPT_SLACK_SHARE:
+        return False
+    victim = find_victim(scheduler, ask, now_s)
+    if victim is None:
+        return False
+    freed = victim.attempt
+    requeue(scheduler, events, victim)
+    leave_upstream(scheduler, victim)
+    scheduler.counters['preemptions', victim.ask.tier.name] += 1
+    upstream = scheduler.upstreams[freed.upstream] if freed else None
+    if upstream is None:
+        return False
+    candidate = _make_candidate(scheduler, life, upstream, now_s)
+    remove(queue_of(scheduler, ask.target), ask.request_id)
+    events.append(place(scheduler, life, candidate, now_s))
+    return True
--- /dev/null
+++ b/bluebellhub/scheduler/entry.py
@@ -0,0 +1,30 @@
+"""Queue entries of requests."""
+
+from bluebellhub.admission import Waiting
+from bluebellhub.request import Life
+from bluebellhub.routing.length import expected_tokens
+from bluebellhub.scheduler.state import Scheduler, upstreams_for
+
+__all__ = ['make_waiting']
+
+
+def make_waiting(scheduler: Scheduler, life: Life) -> Waiting:
+    """Create the queue entry of a request with its expected slot time."""
+    ask = life.ask
+    upstreams = upstreams_for(scheduler, ask.target)
+    speed = upstreams[0].speed
+    tokens = expected_tokens(
+        scheduler.lengths, ask.account, ask.route, ask.output_tokens
+    )
+    contract = scheduler.contracts.get(ask.account)
+    weight = ask.tier.weight * (contract.weight if contract else 1.0)
+    prefill_s = ask.prompt_tokens / speed.prefill_tokens_per_s
+    decode_s = max(0, tokens - life.tokens) * speed.step_s
+    return Waiting(
+        ask.deadline_s,
+        ask.request_id,
+        ask.account,
+        ask.tier.rank,
+        prefill_s + decode_s,
+        weight,
+    )
--- /dev/null
+++ b/bluebellhub/scheduler/finish.py
@@ -0,0 +1,71 @@
+"""The end of a request: refusals and the release of what it held."""
+
+from bluebellhub.admission import remove
+from bluebellhub.contract import release
+from bluebellhub.invariants import check_invariant
+from bluebellhub.request import Life, RefusalError, end_attempt, run_claim
+from bluebellhub.scheduler.events import Cancel, Event, Refuse
+from bluebellhub.scheduler.state import Scheduler
+from bluebellhub.upstream import remove_work
+
+__all__ = ['close_life', 'leave_upstream', 'refuse']
+
+
+def refuse(
+    scheduler: Scheduler,
+    events: list[Event],
+    life: Life,
+    error: RefusalError,
+    *,
+    counted: bool = True,
+) -> None:
+    """End a request with a refusal that states truly whether it ran.
+
+    ``counted`` tells whether the account's use counts the request.
+    """
+    claim = run_claim(life)
+    error.run = claim if error.run == 'no' else error.run
+    check_invariant(
+        'not_run_is_true',
+        holds=error.run == 'unknown' or claim == 'no',
+        detail=life.ask.request_id,
+    )
+    scheduler.counters['refusals', error.reason] += 1
+    events.append(Refuse(life.ask.request_id, error))
+    close_life(scheduler, events, life, counted=counted)
+
+
+def close_life(
+    scheduler: Scheduler,
+    events: list[Event],
+    life: Life,
+    *,
+    counted: bool = True,
+) -> None:
+    """Release everything that a request holds; cancels a running attempt."""
+    ask = life.ask
+    if life.attempt is not None:
+        attempt = life.attempt
+        events.append(
+            Cancel(ask.request_id, attempt.upstream, life.attempts)
+        )
+        leave_upstream(scheduler, life)
+    queue = scheduler.queues.get(ask.target)
+    if queue is not None:
+        remove(queue, ask.request_id)
+    if counted and ask.account in scheduler.uses:
+        use = scheduler.uses[ask.account]
+        scheduler.uses[ask.account] = release(use)
+    scheduler.lives.pop(ask.request_id, None)
+
+
+def leave_upstream(scheduler: Scheduler, life: Life) -> Life:
+    """End the current attempt and free its slot at the upstream."""
+    if life.attempt is None:
+        return life
+    upstream = scheduler.upstreams.get(life.attempt.upstream)
+    if upstream is not None:
+        remove_work(upstream, life.ask.request_id)
+    ended = end_attempt(life)
+    scheduler.lives[life.ask.request_id] = ended
+    return ended
--- /dev/null
+++ b/bluebellhub/scheduler/gates.py
@@ -0,0 +1,62 @@
+"""Gates: the rules that may keep new work away from an upstream."""
+
+from collections.abc import Callable
+
+from bluebellhub.registry import Registry, make_registry
+from bluebellhub.request import Ask
+from bluebellhub.scheduler.state import Scheduler
+from bluebellhub.upstream import Upstream
+from bluebellhub.version_move.gate import allows_new
+
+__all__ = ['gates', 'is_eligible']
+
+Gate = Callable[[Scheduler, Ask, Upstream, float], bool]
+
+gates: Registry[Gate] = make_registry('gate')
+
+
+@gates.register('failure_domain')
+def is_domain_in(
+    scheduler: Scheduler, ask: Ask, upstream: Upstream, now_s: float
+) -> bool:
+    """Keep work away from a failure domain that operators took out."""
+    return upstream.spec.failure_domain not in scheduler.domains_out
+
+
+@gates.register('leaving')
+def is_staying(
+    scheduler: Scheduler, ask: Ask, upstream: Upstream, now_s: float
+) -> bool:
+    """Keep work away from an upstream that is leaving."""
+    return not upstream.spec.leaving
+
+
+@gates.register('paused')
+def is_unpaused(
+    scheduler: Scheduler, ask: Ask, upstream: Upstream, now_s: float
+) -> bool:
+    """Keep work away from an upstream that failed a moment ago."""
+    return now_s >= upstream.paused_until_s
+
+
+@gates.register('version')
+def is_version_allowed(
+    scheduler: Scheduler, ask: Ask, upstream: Upstream, now_s: float
+) -> bool:
+    """Keep an unproven version within its share."""
+    gate = scheduler.moves.get(ask.target)
+    if gate is None:
+        return True
+    if upstream.spec.version != gate.to_version:
+        return gate.old_open
+    return allows_new(gate, now_s)
+
+
+def is_eligible(
+    scheduler: Scheduler, ask: Ask, upstream: Upstream, now_s: float
+) -> bool:
+    """Tell whether all gates let the request through to the upstream."""
+    return all(
+        gate(scheduler, ask, upstream, now_s)
+        for gate in gates.entries.values()
+    )
--- /dev/null
+++ b/bluebellhub/scheduler/progress.py
@@ -0,0 +1,222 @@
+"""What comes back from upstreams: tokens, ends and failures."""
+
+from typing import Final
+
+from bluebellhub.admission import put
+from bluebellhub.request import (
+    AttemptFailure,
+    Life,
+    may_retry,
+    record_sent,
+    record_tokens,
+)
+from bluebellhub.request.refusal import (
+    AnswerMismatchError,
+    UpstreamFailedError,
+)
+from bluebellhub.routing import correct
+from bluebellhub.routing.length import note_length
+from bluebellhub.scheduler.dispatch import pump
+from bluebellhub.scheduler.entry import make_waiting
+from bluebellhub.scheduler.events import Event, Probe
+from bluebellhub.scheduler.finish import close_life, leave_upstream, refuse
+from bluebellhub.scheduler.state import Scheduler, queue_of
+from bluebellhub.upstream import (
+    Work,
+    finish_prefill,
+    note_failure,
+    observe_late,
+    observe_on_time,
+    observe_prefill,
+)
+from bluebellhub.upstream.speed import observe_step
+
+__all__ = [
+    'answer_ended',
+    'attempt_failed',
+    'caller_left',
+    'request_sent',
+    'tokens_arrived',
+]
+
+LATE_RATIO: Final = 2.0
+LATE_SLACK_S: Final = 0.1
+RETRY_CREDIT_MAX: Final = 50.0
+RESTART_KINDS: Final = frozenset(('connect_failed',))
+FAULTS: Final = frozenset(('connect_failed', 'silent', 'upstream_error'))
+
+
+def request_sent(scheduler: Scheduler, request_id: str) -> None:
+    """Note that a byte of the request may have reached its upstream."""
+    life = scheduler.lives.get(request_id)
+    if life is not None:
+        scheduler.lives[request_id] = record_sent(life)
+
+
+def tokens_arrived(
+    scheduler: Scheduler,
+    request_id: str,
+    offset: int,
+    count: int,
+    now_s: float,
+) -> list[Event]:
+    """Note tokens that go to the caller; learns from the first one."""
+    life = scheduler.lives[request_id]
+    scheduler.lives[request_id] = record_tokens(life, offset, count, now_s)
+    if life.attempt is None:
+        return []
+    upstream = scheduler.upstreams.get(life.attempt.upstream)
+    if upstream is None:
+        return []
+    work = finish_prefill(upstream, request_id)
+    if work is None:
+        return []
+    _learn_first_token(scheduler, life.attempt.upstream, work, now_s)
+    return pump(scheduler, life.ask.target, now_s)
+
+
+def _learn_first_token(
+    scheduler: Scheduler, name: str, work: Work, now_s: float
+) -> None:
+    upstream = scheduler.upstreams[name]
+    elapsed_s = now_s - work.sent_at_s
+    speed = observe_prefill(
+        upstream.speed, work.work_tokens, elapsed_s, work.predicted_s
+    )
+    late = elapsed_s > LATE_RATIO * work.predicted_s + LATE_SLACK_S
+    if late:
+        round_s = max(work.predicted_s, LATE_SLACK_S)
+        window = observe_late(upstream.window, now_s, round_s)
+    else:
+        window = observe_on_time(upstream.window)
+    scheduler.upstreams[name] = upstream._replace(
+        speed=speed, window=window, failures_in_row=0
+    )
+
+
+def answer_ended(
+    scheduler: Scheduler,
+    request_id: str,
+    now_s: float,
+    cached_tokens: int | None = None,
+) -> list[Event]:
+    """End a request whose whole answer went to the caller."""
+    life = scheduler.lives[request_id]
+    ask = life.ask
+    if life.attempt is not None:
+        _learn_end(scheduler, life, now_s, cached_tokens)
+    ended = leave_upstream(scheduler, life)
+    earned = scheduler.flags['retry_credit'] + scheduler.plan.retry_share
+    scheduler.flags['retry_credit'] = min(earned, RETRY_CREDIT_MAX)
+    note_length(scheduler.lengths, ask.account, ask.route, life.tokens)
+    scheduler.counters['answers', ask.tier.name] += 1
+    close_life(scheduler, [], ended)
+    return pump(scheduler, ask.target, now_s)
+
+
+def _learn_end(
+    scheduler: Scheduler,
+    life: Life,
+    now_s: float,
+    cached_tokens: int | None,
+) -> None:
+    name = life.attempt.upstream if life.attempt else ''
+    upstream = scheduler.upstreams.get(name)
+    if upstream is None:
+        return
+    if cached_tokens is not None:
+        correct(
+            scheduler.prefixes,
+            name,
+            life.ask.prefix_blocks,
+            cached_tokens,
+        )
+    first_s = life.first_token_at_s
+    if first_s is not None and life.tokens > 1 and life.attempts == 1:
+        step_s = (now_s - first_s) / (life.tokens - 1)
+        scheduler.upstreams[name] = upstream._replace(
+            speed=observe_step(upstream.speed, step_s)
+        )
+
+
+def attempt_failed(
+    scheduler: Scheduler,
+    request_id: str,
+    failure: AttemptFailure,
+    now_s: float,
+) -> list[Event]:
+    """End the current attempt; the request is queued again or refused."""
+    life = scheduler.lives.get(request_id)
+    if life is None or life.attempt is None:
+        return []
+    events: list[Event] = []
+    _note_upstream(scheduler, events, life, failure, now_s)
+    ended = leave_upstream(scheduler, life)
+    if _take_retry(scheduler, ended, failure, now_s):
+        scheduler.counters['retries', failure.kind] += 1
+        queue = queue_of(scheduler, ended.ask.target)
+        put(queue, make_waiting(scheduler, ended))
+    else:
+        refuse(scheduler, events, ended, _final_error(failure))
+    events.extend(pump(scheduler, ended.ask.target, now_s))
+    return events
+
+
+def _note_upstream(
+    scheduler: Scheduler,
+    events: list[Event],
+    life: Life,
+    failure: AttemptFailure,
+    now_s: float,
+) -> None:
+    name = life.attempt.upstream if life.attempt else ''
+    upstream = scheduler.upstreams.get(name)
+    if upstream is None:
+        return
+    if failure.kind in FAULTS:
+        restarted = failure.kind in RESTART_KINDS
+        scheduler.upstreams[name] = note_failure(
+            upstream, now_s, restarted=restarted
+        )
+    if failure.kind == 'silent':
+        events.append(Probe(name))
+
+
+def _take_retry(
+    scheduler: Scheduler,
+    life: Life,
+    failure: AttemptFailure,
+    now_s: float,
+) -> bool:
+    """Spend one unit of the retry budget if the rules allow a retry."""
+    if not may_retry(life, failure, now_s):
+        return False
+    credit = scheduler.flags['retry_credit']
+    if credit < 1.0:
+        scheduler.counters['retries_denied', failure.kind] += 1
+        return False
+    scheduler.flags['retry_credit'] = credit - 1.0
+    return True
+
+
+def _final_error(
+    failure: AttemptFailure,
+) -> AnswerMismatchError | UpstreamFailedError:
+    detail = f'{failure.kind}: {failure.detail}'
+    if failure.kind == 'mismatch':
+        return AnswerMismatchError(detail)
+    return UpstreamFailedError(detail, retry_after_s=1.0)
+
+
+def caller_left(
+    scheduler: Scheduler, request_id: str, now_s: float
+) -> list[Event]:
+    """Free what a request holds after its caller went away."""
+    life = scheduler.lives.get(request_id)
+    if life is None:
+        return []
+    events: list[Event] = []
+    scheduler.counters['callers_left', life.ask.tier.name] += 1
+    close_life(scheduler, events, life)
+    events.extend(pump(scheduler, life.ask.target, now_s))
+    return events
--- /dev/null
+++ b/bluebellhub/scheduler/room.py
@@ -0,0 +1,115 @@
+"""Whether an upstream has room for a request of a given tier.
+
+Two things are held back for higher tiers: a share of the slots, and a short
+prefill backlog on some of the upstreams.
+"""
+
+from collections.abc import Callable, Sequence
+from typing import Final
+
+from bluebellhub.registry import Registry, make_registry
+from bluebellhub.request import Ask
+from bluebellhub.routing import Candidate
+from bluebellhub.scheduler.state import Scheduler
+from bluebellhub.upstream import (
+    Upstream,
+    backlog_tokens,
+    is_straggler,
+)
+
+__all__ = ['disciplines', 'has_room', 'whole_window']
+
+HEADROOM_SHARE_PER_RANK: Final = 0.06
+PROBE_SLOTS: Final = 1
+CLEAR_SHARE: Final = 5
+CLEAR_MIN_UPSTREAMS: Final = 3
+CLEAR_BACKLOG_S: Final = 0.2
+BULK_BACKLOG_S: Final = 0.5
+
+Discipline = Callable[
+    [Scheduler, Upstream, Sequence[Upstream], Ask, Candidate, float], bool
+]
+
+disciplines: Registry[Discipline] = make_registry('admission discipline')
+
+
+def whole_window(upstream: Upstream, now_s: float) -> int:
+    """Return all slots of the upstream: the source for a single VM."""
+    return upstream.window.slots
+
+
+def has_room(
+    scheduler: Scheduler,
+    upstream: Upstream,
+    peers: Sequence[Upstream],
+    ask: Ask,
+    candidate: Candidate,
+    now_s: float,
+) -> bool:
+    """Ask the scheduler's admission discipline."""
+    discipline = disciplines.find(scheduler.plan.discipline)
+    return discipline(scheduler, upstream, peers, ask, candidate, now_s)
+
+
+@disciplines.register('immediate')
+def admit_all(
+    scheduler: Scheduler,
+    upstream: Upstream,
+    peers: Sequence[Upstream],
+    ask: Ask,
+    candidate: Candidate,
+    now_s: float,
+) -> bool:
+    """Send everything at once, as a hub without queues would."""
+    if upstream.window.phase == 'cold':
+        return len(upstream.work) < upstream.window.slots
+    return True
+
+
+@disciplines.register('tiered')
+def admit_by_tier(
+    scheduler: Scheduler,
+    upstream: Upstream,
+    peers: Sequence[Upstream],
+    ask: Ask,
+    candidate: Candidate,
+    now_s: float,
+) -> bool:
+    """Keep within the window and leave headroom for higher tiers."""
+    slots = min(scheduler.slots(upstream, now_s), upstream.window.slots)
+    if is_straggler(upstream, peers):
+        slots = min(slots, PROBE_SLOTS)
+    rank = ask.tier.rank
+    headroom = int(slots * HEADROOM_SHARE_PER_RANK * rank + 0.5)
+    if len(upstream.work) >= slots - headroom:
+        return False
+    if ask.prompt_tokens == 0:
+        return True
+    return _is_backlog_short(upstream, peers, rank, candidate, now_s)
+
+
+def _is_backlog_short(
+    upstream: Upstream,
+    peers: Sequence[Upstream],
+    rank: int,
+    candidate: Candidate,
+    now_s: float,
+) -> bool:
+    """Bound the prefill backlog by seconds, more tightly on clear ones."""
+    rate = upstream.speed.prefill_tokens_per_s
+    backlog_s = backlog_tokens(upstream, now_s) / rate
+    if rank == 0:
+        return True
+    after_s = backlog_s + candidate.uncached_tokens / rate
+    if _is_kept_clear(upstream, peers):
+        return after_s <= CLEAR_BACKLOG_S
+    return backlog_s == 0 or after_s <= BULK_BACKLOG_S
+
+
+def _is_kept_clear(upstream: Upstream, peers: Sequence[Upstream]) -> bool:
+    """One upstream in five takes no long prefill of a lower tier."""
+    if len(peers) < CLEAR_MIN_UPSTREAMS:
+        return False
+    clear = max(1, len(peers) // CLEAR_SHARE)
+    names = [peer.spec.name for peer in peers]
+    return upstream.spec.name in names[:clear]
--- /dev/null
+++ b/bluebellhub/scheduler/shedding.py
@@ -0,0 +1,173 @@
+"""Shedding: which requests are refused when capacity runs out.
+
+A tier is shed only when no request of a lower tier is queued or waits for
+its first token at an upstream, here and, in a fleet, on all live VMs.
+"""
+
+from typing import Final
+
+from bluebellhub.admission import lower_ranks, queued_of_rank, ranks
+from bluebellhub.contract import DEFAULT_TIERS
+from bluebellhub.invariants import check_invariant
+from bluebellhub.request import Life
+from bluebellhub.request.refusal import (
+    DeadlineError,
+    NoUpstreamError,
+    ShedError,
+)
+from bluebellhub.scheduler.dispatch import pump
+from bluebellhub.scheduler.events import Event
+from bluebellhub.scheduler.finish import refuse
+from bluebellhub.scheduler.gates import is_eligible
+from bluebellhub.scheduler.state import Scheduler, queue_of, upstreams_for
+from bluebellhub.upstream import predict_first_token_s
+
+__all__ = ['may_shed', 'shed', 'tick', 'total_slots']
+
+RETRY_AFTER_S: Final = 2.0
+FLOOR_HOLD_S: Final = 2.0
+LOWEST_RANK: Final = max(tier.rank for tier in DEFAULT_TIERS)
+
+
+def total_slots(scheduler: Scheduler, target: str, now_s: float) -> int:
+    """Sum the slots that this VM may use for a model or service."""
+    return sum(
+        min(scheduler.slots(upstream, now_s), upstream.window.slots)
+        for upstream in upstreams_for(scheduler, target)
+        if upstream.spec.failure_domain not in scheduler.domains_out
+    )
+
+
+def lower_work(scheduler: Scheduler, life: Life) -> list[Life]:
+    """Return lower-tier requests that are queued or await a first token.
+
+    A request that is not idempotent and was sent is left out: nothing may
+    take it back.
+    """
+    ask = life.ask
+    queue = queue_of(scheduler, ask.target)
+    found = [
+        scheduler.lives[entry.request_id]
+        for entry in lower_ranks(queue, ask.tier.rank)
+    ]
+    for upstream in upstreams_for(scheduler, ask.target):
+        for request_id, work in upstream.work.items():
+            other = scheduler.lives.get(request_id)
+            if work.rank <= ask.tier.rank or work.prefilled:
+                continue
+            if other is not None and other.ask.idempotent:
+                found.append(other)
+    return found
+
+
+def may_shed(scheduler: Scheduler, life: Life, now_s: float) -> bool:
+    """Tell whether the request may be shed without others before it.
+
+    A VM of a fleet asks for the floor that it needs and waits for the
+    other VMs' agreement.
+    """
+    if lower_work(scheduler, life):
+        return False
+    rank = life.ask.tier.rank
+    if not scheduler.flags['fleet'] or rank == LOWEST_RANK:
+        return True
+    target = life.ask.target
+    scheduler.floors_wanted[target] = (rank, now_s + FLOOR_HOLD_S)
+    agreed = scheduler.floors_agreed.get(target)
+    return agreed is not None and agreed <= rank
+
+
+def shed(
+    scheduler: Scheduler, events: list[Event], life: Life, now_s: float
+) -> None:
+    """Shed a request; asserts that no lower tier is kept instead."""
+    check_invariant(
+        'lower_tier_shed_first',
+        holds=not lower_work(scheduler, life),
+        detail=f'{life.ask.request_id} {life.ask.tier.name}',
+    )
+    error = ShedError('no capacity in time', retry_after_s=RETRY_AFTER_S)
+    refuse(scheduler, events, life, error)
+
+
+def tick(scheduler: Scheduler, now_s: float) -> list[Event]:
+    """Refuse requests that cannot be answered in time; then dispatch."""
+    events: list[Event] = []
+    for target, queue in scheduler.queues.items():
+        for rank in ranks(queue):
+            _refuse_hopeless(scheduler, events, target, rank, now_s)
+        events.extend(pump(scheduler, target, now_s))
+    return events
+
+
+def _refuse_hopeless(
+    scheduler: Scheduler,
+    events: list[Event],
+    target: str,
+    rank: int,
+    now_s: float,
+) -> None:
+    queue = queue_of(scheduler, target)
+    for entry in queued_of_rank(queue, rank):
+        life = scheduler.lives.get(entry.request_id)
+        if life is None or life.first_token_at_s is not None:
+            continue
+        best_s = _best_first_token_s(scheduler, life, now_s)
+        if best_s is None:
+            _refuse_unplaceable(scheduler, events, life, now_s)
+        elif now_s + best_s > life.ask.deadline_s:
+            _refuse_late(scheduler, events, life, now_s)
+
+
+def _best_first_token_s(
+    scheduler: Scheduler, life: Life, now_s: float
+) -> float | None:
+    """Return the best prediction over eligible upstreams, room or not."""
+    predictions = [
+        predict_first_token_s(upstream, 0, now_s)
+        for upstream in upstreams_for(scheduler, life.ask.target)
+        if is_eligible(scheduler, life.ask, upstream, now_s)
+    ]
+    return min(predictions, default=None)
+
+
+def _refuse_unplaceable(
+    scheduler: Scheduler, events: list[Event], life: Life, now_s: float
+) -> None:
+    """With no eligible upstream, wait until the deadline."""
+    if now_s >= life.ask.deadline_s:
+        error = NoUpstreamError(
+            'no upstream takes work', retry_after_s=RETRY_AFTER_S
+        )
+        refuse(scheduler, events, life, error)
+
+
+def _refuse_late(
+    scheduler: Scheduler, events: list[Event], life: Life, now_s: float
+) -> None:
+    """Shed a late request, all lower tiers of the target before it."""
+    for other in lower_work(scheduler, life):
+        _shed_lower(scheduler, events, other)
+    if may_shed(scheduler, life, now_s):
+        shed(scheduler, events, life, now_s)
+
+
+def _shed_lower(
+    scheduler: Scheduler, events: list[Event], life: Life
+) -> None:
+    """Shed a lower-tier request to make way; lowest tiers come first."""
+    error = ShedError(
+        'capacity is needed for a higher tier', retry_after_s=RETRY_AFTER_S
+    )
+    refuse(scheduler, events, life, error)
+
+
+def refuse_impossible(
+    scheduler: Scheduler, events: list[Event], life: Life, best_s: float
+) -> None:
+    """Refuse a request that even an idle upstream answers too late."""
+    error = DeadlineError(
+        f'the first token takes {best_s:.2f} s on an idle upstream, '
+        f'the tier allows {life.ask.tier.first_token_s:g} s'
+    )
+    refuse(scheduler, events, life, error)
--- /dev/null
+++ b/bluebellhub/scheduler/state.py
@@ -0,0 +1,152 @@
+"""The state behind one VM's decisions."""
+
+from collections import Counter
+from collections.abc import Callable
+from random import Random
+from typing import NamedTuple, TypedDict
+
+from bluebellhub.admission import Queue, make_queue
+from bluebellhub.contract import AccountUse, Contract
+from bluebellhub.request import Life
+from bluebellhub.routing import PrefixIndex, make_prefix_index
+from bluebellhub.routing.length import Lengths, make_lengths
+from bluebellhub.routing.prefix import forget_upstream
+from bluebellhub.upstream import Upstream
+from bluebellhub.version_move.gate import MoveGate
+
+__all__ = [
+    'Flags',
+    'Plan',
+    'Scheduler',
+    'add_upstream',
+    'make_scheduler',
+    'queue_of',
+    'remove_upstream',
+    'upstreams_for',
+]
+
+SlotSource = Callable[[Upstream, float], int]
+
+
+class Plan(NamedTuple):
+    """Names of the variations that a scheduler uses.
+
+    ``retry_share`` is the ratio of retries to requests.
+    """
+
+    policy: str = 'predicted'
+    discipline: str = 'tiered'
+    retry_share: float = 0.1
+
+
+class Flags(TypedDict):
+    """The scheduler's scalar state."""
+
+    draining: bool
+    isolated: bool
+    fleet: bool
+    decisions: int
+    retry_credit: float
+
+
+class Scheduler(NamedTuple):
+    """The root; aggregates are stored by name or id.
+
+    ``floors`` holds, by target, the lowest tier rank that is admitted now;
+    ``floors_wanted`` the ranks that this VM needs to shed and until when,
+    and ``floors_agreed`` the ranks that all live VMs have agreed to.
+    """
+
+    plan: Plan
+    slots: SlotSource
+    random: Random
+    flags: Flags
+    contracts: dict[str, Contract]
+    uses: dict[str, AccountUse]
+    queues: dict[str, Queue]
+    upstreams: dict[str, Upstream]
+    by_target: dict[str, list[str]]
+    lives: dict[str, Life]
+    prefixes: PrefixIndex
+    lengths: Lengths
+    domains_out: set[str]
+    moves: dict[str, MoveGate]
+    floors: dict[str, int]
+    floors_wanted: dict[str, tuple[int, float]]
+    floors_agreed: dict[str, int]
+    counters: Counter[tuple[str, str]]
+
+
+def make_scheduler(
+    plan: Plan, slots: SlotSource, seed: int = 0
+) -> Scheduler:
+    """Create a scheduler without upstreams, contracts or requests."""
+    flags: Flags = {
+        'draining': False,
+        'isolated': False,
+        'fleet': False,
+        'decisions': 0,
+        'retry_credit': 10.0,
+    }
+    return Scheduler(
+        plan=plan,
+        slots=slots,
+        random=Random(seed),
+        flags=flags,
+        contracts={},
+        uses={},
+        queues={},
+        upstreams={},
+        by_target={},
+        lives={},
+        prefixes=make_prefix_index(),
+        lengths=make_lengths(),
+        domains_out=set(),
+        moves={},
+        floors={},
+        floors_wanted={},
+        floors_agreed={},
+        counters=Counter(),
+    )
+
+
+def add_upstream(scheduler: Scheduler, upstream: Upstream) -> None:
+    """Add an upstream, or replace its settings and keep what was learned."""
+    name = upstream.spec.name
+    old = scheduler.upstreams.get(name)
+    if old is not None:
+        _unlist(scheduler, old)
+        upstream = old._replace(spec=upstream.spec)
+    scheduler.upstreams[name] = upstream
+    for target in upstream.spec.targets:
+        names = scheduler.by_target.setdefault(target, [])
+        names.append(name)
+        names.sort()
+
+
+def remove_upstream(scheduler: Scheduler, name: str) -> None:
+    """Forget an upstream; requests that run there end on their own."""
+    old = scheduler.upstreams.pop(name, None)
+    if old is not None:
+        _unlist(scheduler, old)
+        forget_upstream(scheduler.prefixes, name)
+
+
+def _unlist(scheduler: Scheduler, upstream: Upstream) -> None:
+    for target in upstream.spec.targets:
+        scheduler.by_target[target].remove(upstream.spec.name)
+
+
+def upstreams_for(scheduler: Scheduler, target: str) -> list[Upstream]:
+    """Return the upstreams that serve a model or service."""
+    names = scheduler.by_target.get(target, ())
+    return [scheduler.upstreams[name] for name in names]
+
+
+def queue_of(scheduler: Scheduler, target: str) -> Queue:
+    """Return the queue of a model or service."""
+    queue = scheduler.queues.get(target)
+    if queue is None:
+        queue = make_queue()
+        scheduler.queues[target] = queue
+    return queue
--- /dev/null
+++ b/bluebellhub/scheduler/submit.py
@@ -0,0 +1,102 @@
+"""Arrival of a request: contract limits, then the queue."""
+
+from bluebellhub.admission import Waiting, put, queued_cost_s
+from bluebellhub.contract import (
+    AccountLimits,
+    Contract,
+    admit,
+    make_account_use,
+)
+from bluebellhub.request import Ask, Life, RefusalError, make_life
+from bluebellhub.request.refusal import (
+    DrainingError,
+    IsolatedError,
+    ShedError,
+    UnknownTargetError,
+)
+from bluebellhub.scheduler.dispatch import pump
+from bluebellhub.scheduler.entry import make_waiting
+from bluebellhub.scheduler.events import Event
+from bluebellhub.scheduler.finish import refuse
+from bluebellhub.scheduler.shedding import may_shed, shed, total_slots
+from bluebellhub.scheduler.state import Scheduler, queue_of
+
+__all__ = ['account_limits', 'submit']
+
+
+def account_limits(contract: Contract) -> AccountLimits:
+    """Return the limits of the whole contract."""
+    return AccountLimits(contract.rate_per_s, contract.concurrency)
+
+
+def submit(
+    scheduler: Scheduler,
+    ask: Ask,
+    limits: AccountLimits,
+    now_s: float,
+) -> list[Event]:
+    """Admit and queue a request; the events may dispatch or refuse it.
+
+    Refusals come as events.  ``limits`` is this VM's share of the
+    account's limits.
+    """
+    events: list[Event] = []
+    life = make_life(ask)
+    scheduler.lives[ask.request_id] = life
+    scheduler.counters['requests', ask.tier.name] += 1
+    try:
+        _check_open(scheduler, ask)
+        _count_use(scheduler, ask, limits, now_s)
+    except RefusalError as error:
+        refuse(scheduler, events, life, error, counted=False)
+        return events
+    _enqueue(scheduler, events, life, now_s)
+    events.extend(pump(scheduler, ask.target, now_s))
+    return events
+
+
+def _check_open(scheduler: Scheduler, ask: Ask) -> None:
+    if scheduler.flags['draining']:
+        raise DrainingError('the VM is shutting down', retry_after_s=1.0)
+    if scheduler.flags['isolated']:
+        raise IsolatedError('the VM is cut off', retry_after_s=2.0)
+    if not scheduler.by_target.get(ask.target):
+        raise UnknownTargetError(f'nothing serves {ask.target!r}')
+    floor = scheduler.floors.get(ask.target)
+    if floor is not None and ask.tier.rank > floor:
+        raise ShedError('the tier is shed on all VMs', retry_after_s=2.0)
+
+
+def _count_use(
+    scheduler: Scheduler, ask: Ask, limits: AccountLimits, now_s: float
+) -> None:
+    use = scheduler.uses.get(ask.account)
+    if use is None:
+        use = make_account_use(limits, now_s)
+    scheduler.uses[ask.account] = admit(use, limits, now_s)
+
+
+def _enqueue(
+    scheduler: Scheduler, events: list[Event], life: Life, now_s: float
+) -> None:
+    entry = make_waiting(scheduler, life)
+    queue = queue_of(scheduler, life.ask.target)
+    if _comes_too_late(scheduler, life, entry):
+        if may_shed(scheduler, life, now_s):
+            shed(scheduler, events, life, now_s)
+            return
+    put(queue, entry)
+
+
+def _comes_too_late(
+    scheduler: Scheduler, life: Life, entry: Waiting
+) -> bool:
+    """Compare the slot time queued ahead with the time to the deadline."""
+    ask = life.ask
+    if scheduler.plan.discipline != 'tiered':
+        return False
+    slots = total_slots(scheduler, ask.target, ask.arrived_at_s)
+    if not slots:
+        return False
+    ahead_s = queued_cost_s(queue_of(scheduler, ask.target), entry.rank)
+    return ahead_s / slots > ask.tier.first_token_s
--- /dev/null
+++ b/bluebellhub/upstream/__init__.py
@@ -0,0 +1,49 @@
+"""Upstreams: identity, speed, window, load reports and work in progress."""
+
+from bluebellhub.upstream.speed import Speed, make_speed, observe_prefill
+from bluebellhub.upstream.upstream import (
+    LoadReport,
+    Upstream,
+    UpstreamSpec,
+    Work,
+    add_work,
+    backlog_tokens,
+    finish_prefill,
+    hear_report,
+    is_straggler,
+    make_upstream,
+    note_failure,
+    predict_first_token_s,
+    remove_work,
+)
+from bluebellhub.upstream.window import (
+    Window,
+    make_window,
+    observe_late,
+    observe_on_time,
+    restart,
+)
+
+__all__ = [
+    'LoadReport',
+    'Speed',
+    'Upstream',
+    'UpstreamSpec',
+    'Window',
+    'Work',
+    'add_work',
+    'backlog_tokens',
+    'finish_prefill',
+    'hear_report',
+    'is_straggler',
+    'make_speed',
+    'make_upstream',
+    'make_window',
+    'note_failure',
+    'observe_late',
+    'observe_on_time',
+    'observe_prefill',
+    'predict_first_token_s',
+    'remove_work',
+    'restart',
+]
--- /dev/null
+++ b/bluebellhub/upstream/upstream.py
@@ -0,0 +1,224 @@
+"""The aggregate of one upstream as one VM sees it."""
+
+from collections.abc import Iterable
+from statistics import median
+from typing import Annotated, Final, Literal, NamedTuple
+
+import msgspec
+
+from bluebellhub.invariants import check_invariant
+from bluebellhub.upstream.speed import Speed, make_speed
+from bluebellhub.upstream.window import Window, make_window, restart
+
+__all__ = [
+    'LoadReport',
+    'Upstream',
+    'UpstreamSpec',
+    'Work',
+    'add_work',
+    'backlog_tokens',
+    'finish_prefill',
+    'hear_report',
+    'is_straggler',
+    'make_upstream',
+    'note_failure',
+    'predict_first_token_s',
+    'remove_work',
+]
+
+STRAGGLER_SHARE: Final = 0.4
+STRAGGLER_DELAY_RATIO: Final = 3.0
+OBSERVATIONS_MIN: Final = 8
+BACKOFF_BASE_S: Final = 0.25
+BACKOFF_MAX_S: Final = 8.0
+
+Count = Annotated[int, msgspec.Meta(ge=1)]
+Positive = Annotated[float, msgspec.Meta(gt=0)]
+
+
+class UpstreamSpec(NamedTuple):
+    """An upstream's settings, kept as a configuration object.
+
+    ``window`` and ``cold_window`` count requests; ``targets`` are the model
+    or services that it serves.  ``fences`` tells whether it refuses orders
+    with an old fencing number.
+    """
+
+    name: str
+    address: str
+    targets: Annotated[tuple[str, ...], msgspec.Meta(min_length=1)]
+    failure_domain: str
+    kind: Literal['engine', 'service'] = 'engine'
+    version: str = '1'
+    hardware: str = 'default'
+    window: Count = 32
+    cold_window: Count = 2
+    prefill_tokens_per_s: Positive = 8000.0
+    step_s: Positive = 0.03
+    fences: bool = True
+    leaving: bool = False
+
+
+class LoadReport(NamedTuple):
+    """Load as the upstream published it; ``taken_at_s`` lies in the past."""
+
+    taken_at_s: float
+    boot_id: str
+    running: int
+    waiting_prefill_tokens: int
+
+
+class Work(NamedTuple):
+    """A request in progress at an upstream, sent from this VM."""
+
+    rank: int
+    uncached_tokens: int
+    sent_at_s: float
+    work_tokens: float
+    predicted_s: float
+    prefilled: bool = False
+
+
+class Upstream(NamedTuple):
+    """The root: settings, learned speed, window and work in progress.
+
+    Work is stored by request id.  ``paused_until_s`` keeps new work away
+    after failures.
+    """
+
+    spec: UpstreamSpec
+    speed: Speed
+    window: Window
+    work: dict[str, Work]
+    report: LoadReport | None = None
+    paused_until_s: float = 0.0
+    failures_in_row: int = 0
+
+
+def make_upstream(spec: UpstreamSpec, *, warm: bool = False) -> Upstream:
+    """Create an upstream without work, cold unless ``warm``."""
+    return Upstream(
+        spec,
+        make_speed(spec.prefill_tokens_per_s, spec.step_s),
+        make_window(spec.cold_window, spec.window, warm=warm),
+        {},
+    )
+
+
+def backlog_tokens(upstream: Upstream, now_s: float) -> float:
+    """Estimate the tokens waiting for prefill at the upstream now.
+
+    The report is brought up to date with the learned rate and with what
+    this VM sent since; what this VM knows to wait is the lower bound.
+    """
+    own = 0
+    since = 0
+    report = upstream.report
+    taken_at_s = report.taken_at_s if report else now_s
+    for work in upstream.work.values():
+        if work.prefilled:
+            continue
+        own += work.uncached_tokens
+        if work.sent_at_s > taken_at_s:
+            since += work.uncached_tokens
+    if report is None:
+        return float(own)
+    drained = (now_s - taken_at_s) * upstream.speed.prefill_tokens_per_s
+    return max(float(own), report.waiting_prefill_tokens + since - drained)
+
+
+def predict_first_token_s(
+    upstream: Upstream, uncached_tokens: int, now_s: float
+) -> float:
+    """Predict the seconds from dispatch to the first token."""
+    ahead = backlog_tokens(upstream, now_s)
+    rate = upstream.speed.prefill_tokens_per_s
+    return (ahead + uncached_tokens) / rate + upstream.speed.step_s
+
+
+def add_work(
+    upstream: Upstream,
+    request_id: str,
+    rank: int,
+    uncached_tokens: int,
+    now_s: float,
+) -> Upstream:
+    """Count a request that is dispatched now.
+
+    Asserts that a cold upstream's work stays within its window.
+    """
+    ahead = backlog_tokens(upstream, now_s)
+    predicted_s = predict_first_token_s(upstream, uncached_tokens, now_s)
+    upstream.work[request_id] = Work(
+        rank,
+        uncached_tokens,
+        now_s,
+        ahead + uncached_tokens,
+        predicted_s,
+    )
+    cold = upstream.window.phase == 'cold'
+    check_invariant(
+        'cold_window',
+        holds=not cold or len(upstream.work) <= upstream.window.slots,
+        detail=f'{upstream.spec.name}: {len(upstream.work)} requests',
+    )
+    return upstream
+
+
+def finish_prefill(upstream: Upstream, request_id: str) -> Work | None:
+    """Mark a request's prefill as done and return its entry."""
+    work = upstream.work.get(request_id)
+    if work is None or work.prefilled:
+        return None
+    upstream.work[request_id] = work._replace(prefilled=True)
+    return work
+
+
+def remove_work(upstream: Upstream, request_id: str) -> Upstream:
+    """Forget a request that ended at this upstream."""
+    upstream.work.pop(request_id, None)
+    return upstream
+
+
+def hear_report(upstream: Upstream, report: LoadReport) -> Upstream:
+    """Take a load report; a new boot id leads back to the cold window."""
+    old = upstream.report
+    if old is not None and report.taken_at_s < old.taken_at_s:
+        return upstream
+    window = upstream.window
+    if old is not None and old.boot_id != report.boot_id:
+        window = restart(window)
+    return upstream._replace(report=report, window=window)
+
+
+def note_failure(
+    upstream: Upstream, now_s: float, *, restarted: bool
+) -> Upstream:
+    """Pause an upstream after a failure, longer with each in a row."""
+    backoff_s = BACKOFF_BASE_S * 2**upstream.failures_in_row
+    window = restart(upstream.window) if restarted else upstream.window
+    return upstream._replace(
+        window=window,
+        failures_in_row=min(upstream.failures_in_row + 1, 8),
+        paused_until_s=now_s + min(backoff_s, BACKOFF_MAX_S),
+    )
+
+
+def is_straggler(upstream: Upstream, peers: Iterable[Upstream]) -> bool:
+    """Compare with peers of the same target and hardware.
+
+    An upstream is a straggler when it is much slower than the median of its
+    peers or than its own predictions.
+    """
+    speed = upstream.speed
+    if speed.observations < OBSERVATIONS_MIN:
+        return False
+    rates = [
+        peer.speed.prefill_tokens_per_s
+        for peer in peers
+        if peer.spec.hardware == upstream.spec.hardware
+    ]
+    if len(rates) < 3:
+        return False
+    slow = speed.prefill_tokens_per_s < STRAGGLER_SHARE * median(rates)
+    return slow or speed.delay_ratio > STRAGGLER_DELAY_RATIO
--- /dev/null
+++ b/bluebellhub/upstream/window.py
@@ -0,0 +1,68 @@
+"""The number of requests that an upstream can bear at once.
+
+A cold upstream starts at ``cold_limit`` and grows as first tokens arrive on
+time; a late one shrinks the window.  A restart leads back to the start.
+"""
+
+from typing import Final, Literal, NamedTuple
+
+__all__ = [
+    'Window',
+    'make_window',
+    'observe_late',
+    'observe_on_time',
+    'restart',
+]
+
+SHRINK: Final = 0.9
+FLOOR_SHARE: Final = 0.25
+GROWTH_ROUNDS: Final = 2.0
+
+
+class Window(NamedTuple):
+    """The root: ``limit`` requests between ``cold_limit`` and ``full``."""
+
+    cold_limit: int
+    full: int
+    limit: float
+    phase: Literal['cold', 'warm']
+    shrunk_at_s: float = 0.0
+
+    @property
+    def slots(self) -> int:
+        """The whole number of requests that may run at once."""
+        return max(1, int(self.limit))
+
+
+def make_window(cold_limit: int, full: int, *, warm: bool = False) -> Window:
+    """Create the window of an upstream that just started, or a warm one."""
+    if warm:
+        return Window(cold_limit, full, float(full), 'warm')
+    return Window(cold_limit, full, float(min(cold_limit, full)), 'cold')
+
+
+def observe_on_time(window: Window) -> Window:
+    """Grow: a cold window doubles within two rounds of its own size."""
+    if window.phase == 'cold':
+        step = 1 / GROWTH_ROUNDS
+    else:
+        step = 1 / window.limit
+    limit = min(float(window.full), window.limit + step)
+    phase = 'warm' if limit >= window.full else window.phase
+    return window._replace(limit=limit, phase=phase)
+
+
+def observe_late(window: Window, now_s: float, round_s: float) -> Window:
+    """Shrink, at most once in ``round_s`` seconds."""
+    if now_s < window.shrunk_at_s + round_s:
+        return window
+    floor = max(window.cold_limit, window.full * FLOOR_SHARE)
+    if window.phase == 'cold':
+        floor = window.cold_limit
+    limit = min(window.limit, max(floor, window.limit * SHRINK))
+    return window._replace(limit=limit, shrunk_at_s=now_s)
+
+
+def restart(window: Window) -> Window:
+    """Return to the cold window."""
+    return make_window(window.cold_limit, window.full)
--- /dev/null
+++ b/bluebellhub/version_move/__init__.py
@@ -0,0 +1,1 @@
+"""Version moves: shares, evidence, steps and taking back."""
--- /dev/null
+++ b/bluebellhub/version_move/gate.py
@@ -0,0 +1,76 @@
+"""The share of a model's traffic that a VM may send to an unproven version.
+
+The gate counts this VM's dispatches to both versions, so that the new
+version never gets more than its share of them.
+"""
+
+from typing import NamedTuple
+
+from bluebellhub.invariants import check_invariant
+
+__all__ = ['MoveGate', 'allows_new', 'count_dispatch', 'make_gate']
+
+UNPROVEN_SHARE = 0.05
+
+
+class MoveGate(NamedTuple):
+    """The root: one move as this VM may carry it out now.
+
+    ``share`` is the largest ratio of new-version dispatches; it is zero
+    once the lease on it has lapsed at ``share_until_s`` or the version is
+    marked bad.  ``old_open`` becomes false when the move has completed.
+    """
+
+    model: str
+    to_version: str
+    share: float
+    share_until_s: float
+    largest_unproven: float = UNPROVEN_SHARE
+    proven: bool = False
+    bad: bool = False
+    old_open: bool = True
+    dispatched: int = 0
+    dispatched_new: int = 0
+
+
+def make_gate(model: str, to_version: str, now_s: float) -> MoveGate:
+    """Create a gate that lets nothing through to the new version."""
+    return MoveGate(model, to_version, 0.0, now_s)
+
+
+def allows_new(gate: MoveGate, now_s: float) -> bool:
+    """Tell whether one more dispatch to the new version keeps the share."""
+    if gate.bad or now_s >= gate.share_until_s:
+        return False
+    total = gate.dispatched + 1
+    return gate.dispatched_new + 1 <= gate.share * total
+
+
+def count_dispatch(gate: MoveGate, version: str, now_s: float) -> MoveGate:
+    """Count a dispatch; asserts the limits on an unproven version."""
+    counted = gate._replace(dispatched=gate.dispatched + 1)
+    if version != gate.to_version:
+        return counted
+    counted = counted._replace(dispatched_new=gate.dispatched_new + 1)
+    check_invariant(
+        'bad_version_gets_no_work',
+        holds=not gate.bad and now_s < gate.share_until_s,
+        detail=f'{gate.model} {version}',
+    )
+    largest = gate.share if gate.proven else gate.largest_unproven
+    check_invariant(
+        'unproven_share',
+        holds=counted.dispatched_new <= largest * counted.dispatched,
+        detail=f'{gate.model}: {counted.dispatched_new}',
+    )
+    return counted
+
+
+def set_share(
+    gate: MoveGate, share: float, until_s: float, *, proven: bool
+) -> MoveGate:
+    """Take a renewed share; the counts restart when the share changes."""
+    renewed = gate._replace(share_until_s=until_s, proven=proven)
+    if share == gate.share:
+        return renewed
+    return renewed._replace(share=share, dispatched=0, dispatched_new=0)
