Serve a request end to end: daemon, front end, engine client, stand-ins

A thin path runs as separate processes: settings, contracts, streamed and whole completions, plain services, keyed orders through the object API, drain on SIGTERM, metrics. Tried by hand against one stand-in engine.

--- /dev/null
+++ b/bluebellhub/adapters/__init__.py
@@ -0,0 +1,1 @@
+"""Adapters: encodings and input/output around the decisions."""
--- /dev/null
+++ b/bluebellhub/adapters/chat.py
@@ -0,0 +1,148 @@
+"""The chat completions encoding: bodies in, whole answers and errors out."""
+
+from typing import Annotated, Any, Final, NotRequired, TypedDict
+
+import msgspec
+
+from bluebellhub.adapters.prompt import estimate_tokens, hash_prefix
+from bluebellhub.request.refusal import BadRequestError, RefusalError
+
+__all__ = [
+    'ChatBody',
+    'cached_tokens',
+    'engine_body',
+    'error_body',
+    'parse_chat',
+    'prompt_of',
+    'whole_answer',
+]
+
+DEFAULT_OUTPUT_TOKENS: Final = 256
+
+
+class ChatMessage(TypedDict):
+    """One message of a conversation."""
+
+    role: str
+    content: str
+
+
+class ChatBody(TypedDict):
+    """A chat completions request; fields not named here are passed on."""
+
+    model: Annotated[str, msgspec.Meta(min_length=1, max_length=200)]
+    messages: Annotated[list[ChatMessage], msgspec.Meta(min_length=1)]
+    stream: NotRequired[bool]
+    max_tokens: NotRequired[Annotated[int, msgspec.Meta(ge=1)]]
+
+
+class ErrorBody(TypedDict):
+    """The JSON body of a refusal."""
+
+    type: str
+    message: str
+    run: str
+    retry_after_s: float | None
+
+
+class TokenDetails(TypedDict):
+    """The part of the prompt that the engine had cached."""
+
+    cached_tokens: NotRequired[int]
+
+
+class Usage(TypedDict):
+    """Token counts of an answer."""
+
+    prompt_tokens_details: NotRequired[TokenDetails]
+
+
+class UsageFrame(TypedDict):
+    """The frame that carries the usage."""
+
+    usage: Usage
+
+
+_chat_decoder = msgspec.json.Decoder(ChatBody)
+_usage_decoder = msgspec.json.Decoder(UsageFrame)
+_frame_decoder = msgspec.json.Decoder(dict[str, Any])
+
+
+def parse_chat(body: bytes) -> ChatBody:
+    """Decode a request body; raises `BadRequestError`."""
+    try:
+        return _chat_decoder.decode(body)
+    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+        raise BadRequestError(f'body: {error}') from None
+
+
+def engine_body(raw: bytes) -> bytes:
+    """Return the request with streaming on, as engines are always called.
+
+    Fields that bluebellhub does not know are passed on.
+    """
+    fields = _frame_decoder.decode(raw)
+    fields['stream'] = True
+    fields['stream_options'] = {'include_usage': True}
+    return msgspec.json.encode(fields)
+
+
+def prompt_of(body: ChatBody) -> bytes:
+    """Return the messages as the bytes that prefix hashes are made of."""
+    return b'\x00'.join(
+        f'{message["role"]}:{message["content"]}'.encode()
+        for message in body['messages']
+    )
+
+
+def prompt_size(body: ChatBody) -> tuple[int, tuple[int, ...]]:
+    """Return the estimated tokens and the prefix hashes of the prompt."""
+    prompt = prompt_of(body)
+    return estimate_tokens(prompt), hash_prefix(prompt)
+
+
+def cached_tokens(usage_frame: bytes) -> int | None:
+    """Read the cached-token count from an answer's usage frame."""
+    _, _, payload = usage_frame.partition(b'data: ')
+    try:
+        usage = _usage_decoder.decode(payload)['usage']
+    except msgspec.MsgspecError:
+        return None
+    details = usage.get('prompt_tokens_details')
+    return details.get('cached_tokens') if details else None
+
+
+def whole_answer(frames: bytes, request_id: str, model: str) -> bytes:
+    """Join the frames of a streamed answer into one completion."""
+    parts = []
+    usage: object = None
+    for frame in frames.split(b'\n\n'):
+        _, _, payload = frame.partition(b'data: ')
+        if not payload or payload == b'[DONE]':
+            continue
+        event = _frame_decoder.decode(payload)
+        usage = event.get('usage') or usage
+        for choice in event.get('choices', ()):
+            parts.append(choice.get('delta', {}).get('content') or '')
+    message = {'role': 'assistant', 'content': ''.join(parts)}
+    choice = {'index': 0, 'message': message, 'finish_reason': 'stop'}
+    return msgspec.json.encode(
+        {
+            'id': request_id,
+            'object': 'chat.completion',
+            'model': model,
+            'choices': [choice],
+            'usage': usage,
+        }
+    )
+
+
+def error_body(error: RefusalError) -> bytes:
+    """Encode a refusal."""
+    body: ErrorBody = {
+        'type': error.reason,
+        'message': str(error),
+        'run': error.run,
+        'retry_after_s': error.retry_after_s,
+    }
+    return msgspec.json.encode({'error': body})
--- /dev/null
+++ b/bluebellhub/adapters/front_end.py
@@ -0,0 +1,267 @@
+"""The HTTP front end for callers."""
+
+from collections.abc import AsyncIterator, Callable
+from typing import Any, Final, NamedTuple
+from uuid import uuid4
+
+from quart import Response, request
+from quart_trio import QuartTrio
+
+from bluebellhub.adapters.chat import (
+    DEFAULT_OUTPUT_TOKENS,
+    engine_body,
+    error_body,
+    parse_chat,
+    prompt_size,
+    whole_answer,
+)
+from bluebellhub.adapters.exchange import (
+    Exchange,
+    Finished,
+    Head,
+    make_exchange,
+)
+from bluebellhub.adapters.node import Node, leave, start
+from bluebellhub.adapters.orders import OrderDesk, place_order
+from bluebellhub.clock import now_s
+from bluebellhub.contract import (
+    AccountLimits,
+    Contract,
+    authenticate,
+    check_ask,
+)
+from bluebellhub.metrics import render_metrics
+from bluebellhub.request import Ask, RefusalError, make_ask
+from bluebellhub.request.refusal import (
+    BodyTooLargeError,
+    UnauthenticatedError,
+)
+
+__all__ = ['FrontEnd', 'make_app']
+
+JSON_TYPE: Final = 'application/json'
+SSE_TYPE: Final = 'text/event-stream'
+SAFE_METHODS: Final = frozenset(('GET', 'HEAD'))
+BEARER: Final = 'Bearer '
+
+LimitsOf = Callable[[Contract], AccountLimits]
+
+
+class FrontEnd(NamedTuple):
+    """What the routes need: the node, account limits and the order desk."""
+
+    node: Node
+    limits_of: LimitsOf
+    desk: OrderDesk
+
+
+def make_app(front: FrontEnd) -> QuartTrio:
+    """Create the application with its routes."""
+    app = QuartTrio('bluebellhub')
+    limits = front.node.settings.limits
+    app.config['MAX_CONTENT_LENGTH'] = limits.body_max_bytes
+    app.config['BODY_TIMEOUT'] = None
+    app.config['RESPONSE_TIMEOUT'] = None
+    _add_routes(app, front)
+    _add_operations(app, front)
+    return app
+
+
+def _add_routes(app: QuartTrio, front: FrontEnd) -> None:
+    @app.errorhandler(RefusalError)
+    async def refuse(error: RefusalError) -> Response:
+        return _refusal_response(front, error)
+
+    @app.errorhandler(413)
+    async def refuse_large(_error: Exception) -> Response:
+        limit = front.node.settings.limits.body_max_bytes
+        refusal = BodyTooLargeError(f'expected at most {limit} bytes')
+        return _refusal_response(front, refusal)
+
+    @app.post('/v1/chat/completions')
+    async def chat() -> Response:
+        return await _serve_chat(front)
+
+    methods = ['GET', 'HEAD', 'POST', 'PUT', 'PATCH', 'DELETE']
+
+    @app.route('/services/<name>/', defaults={'path': ''}, methods=methods)
+    @app.route('/services/<name>/<path:path>', methods=methods)
+    async def service(name: str, path: str) -> Response:
+        return await _serve_service(front, name, path)
+
+
+def _add_operations(app: QuartTrio, front: FrontEnd) -> None:
+    flags = front.node.scheduler.flags
+
+    @app.get('/health')
+    async def health() -> Response:
+        status = 503 if flags['isolated'] else 200
+        return Response(b'isolated\n' if flags['isolated'] else b'ok\n', status)
+
+    @app.get('/ready')
+    async def ready() -> Response:
+        closed = flags['draining'] or flags['isolated']
+        return Response(b'no\n' if closed else b'yes\n', 503 if closed else 200)
+
+    @app.get('/metrics')
+    async def metrics() -> Response:
+        body, content_type = render_metrics(front.node.scheduler)
+        return Response(body, content_type=content_type)
+
+
+def _refusal_response(front: FrontEnd, error: RefusalError) -> Response:
+    if not error.counted:
+        counters = front.node.scheduler.counters
+        counters['front_end_refusals', error.reason] += 1
+    headers = {}
+    if error.retry_after_s is not None:
+        headers['Retry-After'] = str(max(1, round(error.retry_after_s)))
+    return Response(
+        error_body(error),
+        error.status,
+        headers,
+        content_type=JSON_TYPE,
+    )
+
+
+def _account(front: FrontEnd) -> Contract:
+    header = request.headers.get('Authorization', '')
+    if not header.startswith(BEARER):
+        raise UnauthenticatedError('expected a bearer key')
+    key = header.removeprefix(BEARER)
+    return authenticate(front.node.scheduler.contracts, key)
+
+
+async def _serve_chat(front: FrontEnd) -> Response:
+    contract = _account(front)
+    raw = await request.get_data()
+    body = parse_chat(raw)
+    tokens, blocks = prompt_size(body)
+    output = body.get('max_tokens', DEFAULT_OUTPUT_TOKENS)
+    tier = check_ask(
+        contract,
+        body['model'],
+        request.headers.get('X-Tier'),
+        tokens,
+        output,
+    )
+    ask = make_ask(
+        uuid4().hex,
+        tier,
+        body['model'],
+        account=contract.account,
+        route=request.headers.get('X-Route', 'default'),
+        prompt_tokens=tokens,
+        output_tokens=output,
+        prefix_blocks=blocks,
+        arrived_at_s=now_s(),
+    )
+    exchange = make_exchange(ask.request_id, engine_body(raw))
+    start(front.node, ask, front.limits_of(contract), exchange)
+    if body.get('stream', False):
+        return await _stream(front, exchange)
+    return await _whole(front, exchange, body['model'])
+
+
+async def _first(front: FrontEnd, exchange: Exchange) -> Any:
+    """Wait for the first item; raises the refusal if it is one."""
+    try:
+        first = await exchange.incoming.receive()
+    except BaseException:
+        leave(front.node, exchange.request_id)
+        raise
+    if isinstance(first, RefusalError):
+        raise first
+    return first
+
+
+async def _stream(front: FrontEnd, exchange: Exchange) -> Response:
+    first = await _first(front, exchange)
+
+    async def body() -> AsyncIterator[bytes]:
+        part = first
+        try:
+            while not isinstance(part, Finished):
+                if isinstance(part, RefusalError):
+                    yield b'event: error\ndata: ' + error_body(part) + b'\n\n'
+                    return
+                yield part
+                part = await exchange.incoming.receive()
+        finally:
+            leave(front.node, exchange.request_id)
+
+    response = Response(body(), content_type=SSE_TYPE)
+    response.timeout = None
+    response.headers['X-Request-Id'] = exchange.request_id
+    return response
+
+
+async def _collect(front: FrontEnd, exchange: Exchange) -> list[Any]:
+    """Wait for the whole answer; raises a refusal on the way."""
+    parts = [await _first(front, exchange)]
+    try:
+        while not isinstance(parts[-1], Finished):
+            part = await exchange.incoming.receive()
+            if isinstance(part, RefusalError):
+                raise part
+            parts.append(part)
+    finally:
+        leave(front.node, exchange.request_id)
+    return parts[:-1]
+
+
+async def _whole(
+    front: FrontEnd, exchange: Exchange, model: str
+) -> Response:
+    frames = b''.join(await _collect(front, exchange))
+    body = whole_answer(frames, exchange.request_id, model)
+    return Response(body, content_type=JSON_TYPE)
+
+
+async def _serve_service(
+    front: FrontEnd, name: str, path: str
+) -> Response:
+    contract = _account(front)
+    raw = await request.get_data()
+    tier = check_ask(
+        contract, name, request.headers.get('X-Tier'), 0, 0
+    )
+    ask = make_ask(
+        uuid4().hex,
+        tier,
+        name,
+        account=contract.account,
+        route=f'{request.method} {path.partition("/")[0]}',
+        arrived_at_s=now_s(),
+        idempotent=request.method in SAFE_METHODS,
+    )
+    if request.query_string:
+        path = f'{path}?{request.query_string.decode()}'
+    exchange = make_exchange(
+        ask.request_id,
+        raw,
+        method=request.method,
+        path=path,
+        content_type=request.content_type or JSON_TYPE,
+    )
+    key = request.headers.get('Idempotency-Key')
+    if ask.idempotent or key is None:
+        head, body = await _call(front, contract, ask, exchange)
+    else:
+        head, body = await place_order(
+            front.desk,
+            f'{contract.account}/{name}/{key}',
+            exchange,
+            lambda: _call(front, contract, ask, exchange),
+        )
+    response = Response(body, head.status, content_type=head.content_type)
+    response.headers['X-Request-Id'] = ask.request_id
+    return response
+
+
+async def _call(
+    front: FrontEnd, contract: Contract, ask: Ask, exchange: Exchange
+) -> tuple[Head, bytes]:
+    start(front.node, ask, front.limits_of(contract), exchange)
+    head, body = await _collect(front, exchange)
+    return head, body
--- /dev/null
+++ b/bluebellhub/adapters/loads.py
@@ -0,0 +1,66 @@
+"""Polling of the upstreams' load reports."""
+
+from typing import Final, NamedTuple
+
+import httpx
+import msgspec
+import trio
+
+from bluebellhub.adapters.connections import pool_for, use_pool
+from bluebellhub.adapters.node import Node
+from bluebellhub.clock import now_s
+from bluebellhub.routing.prefix import forget_upstream
+from bluebellhub.upstream import LoadReport, hear_report
+
+__all__ = ['poll_loads']
+
+INTERVAL_S: Final = 1.0
+TIMEOUT_S: Final = 1.0
+
+
+class ReportBody(NamedTuple):
+    """A load report's fields on the wire; ``age_s`` seconds old."""
+
+    age_s: float
+    boot_id: str
+    running: int
+    waiting_prefill_tokens: int
+
+
+async def poll_loads(node: Node) -> None:
+    """Read every upstream's report once a second until cancelled."""
+    while True:
+        with trio.move_on_after(TIMEOUT_S):
+            async with trio.open_nursery() as nursery:
+                for name in list(node.scheduler.upstreams):
+                    nursery.start_soon(_poll, node, name)
+        await trio.sleep(INTERVAL_S)
+
+
+async def _poll(node: Node, name: str) -> None:
+    spec = node.scheduler.upstreams[name].spec
+    try:
+        async with use_pool(pool_for(node.connections, spec)) as client:
+            response = await client.get('/v1/load', timeout=TIMEOUT_S)
+        fields = response.json()
+        body = ReportBody(*(fields[key] for key in ReportBody._fields))
+    except (httpx.HTTPError, msgspec.MsgspecError, ValueError, KeyError):
+        node.scheduler.counters['refused_reports', name] += 1
+        return
+    _hear(node, name, body)
+
+
+def _hear(node: Node, name: str, body: ReportBody) -> None:
+    upstream = node.scheduler.upstreams.get(name)
+    if upstream is None:
+        return
+    report = LoadReport(
+        now_s() - body.age_s,
+        body.boot_id,
+        body.running,
+        body.waiting_prefill_tokens,
+    )
+    old = upstream.report
+    if old is not None and old.boot_id != report.boot_id:
+        forget_upstream(node.scheduler.prefixes, name)
+    node.scheduler.upstreams[name] = hear_report(upstream, report)
--- /dev/null
+++ b/bluebellhub/adapters/node.py
@@ -0,0 +1,221 @@
+"""One VM's runtime: it carries out the scheduler's events."""
+
+from collections.abc import Callable
+from typing import NamedTuple
+
+import logbook
+import trio
+
+from bluebellhub.adapters.attempts import (
+    Ended,
+    Hooks,
+    TimeLimits,
+    attempt_kinds,
+)
+from bluebellhub.adapters.connections import (
+    Connections,
+    pool_for,
+    replace_silent,
+)
+from bluebellhub.adapters.exchange import Exchange, Finished
+from bluebellhub.clock import now_s
+from bluebellhub.contract import AccountLimits
+from bluebellhub.registry import Registry, make_registry
+from bluebellhub.request import Ask, AttemptFailure
+from bluebellhub.scheduler import (
+    Cancel,
+    Dispatch,
+    Event,
+    Probe,
+    Refuse,
+    Scheduler,
+    answer_ended,
+    attempt_failed,
+    caller_left,
+    request_sent,
+    submit,
+    tick,
+    tokens_arrived,
+)
+from bluebellhub.settings import Settings
+
+__all__ = ['Node', 'carry_out', 'leave', 'make_node', 'run_ticks', 'start']
+
+TICK_S = 0.05
+FIRST_BYTE_RATIO = 2.0
+FIRST_BYTE_SLACK_S = 1.0
+NEXT_BYTE_RATIO = 20.0
+
+log = logbook.Logger('bluebellhub.node')
+
+
+class Node(NamedTuple):
+    """The root: decisions, connections and the requests in progress.
+
+    ``scopes`` cancels attempts, by request id and attempt number.
+    """
+
+    settings: Settings
+    scheduler: Scheduler
+    connections: Connections
+    nursery: trio.Nursery
+    exchanges: dict[str, Exchange]
+    scopes: dict[tuple[str, int], trio.CancelScope]
+
+
+Carrier = Callable[[Node, Event], None]
+
+carriers: Registry[Carrier] = make_registry('event carrier')
+
+
+def make_node(
+    settings: Settings,
+    scheduler: Scheduler,
+    connections: Connections,
+    nursery: trio.Nursery,
+) -> Node:
+    """Create the runtime of a VM without requests."""
+    return Node(settings, scheduler, connections, nursery, {}, {})
+
+
+def start(
+    node: Node, ask: Ask, limits: AccountLimits, exchange: Exchange
+) -> None:
+    """Submit a request whose answer goes to ``exchange``."""
+    node.exchanges[ask.request_id] = exchange
+    carry_out(node, submit(node.scheduler, ask, limits, now_s()))
+
+
+def leave(node: Node, request_id: str) -> None:
+    """Free what a request holds when its caller is gone or answered."""
+    node.exchanges.pop(request_id, None)
+    carry_out(node, caller_left(node.scheduler, request_id, now_s()))
+
+
+def carry_out(node: Node, events: list[Event]) -> None:
+    """Carry out the scheduler's events in their order."""
+    for event in events:
+        carriers.find(type(event).__name__)(node, event)
+
+
+@carriers.register('Dispatch')
+def carry_dispatch(node: Node, event: Dispatch) -> None:
+    """Start an attempt."""
+    scope = trio.CancelScope()
+    node.scopes[event.request_id, event.attempt] = scope
+    node.nursery.start_soon(_run_attempt, node, event, scope)
+
+
+@carriers.register('Cancel')
+def carry_cancel(node: Node, event: Cancel) -> None:
+    """Cancel an attempt; closing its connection tells the upstream."""
+    scope = node.scopes.get((event.request_id, event.attempt))
+    if scope is not None:
+        scope.cancel()
+
+
+@carriers.register('Refuse')
+def carry_refuse(node: Node, event: Refuse) -> None:
+    """Pass a refusal to the caller."""
+    exchange = node.exchanges.pop(event.request_id, None)
+    log.info(
+        'refused {} reason={} run={}',
+        event.request_id,
+        event.error.reason,
+        event.error.run,
+    )
+    if exchange is not None:
+        node.nursery.start_soon(exchange.outgoing.send, event.error)
+
+
+@carriers.register('Probe')
+def carry_probe(node: Node, event: Probe) -> None:
+    """Replace an upstream's silent connections."""
+    upstream = node.scheduler.upstreams.get(event.upstream)
+    if upstream is not None:
+        node.nursery.start_soon(
+            replace_silent, node.connections, upstream.spec
+        )
+
+
+async def _run_attempt(
+    node: Node, event: Dispatch, scope: trio.CancelScope
+) -> None:
+    exchange = node.exchanges.get(event.request_id)
+    upstream = node.scheduler.upstreams.get(event.upstream)
+    life = node.scheduler.lives.get(event.request_id)
+    try:
+        with scope:
+            if exchange and upstream and life:
+                ended = await attempt_kinds.find(upstream.spec.kind)(
+                    pool_for(node.connections, upstream.spec),
+                    event,
+                    exchange,
+                    _time_limits(node, life.ask),
+                    _make_hooks(node, event),
+                )
+                await _finish(node, event, exchange, ended)
+    finally:
+        node.scopes.pop((event.request_id, event.attempt), None)
+
+
+def _time_limits(node: Node, ask: Ask) -> TimeLimits:
+    tier = ask.tier
+    first_s = tier.first_token_s * FIRST_BYTE_RATIO + FIRST_BYTE_SLACK_S
+    if ask.prompt_tokens == 0:
+        first_s = node.settings.limits.service_timeout_s
+    next_s = max(
+        node.settings.limits.next_byte_s,
+        tier.between_tokens_s * NEXT_BYTE_RATIO,
+    )
+    return TimeLimits(first_s, next_s)
+
+
+def _make_hooks(node: Node, event: Dispatch) -> Hooks:
+    request_id = event.request_id
+
+    def sent() -> None:
+        request_sent(node.scheduler, request_id)
+
+    def tokens(offset: int, count: int) -> None:
+        events = tokens_arrived(
+            node.scheduler, request_id, offset, count, now_s()
+        )
+        carry_out(node, events)
+
+    return Hooks(sent, tokens)
+
+
+async def _finish(
+    node: Node,
+    event: Dispatch,
+    exchange: Exchange,
+    ended: Ended | AttemptFailure,
+) -> None:
+    request_id = event.request_id
+    if request_id not in node.scheduler.lives:
+        return
+    if isinstance(ended, Ended):
+        events = answer_ended(
+            node.scheduler, request_id, now_s(), ended.cached_tokens
+        )
+        carry_out(node, events)
+        await exchange.outgoing.send(Finished())
+        return
+    log.info(
+        'attempt {}.{} at {} failed: {} {}',
+        request_id,
+        event.attempt,
+        event.upstream,
+        ended.kind,
+        ended.detail,
+    )
+    events = attempt_failed(node.scheduler, request_id, ended, now_s())
+    carry_out(node, events)
+
+
+async def run_ticks(node: Node) -> None:
+    """Run the scheduler's periodic decisions until cancelled."""
+    while True:
+        carry_out(node, tick(node.scheduler, now_s()))
+        await trio.sleep(TICK_S)
--- /dev/null
+++ b/bluebellhub/adapters/platform.py
@@ -0,0 +1,193 @@
+"""A client of the platform's object API and VM list.
+
+Objects are read with ``GET /v1/objects/KIND[/NAME]`` and written with a
+conditional ``PUT``, whose ``If-Match`` header names the expected version (0
+for a new object).  ``GET /v1/watch`` waits for changes after a revision.
+"""
+
+from collections import Counter
+from collections.abc import Awaitable, Callable
+from typing import Any, Final, NamedTuple
+
+import httpx
+import msgspec
+
+from bluebellhub.configuration import StoredObject
+from bluebellhub.errors import (
+    ConflictError,
+    ObjectError,
+    StoreUnavailableError,
+)
+
+__all__ = [
+    'Platform',
+    'VmEntry',
+    'delete_object',
+    'get_object',
+    'list_objects',
+    'list_vms',
+    'make_platform',
+    'put_object',
+    'watch',
+]
+
+CALL_TIMEOUT_S: Final = 2.0
+CONFLICT: Final = 409
+NOT_FOUND: Final = 404
+INVALID: Final = 422
+
+
+class VmEntry(NamedTuple):
+    """A VM as the platform's list shows it, possibly late."""
+
+    name: str
+    address: str
+    failure_domain: str
+    leaving: bool = False
+
+
+class Listing(NamedTuple):
+    """Objects and the revision of the store at which they were read."""
+
+    revision: int
+    objects: list[StoredObject]
+
+
+class Platform(NamedTuple):
+    """The client; ``calls`` counts the calls by name."""
+
+    client: httpx.AsyncClient
+    calls: Counter[tuple[str, str]]
+
+
+def make_platform(
+    address: str, calls: Counter[tuple[str, str]] | None = None
+) -> Platform:
+    """Create a client of the object API at ``address``."""
+    client = httpx.AsyncClient(
+        base_url=f'http://{address}', timeout=CALL_TIMEOUT_S
+    )
+    return Platform(client, Counter() if calls is None else calls)
+
+
+async def _call(
+    platform: Platform,
+    name: str,
+    send: Callable[[], Awaitable[httpx.Response]],
+) -> httpx.Response:
+    platform.calls['store_calls', name] += 1
+    try:
+        response = await send()
+    except httpx.HTTPError as error:
+        raise StoreUnavailableError(name, type(error).__name__) from None
+    if response.is_server_error:
+        cause = f'status {response.status_code}'
+        raise StoreUnavailableError(name, cause)
+    return response
+
+
+async def list_objects(platform: Platform, kind: str) -> Listing:
+    """Read all objects of a kind; raises `StoreUnavailableError`."""
+    response = await _call(
+        platform,
+        'list',
+        lambda: platform.client.get(f'/v1/objects/{kind}'),
+    )
+    return _decode_listing(response)
+
+
+async def get_object(
+    platform: Platform, kind: str, name: str
+) -> StoredObject:
+    """Read one object; version 0 and no fields if there is none.
+
+    Raises `StoreUnavailableError`.
+    """
+    response = await _call(
+        platform,
+        'get',
+        lambda: platform.client.get(f'/v1/objects/{kind}/{name}'),
+    )
+    if response.status_code == NOT_FOUND:
+        return StoredObject(kind, name, 0, 0, None)
+    return msgspec.convert(response.json(), StoredObject)
+
+
+async def put_object(
+    platform: Platform,
+    kind: str,
+    name: str,
+    spec: dict[str, Any],
+    version: int,
+) -> StoredObject:
+    """Write an object if it is still at ``version``.
+
+    Raises `ConflictError`, `ObjectError` when the platform refuses the
+    fields, and `StoreUnavailableError` when the update may or may not have
+    taken effect.
+    """
+    response = await _call(
+        platform,
+        'put',
+        lambda: platform.client.put(
+            f'/v1/objects/{kind}/{name}',
+            content=msgspec.json.encode(spec),
+            headers={'If-Match': str(version)},
+        ),
+    )
+    return _decode_write(response, kind, name, version)
+
+
+async def delete_object(
+    platform: Platform, kind: str, name: str, version: int
+) -> StoredObject:
+    """Delete an object if it is still at ``version``; raises as a write."""
+    response = await _call(
+        platform,
+        'delete',
+        lambda: platform.client.delete(
+            f'/v1/objects/{kind}/{name}',
+            headers={'If-Match': str(version)},
+        ),
+    )
+    return _decode_write(response, kind, name, version)
+
+
+def _decode_write(
+    response: httpx.Response, kind: str, name: str, version: int
+) -> StoredObject:
+    if response.status_code == CONFLICT:
+        found = response.json()['version']
+        raise ConflictError(f'{kind} {name!r}', version, found)
+    if response.status_code == INVALID:
+        raise ObjectError(kind, name, response.json()['reason'])
+    return msgspec.convert(response.json(), StoredObject)
+
+
+async def watch(platform: Platform, since: int, wait_s: float) -> Listing:
+    """Wait for configuration objects newer than revision ``since``.
+
+    Raises `StoreUnavailableError`.
+    """
+    response = await _call(
+        platform,
+        'watch',
+        lambda: platform.client.get(
+            '/v1/watch',
+            params={'since': str(since), 'wait_s': str(wait_s)},
+            timeout=wait_s + CALL_TIMEOUT_S,
+        ),
+    )
+    return _decode_listing(response)
+
+
+def _decode_listing(response: httpx.Response) -> Listing:
+    return msgspec.convert(response.json(), Listing)
+
+
+async def list_vms(platform: Platform) -> list[VmEntry]:
+    """Read the VM list; raises `StoreUnavailableError`."""
+    response = await _call(
+        platform, 'list_vms', lambda: platform.client.get('/v1/vms')
+    )
+    return msgspec.convert(response.json(), list[VmEntry])
--- /dev/null
+++ b/bluebellhub/configuration/addresses.py
@@ -0,0 +1,28 @@
+"""Addresses: an IP number and a port."""
+
+from ipaddress import ip_address
+from typing import Final
+
+from bluebellhub.errors import SettingsError
+
+__all__ = ['check_address', 'split_address']
+
+PORT_MAX: Final = 65_535
+
+
+def split_address(address: str) -> tuple[str, int]:
+    """Split ``host:port``; the address has been checked before."""
+    host, _, port = address.rpartition(':')
+    return host.strip('[]'), int(port)
+
+
+def check_address(address: str, field: str) -> None:
+    """Raise `SettingsError` unless the address is an IP number and port."""
+    expected = 'an IP number and a port, such as 10.0.0.7:8100'
+    host, _, port = address.rpartition(':')
+    try:
+        ip_address(host.strip('[]'))
+    except ValueError:
+        raise SettingsError(field, address, expected) from None
+    if not port.isdecimal() or not 0 < int(port) <= PORT_MAX:
+        raise SettingsError(field, address, expected)
--- /dev/null
+++ b/bluebellhub/configuration/kinds.py
@@ -0,0 +1,74 @@
+"""Kinds of configuration objects, each with the check of its fields.
+
+A check takes the object's name and its fields and returns a typed record;
+it raises `SettingsError` or `ObjectError`.
+"""
+
+from collections.abc import Callable
+from typing import Any
+
+from bluebellhub.configuration.addresses import check_address
+from bluebellhub.contract import Contract, find_tier
+from bluebellhub.errors import ObjectError, UnknownEntryError
+from bluebellhub.failure_domain import FailureDomain
+from bluebellhub.records import read_record
+from bluebellhub.registry import Registry, make_registry
+from bluebellhub.upstream import UpstreamSpec
+from bluebellhub.version_move import VersionMove
+
+__all__ = ['check_object', 'object_kinds']
+
+Check = Callable[[str, dict[str, Any]], Any]
+
+object_kinds: Registry[Check] = make_registry('object kind')
+
+
+def check_object(kind: str, name: str, fields: dict[str, Any]) -> Any:
+    """Check an object's fields and return its record."""
+    return object_kinds.find(kind)(name, fields)
+
+
+@object_kinds.register('contract')
+def check_contract(name: str, fields: dict[str, Any]) -> Contract:
+    """A contract's tiers have to exist."""
+    contract = read_record(Contract, {**fields, 'account': name}, 'contract')
+    if '.' in name:
+        raise ObjectError('contract', name, 'got a dot in the name')
+    for tier in contract.tiers:
+        try:
+            find_tier(tier)
+        except UnknownEntryError as error:
+            raise ObjectError('contract', name, str(error)) from None
+    return contract
+
+
+@object_kinds.register('upstream')
+def check_upstream(name: str, fields: dict[str, Any]) -> UpstreamSpec:
+    """An upstream's address is an IP number and a port."""
+    spec = read_record(UpstreamSpec, {**fields, 'name': name}, 'upstream')
+    check_address(spec.address, 'upstream.address')
+    if spec.cold_window > spec.window:
+        reason = (
+            f'got cold_window {spec.cold_window}, '
+            f'expected at most window {spec.window}'
+        )
+        raise ObjectError('upstream', name, reason)
+    return spec
+
+
+@object_kinds.register('failure_domain')
+def check_domain(name: str, fields: dict[str, Any]) -> FailureDomain:
+    """A failure domain is in or out."""
+    return read_record(
+        FailureDomain, {**fields, 'name': name}, 'failure_domain'
+    )
+
+
+@object_kinds.register('version_move')
+def check_move(name: str, fields: dict[str, Any]) -> VersionMove:
+    """A move names two unlike versions of one model."""
+    move = read_record(VersionMove, {**fields, 'model': name}, 'version_move')
+    if move.from_version == move.to_version:
+        reason = f'got {move.to_version!r} for both versions'
+        raise ObjectError('version_move', name, reason)
+    return move
--- /dev/null
+++ b/bluebellhub/daemon.py
@@ -0,0 +1,103 @@
+"""The daemon ``bluebellhubd``: one VM of the scheduler."""
+
+import argparse
+import os
+import signal
+import sys
+from pathlib import Path
+
+import logbook
+import trio
+from hypercorn.trio import serve
+
+from bluebellhub.adapters.assembly import Assembly, assemble
+from bluebellhub.adapters.front_end import make_app
+from bluebellhub.adapters.loads import poll_loads
+from bluebellhub.adapters.node import run_ticks
+from bluebellhub.adapters.watching import run_watch
+from bluebellhub.errors import HubError
+from bluebellhub.invariants import make_fatal
+from bluebellhub.logs import set_up_logs
+from bluebellhub.settings import Settings, load_settings
+from bluebellhub.standins.serve import make_config
+
+__all__ = ['main', 'run_daemon']
+
+EXIT_SETTINGS = 2
+DRAIN_STEP_S = 0.05
+
+log = logbook.Logger('bluebellhub.daemon')
+
+
+async def run_daemon(settings: Settings) -> None:
+    """Serve until SIGTERM or SIGINT, then finish running requests."""
+    async with trio.open_nursery() as nursery:
+        assembly = assemble(settings, nursery)
+        shutdown = trio.Event()
+        nursery.start_soon(run_ticks, assembly.node)
+        nursery.start_soon(poll_loads, assembly.node)
+        nursery.start_soon(run_watch, assembly)
+        nursery.start_soon(_await_signal, assembly, shutdown)
+        await _serve(assembly, shutdown)
+        nursery.cancel_scope.cancel()
+    log.info('{} stopped', settings.vm)
+
+
+async def _serve(assembly: Assembly, shutdown: trio.Event) -> None:
+    settings = assembly.node.settings
+    config = make_config(settings.listen, settings.limits.header_max_bytes)
+    config.graceful_timeout = settings.limits.drain_s
+    log.info('{} listens on {}', settings.vm, settings.listen)
+    await serve(
+        make_app(assembly.front),
+        config,
+        mode='asgi',
+        shutdown_trigger=shutdown.wait,
+    )
+
+
+async def _await_signal(assembly: Assembly, shutdown: trio.Event) -> None:
+    """At a signal refuse new work, wait for the rest, then stop."""
+    signals = (signal.SIGTERM, signal.SIGINT)
+    with trio.open_signal_receiver(*signals) as received:
+        async for _ in received:
+            break
+    node = assembly.node
+    node.scheduler.flags['draining'] = True
+    log.info('draining {} requests', len(node.scheduler.lives))
+    with trio.move_on_after(node.settings.limits.drain_s):
+        while node.scheduler.lives or node.exchanges:
+            await trio.sleep(DRAIN_STEP_S)
+    shutdown.set()
+
+
+def make_parser() -> argparse.ArgumentParser:
+    """Create the command line's parser."""
+    parser = argparse.ArgumentParser(
+        prog='bluebellhubd', description=__doc__
+    )
+    parser.add_argument('--settings', type=Path, required=True)
+    parser.add_argument(
+        '--check', action='store_true', help='check the settings and exit'
+    )
+    return parser
+
+
+def main() -> None:
+    """Run the daemon; exits with status 2 if the settings are not usable."""
+    args = make_parser().parse_args()
+    try:
+        settings = load_settings(args.settings)
+    except HubError as error:
+        print(f'bluebellhubd: {error}', file=sys.stderr)
+        sys.exit(EXIT_SETTINGS)
+    if args.check:
+        print('the settings are usable')
+        return
+    make_fatal(fatal=os.environ.get('BLUEBELLHUB_FATAL') == '1')
+    with set_up_logs(settings.log_level):
+        trio.run(run_daemon, settings)
+
+
+if __name__ == '__main__':
+    main()
--- /dev/null
+++ b/bluebellhub/metrics.py
@@ -0,0 +1,83 @@
+"""Metrics in the Prometheus text format, rendered when they are asked for."""
+
+from typing import Final
+
+from aioprometheus.collectors import Counter, Gauge, Registry
+from aioprometheus.renderer import render
+
+from bluebellhub.admission import size
+from bluebellhub.invariants import violations
+from bluebellhub.scheduler.state import Scheduler
+
+__all__ = ['render_metrics']
+
+TEXT_FORMAT: Final = ('text/plain',)
+
+LABELS: Final = {
+    'requests': 'tier',
+    'dispatches': 'tier',
+    'answers': 'tier',
+    'preemptions': 'tier',
+    'callers_left': 'tier',
+    'refusals': 'reason',
+    'front_end_refusals': 'reason',
+    'retries': 'reason',
+    'retries_denied': 'reason',
+    'peer_messages': 'direction',
+    'peer_bytes': 'direction',
+    'store_calls': 'call',
+    'moves': 'outcome',
+    'refused_reports': 'upstream',
+}
+
+
+def render_metrics(scheduler: Scheduler) -> tuple[bytes, str]:
+    """Return the metrics of a VM and their content type."""
+    registry = Registry()
+    _add_counters(registry, scheduler)
+    _add_gauges(registry, scheduler)
+    body, headers = render(registry, TEXT_FORMAT)
+    return body, headers['Content-Type']
+
+
+def _add_counters(registry: Registry, scheduler: Scheduler) -> None:
+    collectors = {
+        name: Counter(
+            f'bluebellhub_{name}_total',
+            f'Number of {name.replace("_", " ")} by {label}.',
+            registry=registry,
+        )
+        for name, label in LABELS.items()
+    }
+    for (name, value), count in scheduler.counters.items():
+        collectors[name].set({LABELS[name]: value}, count)
+    broken = Counter(
+        'bluebellhub_invariant_violations_total',
+        'Number of violated invariants by name.',
+        registry=registry,
+    )
+    for name, count in violations.items():
+        broken.set({'invariant': name}, count)
+
+
+def _add_gauges(registry: Registry, scheduler: Scheduler) -> None:
+    queued = Gauge(
+        'bluebellhub_queued_requests',
+        'Requests that wait, by model or service.',
+        registry=registry,
+    )
+    for target, queue in scheduler.queues.items():
+        queued.set({'target': target}, size(queue))
+    running = Gauge(
+        'bluebellhub_running_requests',
+        'Requests from this VM at an upstream.',
+        registry=registry,
+    )
+    window = Gauge(
+        'bluebellhub_window_requests',
+        'Requests that an upstream can bear.',
+        registry=registry,
+    )
+    for name, upstream in scheduler.upstreams.items():
+        running.set({'upstream': name}, len(upstream.work))
+        window.set({'upstream': name}, upstream.window.slots)
--- /dev/null
+++ b/bluebellhub/order/__init__.py
@@ -0,0 +1,37 @@
+"""Orders: calls that are not idempotent, dispatched at most once by key."""
+
+from bluebellhub.order.ledger import (
+    Claim,
+    ClaimAnswer,
+    Ledger,
+    Outcome,
+    ShardWrite,
+    begin_write,
+    confirm_write,
+    forget_claim,
+    make_ledger,
+    queue_claim,
+    queue_outcome,
+    queue_release,
+    read_back,
+    shard_of,
+)
+from bluebellhub.order.record import OrderRecord
+
+__all__ = [
+    'Claim',
+    'ClaimAnswer',
+    'Ledger',
+    'OrderRecord',
+    'Outcome',
+    'ShardWrite',
+    'begin_write',
+    'confirm_write',
+    'forget_claim',
+    'make_ledger',
+    'queue_claim',
+    'queue_outcome',
+    'queue_release',
+    'read_back',
+    'shard_of',
+]
--- a/bluebellhub/request/refusal.py
+++ b/bluebellhub/request/refusal.py
@@ -43,6 +43,7 @@
 
     ``status`` is the HTTP status that fits the reason and ``retry_after_s``
     the number of seconds after which a new try makes sense, or ``None``.
+    ``counted`` tells whether the scheduler has counted the refusal.
     """
 
     reason: ClassVar[str] = 'refused'
@@ -57,6 +58,7 @@
     ) -> None:
         super().__init__(detail)
         self.run = run
+        self.counted = False
         self.retry_after_s = retry_after_s
 
 
--- a/bluebellhub/routing/policy.py
+++ b/bluebellhub/routing/policy.py
@@ -20,13 +20,14 @@
     """An upstream as a policy sees it.
 
     ``outstanding`` counts requests from this VM, ``predicted_s`` is the
-    time to the first token.
+    time to the first token.  A ``resumed`` request has its first token.
     """
 
     upstream: str
     outstanding: int
     predicted_s: float
     uncached_tokens: int
+    resumed: bool = False
 
 
 Policy = Callable[[Sequence[Candidate], Random, int], Candidate]
--- /dev/null
+++ b/bluebellhub/scheduler/configure.py
@@ -0,0 +1,73 @@
+"""Effects of configuration changes on a scheduler, a registry by kind."""
+
+from collections.abc import Callable
+
+from bluebellhub.configuration import Change
+from bluebellhub.failure_domain import is_out
+from bluebellhub.registry import Registry, make_registry
+from bluebellhub.scheduler.state import (
+    Scheduler,
+    add_upstream,
+    remove_upstream,
+)
+from bluebellhub.upstream import make_upstream
+from bluebellhub.version_move.gate import make_gate
+
+__all__ = ['appliers', 'apply_change']
+
+Applier = Callable[[Scheduler, Change, float], None]
+
+appliers: Registry[Applier] = make_registry('configuration applier')
+
+
+def apply_change(
+    scheduler: Scheduler, change: Change, now_s: float
+) -> None:
+    """Put a change in force on this VM."""
+    appliers.find(change.kind)(scheduler, change, now_s)
+
+
+@appliers.register('contract')
+def apply_contract(
+    scheduler: Scheduler, change: Change, now_s: float
+) -> None:
+    """Replace or withdraw a contract."""
+    if change.record is None:
+        scheduler.contracts.pop(change.name, None)
+        return
+    scheduler.contracts[change.name] = change.record
+
+
+@appliers.register('upstream')
+def apply_upstream(
+    scheduler: Scheduler, change: Change, now_s: float
+) -> None:
+    """Add, change or remove an upstream; a new one counts as cold."""
+    if change.record is None:
+        remove_upstream(scheduler, change.name)
+        return
+    add_upstream(scheduler, make_upstream(change.record))
+
+
+@appliers.register('failure_domain')
+def apply_domain(
+    scheduler: Scheduler, change: Change, now_s: float
+) -> None:
+    """Take a failure domain out or back in."""
+    if change.record is not None and is_out(change.record):
+        scheduler.domains_out.add(change.name)
+        return
+    scheduler.domains_out.discard(change.name)
+
+
+@appliers.register('version_move')
+def apply_move(scheduler: Scheduler, change: Change, now_s: float) -> None:
+    """Start, replace or withdraw a move."""
+    if change.record is None:
+        scheduler.moves.pop(change.name, None)
+        return
+    move = change.record
+    gate = make_gate(move.model, move.to_version, now_s)
+    scheduler.moves[change.name] = gate._replace(
+        largest_unproven=move.largest_unproven_share
+    )
--- a/bluebellhub/scheduler/dispatch.py
+++ b/bluebellhub/scheduler/dispatch.py
@@ -4,19 +4,15 @@
 
 from bluebellhub.admission import Queue, Waiting, charge, head, remove
 from bluebellhub.request import Life, begin_attempt
-from bluebellhub.routing import Candidate, cached_blocks, learn, policies
-from bluebellhub.routing.prefix import BLOCK_TOKENS
+from bluebellhub.routing import Candidate, learn, policies
+from bluebellhub.scheduler.candidate import make_candidate
 from bluebellhub.scheduler.events import Dispatch, Event
 from bluebellhub.scheduler.finish import leave_upstream
 from bluebellhub.scheduler.gates import is_eligible
 from bluebellhub.scheduler.preemption import find_victim, requeue
 from bluebellhub.scheduler.room import has_room
 from bluebellhub.scheduler.state import Scheduler, queue_of, upstreams_for
-from bluebellhub.upstream import (
-    Upstream,
-    add_work,
-    predict_first_token_s,
-)
+from bluebellhub.upstream import add_work
 from bluebellhub.version_move.gate import count_dispatch
 
 __all__ = ['candidates_for', 'place', 'pump']
@@ -70,23 +66,12 @@
     for upstream in peers:
         if not is_eligible(scheduler, ask, upstream, now_s):
             continue
-        candidate = _make_candidate(scheduler, life, upstream, now_s)
+        candidate = make_candidate(scheduler, life, upstream, now_s)
         if has_room(scheduler, upstream, peers, ask, candidate, now_s):
             found.append(candidate)
     return found
 
 
-def _make_candidate(
-    scheduler: Scheduler, life: Life, upstream: Upstream, now_s: float
-) -> Candidate:
-    ask = life.ask
-    name = upstream.spec.name
-    cached = cached_blocks(scheduler.prefixes, name, ask.prefix_blocks)
-    uncached = max(0, ask.prompt_tokens - cached * BLOCK_TOKENS)
-    predicted_s = predict_first_token_s(upstream, uncached, now_s)
-    return Candidate(name, len(upstream.work), predicted_s, uncached)
-
-
 def place(
     scheduler: Scheduler, life: Life, chosen: Candidate, now_s: float
 ) -> Dispatch:
@@ -134,7 +119,7 @@
     upstream = scheduler.upstreams[freed.upstream] if freed else None
     if upstream is None:
         return False
-    candidate = _make_candidate(scheduler, life, upstream, now_s)
+    candidate = make_candidate(scheduler, life, upstream, now_s)
     remove(queue_of(scheduler, ask.target), ask.request_id)
     events.append(place(scheduler, life, candidate, now_s))
     return True
--- a/bluebellhub/scheduler/finish.py
+++ b/bluebellhub/scheduler/finish.py
@@ -31,6 +31,7 @@
         detail=life.ask.request_id,
     )
     scheduler.counters['refusals', error.reason] += 1
+    error.counted = True
     events.append(Refuse(life.ask.request_id, error))
     close_life(scheduler, events, life, counted=counted)
 
--- a/bluebellhub/scheduler/room.py
+++ b/bluebellhub/scheduler/room.py
@@ -23,8 +23,9 @@
 PROBE_SLOTS: Final = 1
 CLEAR_SHARE: Final = 5
 CLEAR_MIN_UPSTREAMS: Final = 3
-CLEAR_BACKLOG_S: Final = 0.2
-BULK_BACKLOG_S: Final = 0.5
+CLEAR_BACKLOG_S: Final = 0.05
+BULK_BACKLOG_S: Final = 0.15
+RHYTHM_SHARE: Final = 0.95
 
 Discipline = Callable[
     [Scheduler, Upstream, Sequence[Upstream], Ask, Candidate, float], bool
@@ -85,9 +86,26 @@
         return False
     if ask.prompt_tokens == 0:
         return True
+    if now_s + candidate.predicted_s > ask.deadline_s and not candidate.resumed:
+        return False
+    if not _keeps_rhythm(upstream, peers, ask):
+        return False
     return _is_backlog_short(upstream, peers, rank, candidate, now_s)
 
 
+def _keeps_rhythm(
+    upstream: Upstream, peers: Sequence[Upstream], ask: Ask
+) -> bool:
+    """Avoid upstreams that decode too slowly for the tier.
+
+    When all of them are too slow, the tier takes what there is.
+    """
+    limit_s = ask.tier.between_tokens_s * RHYTHM_SHARE
+    if upstream.speed.step_s <= limit_s:
+        return True
+    return all(peer.speed.step_s > limit_s for peer in peers)
+
+
 def _is_backlog_short(
     upstream: Upstream,
     peers: Sequence[Upstream],
--- a/bluebellhub/scheduler/shedding.py
+++ b/bluebellhub/scheduler/shedding.py
@@ -15,12 +15,12 @@
     NoUpstreamError,
     ShedError,
 )
+from bluebellhub.scheduler.candidate import make_candidate
 from bluebellhub.scheduler.dispatch import pump
 from bluebellhub.scheduler.events import Event
 from bluebellhub.scheduler.finish import refuse
 from bluebellhub.scheduler.gates import is_eligible
 from bluebellhub.scheduler.state import Scheduler, queue_of, upstreams_for
-from bluebellhub.upstream import predict_first_token_s
 
 __all__ = ['may_shed', 'shed', 'tick', 'total_slots']
 
@@ -124,7 +124,7 @@
 ) -> float | None:
     """Return the best prediction over eligible upstreams, room or not."""
     predictions = [
-        predict_first_token_s(upstream, 0, now_s)
+        make_candidate(scheduler, life, upstream, now_s).predicted_s
         for upstream in upstreams_for(scheduler, life.ask.target)
         if is_eligible(scheduler, life.ask, upstream, now_s)
     ]
--- /dev/null
+++ b/bluebellhub/settings.py
@@ -0,0 +1,92 @@
+"""The daemon's settings: one YAML file, checked field by field.
+
+Object lists (``contracts``, ``upstreams``) serve a VM that runs alone; in a
+fleet the objects come from the platform and both lists are empty.
+"""
+
+from pathlib import Path
+from typing import Annotated, Any, NamedTuple
+
+import msgspec
+import yaml
+
+from bluebellhub.configuration.addresses import check_address
+from bluebellhub.errors import SettingsError
+from bluebellhub.records import read_record
+
+__all__ = ['Limits', 'Peer', 'Settings', 'load_settings', 'parse_settings']
+
+Positive = Annotated[float, msgspec.Meta(gt=0)]
+Count = Annotated[int, msgspec.Meta(ge=1)]
+
+
+class Peer(NamedTuple):
+    """Another VM known from the start; the VM list brings the others."""
+
+    name: str
+    address: str
+    failure_domain: str = ''
+
+
+class Limits(NamedTuple):
+    """Bounds of one VM; sizes in bytes, times in seconds."""
+
+    body_max_bytes: Count = 1_048_576
+    header_max_bytes: Count = 16_384
+    service_timeout_s: Positive = 10.0
+    next_byte_s: Positive = 5.0
+    connect_timeout_s: Positive = 1.0
+    drain_s: Positive = 60.0
+
+
+class Settings(NamedTuple):
+    """All settings of a daemon.
+
+    ``listen`` takes callers, ``peer_listen`` other VMs.  ``platform`` is
+    the object API's address; without one the VM runs alone.
+    """
+
+    vm: str
+    failure_domain: str
+    listen: str
+    peer_listen: str | None = None
+    platform: str | None = None
+    peers: tuple[Peer, ...] = ()
+    limits: Limits = Limits()
+    policy: str = 'predicted'
+    log_level: str = 'INFO'
+    warm_start: bool = False
+    contracts: tuple[dict[str, Any], ...] = ()
+    upstreams: tuple[dict[str, Any], ...] = ()
+
+
+def load_settings(path: Path) -> Settings:
+    """Read a settings file; raises `SettingsError`."""
+    try:
+        text = path.read_text(encoding='utf-8')
+    except OSError as error:
+        reason = error.strerror or 'unreadable'
+        raise SettingsError('file', str(path), f'a file ({reason})') from None
+    return parse_settings(text)
+
+
+def parse_settings(text: str) -> Settings:
+    """Check the text of a settings file; raises `SettingsError`."""
+    try:
+        fields = yaml.safe_load(text)
+    except yaml.YAMLError as error:
+        problem = getattr(error, 'problem', None) or 'not YAML'
+        raise SettingsError('file', problem, 'a YAML mapping') from None
+    settings = read_record(Settings, fields, 'settings')
+    _check_addresses(settings)
+    return settings
+
+
+def _check_addresses(settings: Settings) -> None:
+    check_address(settings.listen, 'settings.listen')
+    for field in ('peer_listen', 'platform'):
+        address = getattr(settings, field)
+        if address is not None:
+            check_address(address, f'settings.{field}')
+    for place, peer in enumerate(settings.peers):
+        check_address(peer.address, f'settings.peers[{place}].address')
--- /dev/null
+++ b/bluebellhub/standins/platform_server.py
@@ -0,0 +1,117 @@
+"""The platform stand-in behind HTTP.
+
+``POST /control`` sets its faults, and the VM list, as a JSON object.
+"""
+
+import msgspec
+import trio
+from quart import Response, request
+from quart_trio import QuartTrio
+
+from bluebellhub.adapters.platform import VmEntry
+from bluebellhub.configuration import StoredObject
+from bluebellhub.errors import ConflictError, ObjectError
+from bluebellhub.standins.platform_model import (
+    PlatformModel,
+    changes_since,
+    read,
+    visible_vms,
+    write,
+)
+
+__all__ = ['make_platform_app']
+
+WATCH_STEP_S = 0.02
+
+
+def _json(body: object, status: int = 200) -> Response:
+    encoded = msgspec.json.encode(body)
+    return Response(encoded, status, content_type='application/json')
+
+
+def make_platform_app(model: PlatformModel) -> QuartTrio:
+    """Create the application around a model."""
+    app = QuartTrio('platform')
+    _add_faults(app, model)
+    _add_objects(app, model)
+    _add_lists(app, model)
+    return app
+
+
+def _add_faults(app: QuartTrio, model: PlatformModel) -> None:
+    @app.before_request
+    async def delay() -> Response | None:
+        if request.path == '/control':
+            return None
+        model.calls[request.path.split('/')[2]] += 1
+        await trio.sleep(model.state['delay_s'])
+        if model.state['down']:
+            return _json({'reason': 'outage'}, 503)
+        return None
+
+    @app.post('/control')
+    async def control() -> Response:
+        fields = msgspec.json.decode(await request.get_data())
+        vms = fields.pop('vms', None)
+        if vms is not None:
+            entries = msgspec.convert(vms, tuple[VmEntry, ...])
+            model.vms.append((trio.current_time(), entries))
+        model.state.update(fields)
+        return _json(dict(model.calls))
+
+
+def _write(
+    model: PlatformModel, kind: str, name: str, spec: dict | None
+) -> Response:
+    expected = int(request.headers.get('If-Match', '0'))
+    try:
+        stored = write(model, kind, name, spec, expected)
+    except ConflictError as error:
+        return _json({'version': error.found}, 409)
+    except ObjectError as error:
+        return _json({'reason': error.reason}, 422)
+    if model.state['lose_replies'] > 0:
+        model.state['lose_replies'] -= 1
+        return _json({'reason': 'answer lost'}, 504)
+    return _json(stored)
+
+
+def _add_objects(app: QuartTrio, model: PlatformModel) -> None:
+    @app.get('/v1/objects/<kind>/<name>')
+    async def get(kind: str, name: str) -> Response:
+        stored = read(model, kind, name)
+        return _json(stored, 200 if stored.version else 404)
+
+    @app.put('/v1/objects/<kind>/<name>')
+    async def put(kind: str, name: str) -> Response:
+        spec = msgspec.json.decode(await request.get_data())
+        return _write(model, kind, name, spec)
+
+    @app.delete('/v1/objects/<kind>/<name>')
+    async def delete(kind: str, name: str) -> Response:
+        return _write(model, kind, name, None)
+
+
+def _add_lists(app: QuartTrio, model: PlatformModel) -> None:
+    @app.get('/v1/objects/<kind>')
+    async def list_kind(kind: str) -> Response:
+        found: list[StoredObject] = [
+            stored
+            for stored in model.objects.values()
+            if stored.kind == kind and stored.spec is not None
+        ]
+        return _json((model.state['revision'], found))
+
+    @app.get('/v1/watch')
+    async def watch() -> Response:
+        since = int(request.args['since'])
+        wait_s = float(request.args['wait_s'])
+        with trio.move_on_after(wait_s):
+            while not changes_since(model, since):
+                await trio.sleep(WATCH_STEP_S)
+        changed = changes_since(model, since)
+        return _json((model.state['revision'], changed))
+
+    @app.get('/v1/vms')
+    async def vms() -> Response:
+        return _json(visible_vms(model, trio.current_time()))
--- /dev/null
+++ b/bluebellhub/version_move/move.py
@@ -0,0 +1,24 @@
+"""A version move as operators announce it."""
+
+from typing import Annotated, Literal, NamedTuple
+
+import msgspec
+
+__all__ = ['VersionMove']
+
+Share = Annotated[float, msgspec.Meta(gt=0, le=1)]
+
+
+class VersionMove(NamedTuple):
+    """Move a model's traffic from one version to another by a date.
+
+    ``due_at`` is in seconds since the epoch.  ``largest_unproven_share`` is
+    the ratio of requests that the new version may get before it is proven.
+    """
+
+    model: str
+    from_version: str
+    to_version: str
+    due_at: float
+    largest_unproven_share: Share = 0.05
+    wanted: Literal['move', 'abort'] = 'move'
