--- a/benchmarks/harness.py
+++ b/benchmarks/harness.py
@@ -5,14 +5,13 @@
 cluster: schedulers share nothing but the engines and what a test adds.
 """
 
-import heapq
 from collections.abc import Callable
-from itertools import count
 from typing import Any, Final, NamedTuple
 
 from benchmarks.outcome import Outcome, Outcomes, make_outcomes
 from benchmarks.workloads import Arrival, Site, make_contracts
 from bluebellhub.contract import AccountLimits
+from bluebellhub.fleet import Fleet, leased_slots
 from bluebellhub.request import AttemptFailure
 from bluebellhub.scheduler import (
     Cancel,
@@ -23,6 +22,7 @@
     add_upstream,
     answer_ended,
     attempt_failed,
+    hear_load,
     make_scheduler,
     request_sent,
     submit,
@@ -43,9 +43,30 @@
     report_load,
     run_step,
 )
-from bluebellhub.upstream import UpstreamSpec, hear_report, make_upstream
-
-__all__ = ['Bench', 'at', 'crash_engine', 'make_bench', 'run', 'spec_of']
+from bluebellhub.standins.virtual_clock import (
+    VirtualClock,
+    call_at,
+    make_clock,
+    run_until,
+)
+from bluebellhub.standins.virtual_fleet import (
+    VirtualFleet,
+    add_vm,
+    kill_vm,
+    make_virtual_fleet,
+)
+from bluebellhub.upstream import Upstream, UpstreamSpec, make_upstream
+
+__all__ = [
+    'Bench',
+    'at',
+    'crash_engine',
+    'kill',
+    'make_bench',
+    'make_fleet_bench',
+    'run',
+    'spec_of',
+]
 
 DELAY_S: Final = 0.0015
 TICK_S: Final = 0.05
@@ -58,14 +79,14 @@
 class Bench(NamedTuple):
     """The root: a clock with its heap, the schedulers and the engines."""
 
-    heap: list[tuple[float, int, Callable[..., None], tuple[Any, ...]]]
-    serial: count
+    clock: VirtualClock
     vms: list[Scheduler]
     engines: dict[str, Engine]
     stepping: set[str]
     dead_vms: set[int]
     outcomes: Outcomes
     owners: dict[str, int]
+    virtual: VirtualFleet | None = None
 
 
 def spec_of(site: Site, number: int) -> UpstreamSpec:
@@ -107,14 +128,56 @@
         profile.name: make_engine(profile, 0.0, warm=True)
         for profile in site.profiles
     }
-    return Bench([], count(), vms, engines, set(), set(), make_outcomes(), {})
+    return Bench(
+        make_clock(), vms, engines, set(), set(), make_outcomes(), {}
+    )
+
+
+def make_fleet_bench(site: Site, plan: Plan, vms: int, seed: int) -> Bench:
+    """Create VMs that lease their windows from each other."""
+    cells: list[list[Fleet]] = [[] for _ in range(vms)]
+    sources = [_leased_source(cell) for cell in cells]
+    bench = make_bench(site, plan, sources, seed)
+    virtual = make_virtual_fleet(bench.clock, seed)
+    for number, scheduler in enumerate(bench.vms):
+        domain = site.domains[number % len(site.domains)]
+        name = f'hub-{number}'
+        cells[number].append(add_vm(virtual, name, domain, scheduler))
+    return bench._replace(virtual=virtual)
+
+
+def _leased_source(cell: list[Fleet]) -> SlotSource:
+    def slots(upstream: Upstream, now_s: float) -> int:
+        return leased_slots(cell[0])(upstream, now_s)
+
+    return slots
+
+
+def kill(bench: Bench, now_s: float, vm: int) -> None:
+    """Kill a VM with its requests; engines notice closed connections."""
+    bench.dead_vms.add(vm)
+    if bench.virtual is not None:
+        kill_vm(bench.virtual, f'hub-{vm}')
+    for life in bench.vms[vm].lives.values():
+        if life.attempt is not None:
+            job_id = f'{life.ask.request_id}/{life.attempts}'
+            cancel(bench.engines[life.attempt.upstream], job_id)
 
 
 def at(
     bench: Bench, when_s: float, call: Callable[..., None], *args: Any
 ) -> None:
     """Call ``call(bench, now_s, *args)`` at ``when_s``."""
-    heapq.heappush(bench.heap, (when_s, next(bench.serial), call, args))
+    call_at(bench.clock, when_s, _call, bench, call, args)
+
+
+def _call(
+    now_s: float,
+    bench: Bench,
+    call: Callable[..., None],
+    args: tuple[Any, ...],
+) -> None:
+    call(bench, now_s, *args)
 
 
 def run(bench: Bench, arrivals: list[Arrival], until_s: float) -> Outcomes:
@@ -125,9 +188,7 @@
         at(bench, number * TICK_S / len(bench.vms), _tick, number)
     for name in bench.engines:
         at(bench, REPORT_INTERVAL_S, _report, name)
-    while bench.heap and bench.heap[0][0] <= until_s:
-        now_s, _, call, args = heapq.heappop(bench.heap)
-        call(bench, now_s, *args)
+    run_until(bench.clock, until_s)
     return bench.outcomes
 
 
@@ -156,14 +217,10 @@
 
 def _hear_report(bench: Bench, now_s: float, name: str, report: Any) -> None:
     for scheduler in bench.vms:
-        upstream = scheduler.upstreams.get(name)
-        if upstream is not None:
-            scheduler.upstreams[name] = hear_report(upstream, report)
+        hear_load(scheduler, name, report, now_s)
 
 
-def carry_out(
-    bench: Bench, now_s: float, vm: int, events: list[Event]
-) -> None:
+def carry_out(bench: Bench, now_s: float, vm: int, events: list[Event]) -> None:
     """Carry out a scheduler's events."""
     for event in events:
         if isinstance(event, Dispatch):
@@ -247,9 +304,7 @@
     _step(bench, now_s, name)
 
 
-def _hear_tokens(
-    bench: Bench, now_s: float, emissions: list[Emission]
-) -> None:
+def _hear_tokens(bench: Bench, now_s: float, emissions: list[Emission]) -> None:
     for emission in emissions:
         request_id, _, attempt = emission.job_id.partition('/')
         vm = bench.owners[request_id]
@@ -273,9 +328,7 @@
     outcomes[request_id] = old._replace(
         first_token_at_s=first_s, last_token_at_s=now_s, tokens=old.tokens + 1
     )
-    events = tokens_arrived(
-        scheduler, request_id, emission.offset, 1, now_s
-    )
+    events = tokens_arrived(scheduler, request_id, emission.offset, 1, now_s)
     carry_out(bench, now_s, vm, events)
     if emission.finished:
         outcomes[request_id] = outcomes[request_id]._replace(
--- a/benchmarks/policies.py
+++ b/benchmarks/policies.py
@@ -49,12 +49,8 @@
     plan = PLANS[case.plan]
     bench = make_bench(site, plan, [whole_window] * case.vms, case.seed)
     straggler = bench.engines[site.profiles[-1].name]
-    straggler.faults.append(
-        make_fault('slow', slowdown=STRAGGLER_SLOWDOWN)
-    )
-    arrivals = make_arrivals(
-        site, case.load, DURATION_S, case.vms, case.seed
-    )
+    straggler.faults.append(make_fault('slow', slowdown=STRAGGLER_SLOWDOWN))
+    arrivals = make_arrivals(site, case.load, DURATION_S, case.vms, case.seed)
     outcomes = run(bench, arrivals, DURATION_S + DRAIN_S)
     return summarise(outcomes, bench.engines, WARM_UP_S, DURATION_S)
 
--- a/benchmarks/workloads.py
+++ b/benchmarks/workloads.py
@@ -153,9 +153,7 @@
         account=random.choices(accounts, weights)[0],
         route=kind.route,
         prompt_tokens=prompt,
-        output_tokens=_log_uniform(
-            random, kind.output_low, kind.output_high
-        ),
+        output_tokens=_log_uniform(random, kind.output_low, kind.output_high),
         prefix_blocks=_draw_prefix(random, kind.route, prompt, number),
         arrived_at_s=now_s,
     )
--- a/bluebellhub/adapters/attempts.py
+++ b/bluebellhub/adapters/attempts.py
@@ -112,9 +112,7 @@
                 response = await client.send(request, stream=True)
             try:
                 reader = make_frame_reader(attempt_id, dispatch.offset)
-                return await _pass_on(
-                    response, reader, exchange, limits, hooks
-                )
+                return await _pass_on(response, reader, exchange, limits, hooks)
             finally:
                 with trio.CancelScope(shield=True):
                     await response.aclose()
--- a/bluebellhub/adapters/connections.py
+++ b/bluebellhub/adapters/connections.py
@@ -84,9 +84,7 @@
     return _Use(pool)
 
 
-async def replace_silent(
-    connections: Connections, spec: UpstreamSpec
-) -> bool:
+async def replace_silent(connections: Connections, spec: UpstreamSpec) -> bool:
     """Probe with a fresh connection; if it answers, retire the old pool.
 
     Attempts on the old pool end by their own time limits, and the last of
--- a/bluebellhub/adapters/front_end.py
+++ b/bluebellhub/adapters/front_end.py
@@ -210,22 +210,16 @@
     return parts[:-1]
 
 
-async def _whole(
-    front: FrontEnd, exchange: Exchange, model: str
-) -> Response:
+async def _whole(front: FrontEnd, exchange: Exchange, model: str) -> Response:
     frames = b''.join(await _collect(front, exchange))
     body = whole_answer(frames, exchange.request_id, model)
     return Response(body, content_type=JSON_TYPE)
 
 
-async def _serve_service(
-    front: FrontEnd, name: str, path: str
-) -> Response:
+async def _serve_service(front: FrontEnd, name: str, path: str) -> Response:
     contract = _account(front)
     raw = await request.get_data()
-    tier = check_ask(
-        contract, name, request.headers.get('X-Tier'), 0, 0
-    )
+    tier = check_ask(contract, name, request.headers.get('X-Tier'), 0, 0)
     ask = make_ask(
         uuid4().hex,
         tier,
--- a/bluebellhub/adapters/loads.py
+++ b/bluebellhub/adapters/loads.py
@@ -9,8 +9,8 @@
 from bluebellhub.adapters.connections import pool_for, use_pool
 from bluebellhub.adapters.node import Node
 from bluebellhub.clock import now_s
-from bluebellhub.routing.prefix import forget_upstream
-from bluebellhub.upstream import LoadReport, hear_report
+from bluebellhub.scheduler import hear_load
+from bluebellhub.upstream import LoadReport
 
 __all__ = ['poll_loads']
 
@@ -51,16 +51,10 @@
 
 
 def _hear(node: Node, name: str, body: ReportBody) -> None:
-    upstream = node.scheduler.upstreams.get(name)
-    if upstream is None:
-        return
     report = LoadReport(
         now_s() - body.age_s,
         body.boot_id,
         body.running,
         body.waiting_prefill_tokens,
     )
-    old = upstream.report
-    if old is not None and old.boot_id != report.boot_id:
-        forget_upstream(node.scheduler.prefixes, name)
-    node.scheduler.upstreams[name] = hear_report(upstream, report)
+    hear_load(node.scheduler, name, report, now_s())
--- a/bluebellhub/adapters/node.py
+++ b/bluebellhub/adapters/node.py
@@ -133,9 +133,7 @@
     """Replace an upstream's silent connections."""
     upstream = node.scheduler.upstreams.get(event.upstream)
     if upstream is not None:
-        node.nursery.start_soon(
-            replace_silent, node.connections, upstream.spec
-        )
+        node.nursery.start_soon(replace_silent, node.connections, upstream.spec)
 
 
 async def _run_attempt(
--- a/bluebellhub/adapters/platform.py
+++ b/bluebellhub/adapters/platform.py
@@ -96,9 +96,7 @@
     return _decode_listing(response)
 
 
-async def get_object(
-    platform: Platform, kind: str, name: str
-) -> StoredObject:
+async def get_object(platform: Platform, kind: str, name: str) -> StoredObject:
     """Read one object; version 0 and no fields if there is none.
 
     Raises `StoreUnavailableError`.
--- /dev/null
+++ b/bluebellhub/budget/__init__.py
@@ -0,0 +1,55 @@
+"""Leased budgets: limits that many VMs share, spent without a message each.
+
+A budget has one owner, which divides its limit into leases.  A holder
+spends its lease locally until the lease expires and renews it in time.
+"""
+
+from bluebellhub.budget.division import Demand, divide, divisions
+from bluebellhub.budget.holder import (
+    Holder,
+    amount_held,
+    begin_renewal,
+    make_holder,
+    revoke,
+    take_grant,
+)
+from bluebellhub.budget.lease import (
+    RENEW_S,
+    TERM_S,
+    Grant,
+    GrantBatch,
+    Renewal,
+    RenewalBatch,
+)
+from bluebellhub.budget.owner import (
+    Budget,
+    grant,
+    make_budget,
+    outstanding,
+    set_limit,
+    stay_silent,
+)
+
+__all__ = [
+    'RENEW_S',
+    'TERM_S',
+    'Budget',
+    'Demand',
+    'Grant',
+    'GrantBatch',
+    'Holder',
+    'Renewal',
+    'RenewalBatch',
+    'amount_held',
+    'begin_renewal',
+    'divide',
+    'divisions',
+    'grant',
+    'make_budget',
+    'make_holder',
+    'outstanding',
+    'revoke',
+    'set_limit',
+    'stay_silent',
+    'take_grant',
+]
--- /dev/null
+++ b/bluebellhub/budget/owner.py
@@ -0,0 +1,152 @@
+"""The owner's side of one leased budget."""
+
+from typing import Final, NamedTuple
+
+from bluebellhub.budget.division import Demand, divide
+from bluebellhub.budget.lease import (
+    CLOCK_DRIFT_RATIO,
+    TERM_S,
+    Grant,
+    Renewal,
+)
+from bluebellhub.invariants import check_invariant
+
+__all__ = [
+    'Budget',
+    'grant',
+    'make_budget',
+    'outstanding',
+    'set_limit',
+    'stay_silent',
+]
+
+DEMAND_KEPT_S: Final = 3.0
+EPSILON: Final = 1e-6
+
+
+class Lent(NamedTuple):
+    """A grant that may still be used, by the owner's clock."""
+
+    number: int
+    amount: float
+    until_s: float
+
+
+class Asked(NamedTuple):
+    """A holder's last demand and when it came."""
+
+    demand: Demand
+    at_s: float
+
+
+class Budget(NamedTuple):
+    """The root: the limit and what is out.
+
+    ``lent`` holds by holder every grant that it may still use.  While the
+    owner is silent, until ``silent_until_s``, it grants nothing: a former
+    owner's leases may still be in use.
+    """
+
+    key: str
+    division: str
+    limit: float
+    lent: dict[str, tuple[Lent, ...]]
+    asked: dict[str, Asked]
+    silent_until_s: float = 0.0
+
+
+def make_budget(key: str, division: str, limit: float) -> Budget:
+    """Create a budget of which nothing is out."""
+    return Budget(key, division, limit, {}, {})
+
+
+def set_limit(budget: Budget, limit: float) -> Budget:
+    """Change the limit; leases above a smaller one run out by themselves."""
+    return budget._replace(limit=limit)
+
+
+def stay_silent(budget: Budget, until_s: float) -> Budget:
+    """Grant nothing before ``until_s``."""
+    later_s = max(until_s, budget.silent_until_s)
+    return budget._replace(silent_until_s=later_s)
+
+
+def outstanding(budget: Budget, now_s: float, besides: str = '') -> float:
+    """Sum what holders other than ``besides`` may still use."""
+    return sum(
+        max((lent.amount for lent in entries if now_s < lent.until_s), default=0.0)
+        for holder, entries in budget.lent.items()
+        if holder != besides
+    )
+
+
+def note_held(
+    budget: Budget, holder: str, renewal: Renewal, now_s: float
+) -> None:
+    """Learn of a lease that a former owner granted."""
+    if renewal.held <= 0 or holder in budget.lent:
+        return
+    until_s = now_s + renewal.held_for_s * CLOCK_DRIFT_RATIO
+    budget.lent[holder] = (Lent(0, renewal.held, until_s),)
+
+
+def grant(
+    budget: Budget,
+    holder: str,
+    renewal: Renewal,
+    numbers: tuple[int, int],
+    now_s: float,
+) -> Grant | None:
+    """Answer a renewal; ``None`` while the owner is silent.
+
+    ``numbers`` are the batch's number and the newest one applied by the
+    holder: older grants cannot be used any more.  Asserts that no more
+    than the limit is out, unless the limit has just shrunk.
+    """
+    number, applied = numbers
+    budget.asked[holder] = Asked(
+        Demand(renewal.demand, renewal.in_use), now_s
+    )
+    _drop_dead(budget, holder, applied, now_s)
+    if now_s < budget.silent_until_s:
+        note_held(budget, holder, renewal, now_s)
+        return None
+    others = outstanding(budget, now_s, besides=holder)
+    free = max(0.0, budget.limit - others)
+    amount = min(_share_of(budget, holder, now_s), free)
+    if budget.division == 'copy':
+        amount = budget.limit
+    until_s = now_s + TERM_S * CLOCK_DRIFT_RATIO
+    entries = budget.lent.get(holder, ())
+    budget.lent[holder] = (*entries, Lent(number, amount, until_s))
+    check_invariant(
+        'leases_within_limit',
+        holds=budget.division == 'copy'
+        or amount <= EPSILON
+        or amount + others <= budget.limit + EPSILON,
+        detail=f'{budget.key}: {amount} + {others} of {budget.limit}',
+    )
+    return Grant(budget.key, amount, TERM_S, budget.limit)
+
+
+def _drop_dead(
+    budget: Budget, holder: str, applied: int, now_s: float
+) -> None:
+    """Forget grants that expired or were superseded at the holder."""
+    live = tuple(
+        lent
+        for lent in budget.lent.get(holder, ())
+        if now_s < lent.until_s and (lent.number >= applied or not lent.number)
+    )
+    if live:
+        budget.lent[holder] = live
+    else:
+        budget.lent.pop(holder, None)
+
+
+def _share_of(budget: Budget, holder: str, now_s: float) -> float:
+    for name, asked in list(budget.asked.items()):
+        if now_s - asked.at_s > DEMAND_KEPT_S:
+            budget.asked.pop(name)
+    demands = {name: asked.demand for name, asked in budget.asked.items()}
+    return divide(budget.division, budget.key, budget.limit, demands)[holder]
--- a/bluebellhub/configuration/configuration.py
+++ b/bluebellhub/configuration/configuration.py
@@ -49,9 +49,7 @@
     return Configuration({}, {}, {}, {'revision': 0})
 
 
-def accept(
-    configuration: Configuration, stored: StoredObject
-) -> Change | None:
+def accept(configuration: Configuration, stored: StoredObject) -> Change | None:
     """Take an object in; returns the change, or ``None`` if there is none.
 
     An object that fails its checks is noted in ``refused`` and the last
--- a/bluebellhub/configuration/kinds.py
+++ b/bluebellhub/configuration/kinds.py
@@ -14,7 +14,7 @@
 from bluebellhub.records import read_record
 from bluebellhub.registry import Registry, make_registry
 from bluebellhub.upstream import UpstreamSpec
-from bluebellhub.version_move import VersionMove
+from bluebellhub.version_move import MoveStatus, VersionMove
 
 __all__ = ['check_object', 'object_kinds']
 
@@ -72,3 +72,9 @@
         reason = f'got {move.to_version!r} for both versions'
         raise ObjectError('version_move', name, reason)
     return move
+
+
+@object_kinds.register('move_status')
+def check_status(name: str, fields: dict[str, Any]) -> MoveStatus:
+    """The standing of a move, written by its leader."""
+    return read_record(MoveStatus, {**fields, 'model': name}, 'move_status')
--- a/bluebellhub/contract/contract.py
+++ b/bluebellhub/contract/contract.py
@@ -62,9 +62,7 @@
     return Contract(account, hash_key(secret), **limits)
 
 
-def authenticate(
-    contracts: Mapping[str, Contract], presented: str
-) -> Contract:
+def authenticate(contracts: Mapping[str, Contract], presented: str) -> Contract:
     """Return the contract for a key of the form ``account.secret``.
 
     The digests are compared in constant time, also for an unknown account.
--- a/bluebellhub/contract/usage.py
+++ b/bluebellhub/contract/usage.py
@@ -48,9 +48,7 @@
     return AccountUse(credit, now_s, 0, 0.0)
 
 
-def admit(
-    use: AccountUse, limits: AccountLimits, now_s: float
-) -> AccountUse:
+def admit(use: AccountUse, limits: AccountLimits, now_s: float) -> AccountUse:
     """Count one more request.
 
     Raises `RateLimitError` or `ConcurrencyLimitError` when the request
--- a/bluebellhub/daemon.py
+++ b/bluebellhub/daemon.py
@@ -73,9 +73,7 @@
 
 def make_parser() -> argparse.ArgumentParser:
     """Create the command line's parser."""
-    parser = argparse.ArgumentParser(
-        prog='bluebellhubd', description=__doc__
-    )
+    parser = argparse.ArgumentParser(prog='bluebellhubd', description=__doc__)
     parser.add_argument('--settings', type=Path, required=True)
     parser.add_argument(
         '--check', action='store_true', help='check the settings and exit'
--- /dev/null
+++ b/bluebellhub/fleet/__init__.py
@@ -0,0 +1,36 @@
+"""How one VM acts together with the others.
+
+The fleet composes membership, leased budgets, configuration and version
+moves around a VM's scheduler.  Its functions take the time and return
+messages for other VMs and writes for the store; adapters carry them out.
+"""
+
+from bluebellhub.fleet.duties import duties, run_duties
+from bluebellhub.fleet.handlers import handle, peer_handlers
+from bluebellhub.fleet.leases import leased_limits, leased_slots
+from bluebellhub.fleet.messages import (
+    Outgoing,
+    StoreWrite,
+    decode_message,
+    encode_message,
+)
+from bluebellhub.fleet.state import Fleet, Identity, make_fleet
+from bluebellhub.fleet.storing import take_stored, take_vm_list
+
+__all__ = [
+    'Fleet',
+    'Identity',
+    'Outgoing',
+    'StoreWrite',
+    'decode_message',
+    'duties',
+    'encode_message',
+    'handle',
+    'leased_limits',
+    'leased_slots',
+    'make_fleet',
+    'peer_handlers',
+    'run_duties',
+    'take_stored',
+    'take_vm_list',
+]
--- /dev/null
+++ b/bluebellhub/fleet/handlers.py
@@ -0,0 +1,254 @@
+"""Reactions to other VMs' messages, a registry by message type."""
+
+from collections.abc import Callable
+from typing import Any, Final
+
+from bluebellhub.budget import (
+    Grant,
+    GrantBatch,
+    Renewal,
+    RenewalBatch,
+    grant,
+    revoke,
+    take_grant,
+)
+from bluebellhub.configuration import accept
+from bluebellhub.configuration.configuration import advance
+from bluebellhub.fleet.budget_kinds import owned_budget, window_of
+from bluebellhub.fleet.floors import apply_floors
+from bluebellhub.fleet.leases import renew
+from bluebellhub.fleet.messages import (
+    BadVersion,
+    ConfigAsk,
+    ConfigNews,
+    EvidenceReport,
+    MapAsk,
+    Outgoing,
+    Revoke,
+)
+from bluebellhub.fleet.moving import (
+    hear_evidence,
+    note_bad,
+    take_change,
+    take_share,
+)
+from bluebellhub.fleet.state import Fleet, is_owner, send_all
+from bluebellhub.membership import (
+    Heartbeat,
+    ShardMap,
+    adopt_map,
+    hear,
+    is_confirmed,
+)
+from bluebellhub.registry import Registry, make_registry
+from bluebellhub.scheduler.state import signals_of
+from bluebellhub.upstream import restart
+from bluebellhub.upstream.window import observe_many, take_limit
+
+__all__ = ['handle', 'peer_handlers']
+
+ASK_INTERVAL_S: Final = 0.3
+LATE_ROUND_S: Final = 0.5
+
+Handler = Callable[[Fleet, str, Any, float], None]
+
+peer_handlers: Registry[Handler] = make_registry('peer message handler')
+
+
+def handle(fleet: Fleet, sender: str, message: Any, now_s: float) -> None:
+    """React to a message from the VM called ``sender``.
+
+    Answers go to the fleet's outbox.  Raises `UnknownEntryError` for a
+    message type without a handler.
+    """
+    name = type(message).__name__
+    peer_handlers.find(name)(fleet, sender, message, now_s)
+
+
+@peer_handlers.register('Heartbeat')
+def take_heartbeat(
+    fleet: Fleet, sender: str, heartbeat: Heartbeat, now_s: float
+) -> None:
+    """Note the sender's state; ask for what it knows and this VM lacks."""
+    hear(fleet.members, heartbeat, now_s)
+    for name in heartbeat.bad:
+        model, _, version = name.rpartition('/')
+        note_bad(fleet, model, version)
+    apply_floors(fleet, now_s)
+    clocks = fleet.clocks
+    known = fleet.members.state['shard_map'].version
+    if heartbeat.map_version > known:
+        if now_s - clocks['map_asked_at_s'] > ASK_INTERVAL_S:
+            clocks['map_asked_at_s'] = now_s
+            fleet.outbox.messages.append(Outgoing(sender, MapAsk(known)))
+    revision = fleet.configuration.progress['revision']
+    if heartbeat.revision > revision:
+        if now_s - clocks['config_asked_at_s'] > ASK_INTERVAL_S:
+            clocks['config_asked_at_s'] = now_s
+            ask = ConfigAsk(revision)
+            fleet.outbox.messages.append(Outgoing(sender, ask))
+
+
+@peer_handlers.register('MapAsk')
+def answer_map(
+    fleet: Fleet, sender: str, ask: MapAsk, now_s: float
+) -> None:
+    """Send the shard map if it is newer."""
+    shard_map = fleet.members.state['shard_map']
+    if shard_map.version > ask.version:
+        fleet.outbox.messages.append(Outgoing(sender, shard_map))
+
+
+@peer_handlers.register('ShardMap')
+def take_map(
+    fleet: Fleet, sender: str, shard_map: ShardMap, now_s: float
+) -> None:
+    """Adopt a newer shard map and drop what this VM owns no more."""
+    if not adopt_map(fleet.members, shard_map, now_s):
+        return
+    for key in list(fleet.budgets):
+        if not is_owner(fleet, key):
+            fleet.budgets.pop(key)
+            fleet.windows.pop(key.partition(':')[2], None)
+    for model in list(fleet.leads):
+        if not is_owner(fleet, f'share:{model}'):
+            fleet.leads.pop(model)
+
+
+@peer_handlers.register('ConfigAsk')
+def answer_config(
+    fleet: Fleet, sender: str, ask: ConfigAsk, now_s: float
+) -> None:
+    """Send the objects that the asker lacks."""
+    configuration = fleet.configuration
+    objects = [
+        stored
+        for stored in configuration.objects.values()
+        if stored.revision > ask.revision
+    ]
+    news = ConfigNews(configuration.progress['revision'], objects)
+    fleet.outbox.messages.append(Outgoing(sender, news))
+
+
+@peer_handlers.register('ConfigNews')
+def take_config(
+    fleet: Fleet, sender: str, news: ConfigNews, now_s: float
+) -> None:
+    """Put newer objects in force; tells the others at once."""
+    before = fleet.configuration.progress['revision']
+    by_revision = sorted(news.objects, key=lambda entry: entry.revision)
+    for stored in by_revision:
+        change = accept(fleet.configuration, stored)
+        if change is not None:
+            take_change(fleet, change, now_s)
+    advance(fleet.configuration, news.revision)
+    if fleet.configuration.progress['revision'] > before:
+        fleet.due['heartbeat'] = now_s
+
+
+@peer_handlers.register('RenewalBatch')
+def answer_renewals(
+    fleet: Fleet, sender: str, batch: RenewalBatch, now_s: float
+) -> None:
+    """Grant leases, as long as this VM is surely the owner."""
+    version = fleet.members.state['shard_map'].version
+    if batch.map_version != version:
+        return
+    if not is_confirmed(fleet.members, now_s):
+        return
+    grants = []
+    for renewal in batch.renewals:
+        granted = _answer_renewal(fleet, sender, batch, renewal, now_s)
+        if granted is not None:
+            grants.append(granted)
+    answer = GrantBatch(batch.number, version, grants)
+    fleet.outbox.messages.append(Outgoing(sender, answer))
+
+
+def _answer_renewal(
+    fleet: Fleet,
+    sender: str,
+    batch: RenewalBatch,
+    renewal: Renewal,
+    now_s: float,
+) -> Grant | None:
+    if not is_owner(fleet, renewal.key):
+        return None
+    _observe(fleet, renewal, now_s)
+    budget = owned_budget(fleet, renewal.key, now_s)
+    if budget is None:
+        return None
+    numbers = (batch.number, batch.applied)
+    return grant(budget, sender, renewal, numbers, now_s)
+
+
+def _observe(fleet: Fleet, renewal: Renewal, now_s: float) -> None:
+    """Move an owned window by what the holder has seen."""
+    prefix, _, name = renewal.key.partition(':')
+    if prefix != 'window':
+        return
+    window = window_of(fleet, name)
+    if window is None:
+        return
+    if renewal.restarts:
+        fleet.windows[name] = restart(window)
+        send_all(fleet, Revoke([renewal.key]))
+        return
+    fleet.windows[name] = observe_many(
+        window, renewal.on_time, renewal.late, now_s, LATE_ROUND_S
+    )
+
+
+@peer_handlers.register('GrantBatch')
+def take_grants(
+    fleet: Fleet, sender: str, batch: GrantBatch, now_s: float
+) -> None:
+    """Apply granted leases and the windows and shares they tell."""
+    for granted in take_grant(fleet.holder, sender, batch, now_s):
+        prefix, _, name = granted.key.partition(':')
+        lease = fleet.holder.leases[granted.key]
+        if prefix == 'window':
+            _take_window(fleet, name, granted, lease.asked_at_s)
+        elif prefix == 'share':
+            take_share(fleet, name, granted, lease.until_s)
+
+
+def _take_window(
+    fleet: Fleet, name: str, granted: Grant, asked_at_s: float
+) -> None:
+    """Adopt the owner's window, unless it is older than a restart."""
+    scheduler = fleet.scheduler
+    upstream = scheduler.upstreams.get(name)
+    restarted_at_s = signals_of(scheduler, name)['restarted_at_s']
+    if upstream is None or asked_at_s <= restarted_at_s:
+        return
+    if granted.limit > 0:
+        scheduler.upstreams[name] = upstream._replace(
+            window=take_limit(upstream.window, granted.limit)
+        )
+
+
+@peer_handlers.register('Revoke')
+def take_revocation(
+    fleet: Fleet, sender: str, message: Revoke, now_s: float
+) -> None:
+    """Give up leases at once and ask for new ones."""
+    for key in message.keys:
+        revoke(fleet.holder, key)
+    renew(fleet, now_s)
+
+
+@peer_handlers.register('EvidenceReport')
+def take_evidence(
+    fleet: Fleet, sender: str, report: EvidenceReport, now_s: float
+) -> None:
+    """Add a VM's totals to the evidence of a move led here."""
+    hear_evidence(fleet, sender, report)
+
+
+@peer_handlers.register('BadVersion')
+def take_bad(
+    fleet: Fleet, sender: str, message: BadVersion, now_s: float
+) -> None:
+    """Stop sending to a bad version."""
+    note_bad(fleet, message.model, message.version)
--- /dev/null
+++ b/bluebellhub/fleet/messages.py
@@ -0,0 +1,145 @@
+"""Messages between VMs, a registry of types, and their encoding."""
+
+from typing import Any, Final, NamedTuple
+
+import msgspec
+
+from bluebellhub.budget import GrantBatch, RenewalBatch
+from bluebellhub.configuration import StoredObject
+from bluebellhub.errors import PeerMessageError
+from bluebellhub.membership import Heartbeat, ShardMap
+from bluebellhub.order import Claim, ClaimAnswer
+from bluebellhub.registry import Registry, make_registry
+from bluebellhub.version_move import Totals
+
+__all__ = [
+    'BadVersion',
+    'ConfigAsk',
+    'ConfigNews',
+    'EngineOrder',
+    'EvidenceReport',
+    'MapAsk',
+    'Message',
+    'Outgoing',
+    'Revoke',
+    'StoreRead',
+    'StoreWrite',
+    'decode_message',
+    'encode_message',
+    'message_types',
+]
+
+
+class Revoke(NamedTuple):
+    """An owner's word that leases on these budgets are void."""
+
+    keys: list[str]
+
+
+class MapAsk(NamedTuple):
+    """A wish for the shard map if it is newer than ``version``."""
+
+    version: int
+
+
+class ConfigAsk(NamedTuple):
+    """A wish for the objects newer than ``revision``."""
+
+    revision: int
+
+
+class ConfigNews(NamedTuple):
+    """All objects changed up to ``revision`` that the asker lacks."""
+
+    revision: int
+    objects: list[StoredObject]
+
+
+class EvidenceReport(NamedTuple):
+    """A VM's running totals for a move, to the move's leader."""
+
+    model: str
+    to_version: str
+    totals: list[Totals]
+
+
+class BadVersion(NamedTuple):
+    """A version has shown itself to be bad."""
+
+    model: str
+    version: str
+
+
+Message = Any
+
+message_types: Registry[Any] = make_registry('message type')
+for _type in (
+    BadVersion,
+    Claim,
+    ClaimAnswer,
+    ConfigAsk,
+    ConfigNews,
+    EvidenceReport,
+    GrantBatch,
+    Heartbeat,
+    MapAsk,
+    RenewalBatch,
+    Revoke,
+    ShardMap,
+):
+    message_types.register(_type.__name__)(_type)
+
+_encoder: Final = msgspec.msgpack.Encoder()
+_frame_decoder: Final = msgspec.msgpack.Decoder(tuple[str, msgspec.Raw])
+_decoders: Final = {
+    name: msgspec.msgpack.Decoder(kind)
+    for name, kind in message_types.entries.items()
+}
+
+
+class Outgoing(NamedTuple):
+    """A message for the VM called ``to``."""
+
+    to: str
+    message: Message
+
+
+class StoreWrite(NamedTuple):
+    """A conditional update for the store."""
+
+    kind: str
+    name: str
+    spec: dict[str, Any]
+    version: int
+
+
+class StoreRead(NamedTuple):
+    """A wish to read an object of the store."""
+
+    kind: str
+    name: str
+
+
+class EngineOrder(NamedTuple):
+    """An order to load a version, with the leader's fencing number."""
+
+    upstream: str
+    model: str
+    version: str
+    fence: int
+
+
+def encode_message(message: Message) -> bytes:
+    """Encode a message with the name of its type."""
+    return _encoder.encode((type(message).__name__, message))
+
+
+def decode_message(encoded: bytes) -> Message:
+    """Decode a message; raises `PeerMessageError`."""
+    try:
+        name, raw = _frame_decoder.decode(encoded)
+        return _decoders[name].decode(raw)
+    except KeyError as error:
+        raise PeerMessageError(f'got message type {error}') from None
+    except msgspec.MsgspecError as error:
+        raise PeerMessageError(f'unreadable message: {error}') from None
--- /dev/null
+++ b/bluebellhub/fleet/state.py
@@ -0,0 +1,125 @@
+"""The state of one VM's part in the fleet."""
+
+from typing import NamedTuple, TypedDict
+
+from bluebellhub.budget import Budget, Holder, make_holder
+from bluebellhub.configuration import Configuration, make_configuration
+from bluebellhub.fleet.messages import (
+    EngineOrder,
+    Outgoing,
+    StoreRead,
+    StoreWrite,
+)
+from bluebellhub.membership import Members, make_members, owner_of
+from bluebellhub.scheduler import Scheduler
+from bluebellhub.upstream import Window
+from bluebellhub.version_move import Lead, VersionMove
+
+__all__ = [
+    'Fleet',
+    'Identity',
+    'Outbox',
+    'is_owner',
+    'make_fleet',
+    'map_members',
+    'send_all',
+]
+
+
+class Identity(NamedTuple):
+    """This VM; ``incarnation`` grows with every start."""
+
+    name: str
+    failure_domain: str
+    incarnation: int
+
+
+class Outbox(NamedTuple):
+    """What the decisions want to be sent and written."""
+
+    messages: list[Outgoing]
+    writes: list[StoreWrite]
+    reads: list[StoreRead]
+    orders: list[EngineOrder]
+
+
+class Clocks(TypedDict):
+    """Times of what happens now and then, on the VM's clock."""
+
+    config_asked_at_s: float
+    map_asked_at_s: float
+
+
+class Fleet(NamedTuple):
+    """The root.
+
+    ``budgets`` and ``windows`` are those that this VM owns, ``leads`` the
+    moves that it leads; ``moves`` are all moves.  ``bad`` names versions
+    known to be bad as ``model/version``, ``stored`` the versions of change
+    statuses in the store and ``statuses`` the object versions that are
+    known to be in force everywhere.  ``due`` holds the next time of each
+    duty and ``highs`` the recent demand for each budget.
+    """
+
+    identity: Identity
+    scheduler: Scheduler
+    members: Members
+    holder: Holder
+    configuration: Configuration
+    budgets: dict[str, Budget]
+    windows: dict[str, Window]
+    moves: dict[str, VersionMove]
+    leads: dict[str, Lead]
+    bad: set[str]
+    stored: dict[tuple[str, str], int]
+    statuses: dict[tuple[str, str], int]
+    due: dict[str, float]
+    highs: dict[str, float]
+    clocks: Clocks
+    outbox: Outbox
+
+
+def make_fleet(
+    identity: Identity, scheduler: Scheduler, now_s: float
+) -> Fleet:
+    """Create a VM's part that has heard nobody and leads nothing."""
+    scheduler.flags['fleet'] = True
+    clocks: Clocks = {
+        'config_asked_at_s': -float('inf'),
+        'map_asked_at_s': -float('inf'),
+    }
+    return Fleet(
+        identity=identity,
+        scheduler=scheduler,
+        members=make_members(identity.name, identity.incarnation, now_s),
+        holder=make_holder(identity.incarnation),
+        configuration=make_configuration(),
+        budgets={},
+        windows={},
+        moves={},
+        leads={},
+        bad=set(),
+        stored={},
+        statuses={},
+        due={},
+        highs={},
+        clocks=clocks,
+        outbox=Outbox([], [], [], []),
+    )
+
+
+def map_members(fleet: Fleet) -> tuple[str, ...]:
+    """Return the members of the shard map."""
+    return fleet.members.state['shard_map'].members
+
+
+def is_owner(fleet: Fleet, key: str) -> bool:
+    """Tell whether the shard map makes this VM the owner of ``key``."""
+    shard_map = fleet.members.state['shard_map']
+    return owner_of(shard_map, key) == fleet.identity.name
+
+
+def send_all(fleet: Fleet, message: object) -> None:
+    """Put a message for all other VMs known to live into the outbox."""
+    for name in fleet.members.peers:
+        fleet.outbox.messages.append(Outgoing(name, message))
--- /dev/null
+++ b/bluebellhub/fleet/storing.py
@@ -0,0 +1,81 @@
+"""What the fleet learns from the platform's store and VM list."""
+
+from collections.abc import Callable
+from typing import Final
+
+from bluebellhub.configuration import StoredObject, accept
+from bluebellhub.errors import StoreError
+from bluebellhub.fleet.handlers import take_map
+from bluebellhub.fleet.moving import take_change
+from bluebellhub.fleet.state import Fleet
+from bluebellhub.membership import ShardMap, note_store, note_vm_list
+from bluebellhub.registry import Registry, make_registry
+
+__all__ = ['MAP_KIND', 'MAP_NAME', 'read_map', 'store_takers', 'take_stored']
+
+MAP_KIND: Final = 'shard_map'
+MAP_NAME: Final = 'fleet'
+
+Taker = Callable[[Fleet, StoredObject, float, float], None]
+
+store_takers: Registry[Taker] = make_registry('store object taker')
+
+
+def take_stored(
+    fleet: Fleet, stored: StoredObject, asked_at_s: float, now_s: float
+) -> None:
+    """Take an object as the store holds it, asked for at ``asked_at_s``."""
+    taker = store_takers.entries.get(stored.kind)
+    if taker is not None:
+        taker(fleet, stored, asked_at_s, now_s)
+
+
+def read_map(stored: StoredObject) -> ShardMap:
+    """Read the shard map's object; raises `StoreError`."""
+    if stored.spec is None:
+        return ShardMap(0, ())
+    try:
+        return ShardMap(
+            stored.version,
+            tuple(stored.spec['members']),
+            tuple(stored.spec['former']),
+        )
+    except (KeyError, TypeError) as error:
+        raise StoreError(f'shard map: missing {error}') from None
+
+
+@store_takers.register(MAP_KIND)
+def take_stored_map(
+    fleet: Fleet, stored: StoredObject, asked_at_s: float, now_s: float
+) -> None:
+    """Adopt the map; the store has confirmed it at ``asked_at_s``."""
+    shard_map = read_map(stored)
+    take_map(fleet, fleet.identity.name, shard_map, now_s)
+    if fleet.members.state['shard_map'].version == shard_map.version:
+        note_store(fleet.members, asked_at_s)
+
+
+@store_takers.register('move_status')
+def take_stored_status(
+    fleet: Fleet, stored: StoredObject, asked_at_s: float, now_s: float
+) -> None:
+    """Take a move's status into the configuration."""
+    change = accept(fleet.configuration, stored)
+    if change is not None:
+        take_change(fleet, change, now_s)
+
+
+@store_takers.register('change_status')
+def take_stored_change(
+    fleet: Fleet, stored: StoredObject, asked_at_s: float, now_s: float
+) -> None:
+    """Remember the version of a change's status."""
+    fleet.stored[stored.kind, stored.name] = stored.version
+    if stored.spec is not None:
+        kind, _, name = stored.name.partition('.')
+        fleet.statuses[kind, name] = int(stored.spec['version'])
+
+
+def take_vm_list(fleet: Fleet, names: set[str]) -> None:
+    """Take the platform's VM list, which may lag."""
+    note_vm_list(fleet.members, names)
--- /dev/null
+++ b/bluebellhub/membership/__init__.py
@@ -0,0 +1,42 @@
+"""Membership: heartbeats, the shard map and ownership."""
+
+from bluebellhub.membership.members import (
+    FRESH_S,
+    Heartbeat,
+    Members,
+    Peer,
+    adopt_map,
+    echo_for,
+    hear,
+    is_confirmed,
+    is_isolated,
+    live_peers,
+    make_members,
+    note_store,
+    note_vm_list,
+    number_heartbeat,
+    propose_map,
+    successors_settled,
+)
+from bluebellhub.membership.shard_map import ShardMap, owner_of
+
+__all__ = [
+    'FRESH_S',
+    'Heartbeat',
+    'Members',
+    'Peer',
+    'ShardMap',
+    'adopt_map',
+    'echo_for',
+    'hear',
+    'is_confirmed',
+    'is_isolated',
+    'live_peers',
+    'make_members',
+    'note_store',
+    'note_vm_list',
+    'number_heartbeat',
+    'owner_of',
+    'propose_map',
+    'successors_settled',
+]
--- a/bluebellhub/records.py
+++ b/bluebellhub/records.py
@@ -18,9 +18,7 @@
 Record = TypeVar('Record')
 
 
-def read_record(
-    kind: type[Record], fields: object, path: str
-) -> Record:
+def read_record(kind: type[Record], fields: object, path: str) -> Record:
     """Create a record; ``path`` prefixes the field names in errors.
 
     Raises `SettingsError` for an unknown, missing or wrong field.
--- a/bluebellhub/request/refusal.py
+++ b/bluebellhub/request/refusal.py
@@ -62,9 +62,7 @@
         self.retry_after_s = retry_after_s
 
 
-refusal_reasons: Registry[type[RefusalError]] = make_registry(
-    'refusal reason'
-)
+refusal_reasons: Registry[type[RefusalError]] = make_registry('refusal reason')
 
 
 def _reason(name: str, status: int):
@@ -106,9 +104,7 @@
     """The prompt or the asked output exceeds the contract's limit."""
 
     def __init__(self, part: str, got: int, limit: int) -> None:
-        super().__init__(
-            f'{part}: got {got} tokens, expected at most {limit}'
-        )
+        super().__init__(f'{part}: got {got} tokens, expected at most {limit}')
 
 
 @_reason('rate_limit', 429)
--- a/bluebellhub/routing/prefix.py
+++ b/bluebellhub/routing/prefix.py
@@ -48,9 +48,7 @@
     return len(prefix)
 
 
-def learn(
-    index: PrefixIndex, upstream: str, prefix: tuple[int, ...]
-) -> None:
+def learn(index: PrefixIndex, upstream: str, prefix: tuple[int, ...]) -> None:
     """Note that ``upstream`` has or will soon have these blocks."""
     known = index.blocks.setdefault(upstream, OrderedDict())
     for block in prefix:
--- a/bluebellhub/scheduler/__init__.py
+++ b/bluebellhub/scheduler/__init__.py
@@ -16,6 +16,7 @@
     answer_ended,
     attempt_failed,
     caller_left,
+    hear_load,
     request_sent,
     tokens_arrived,
 )
@@ -39,6 +40,7 @@
     'answer_ended',
     'attempt_failed',
     'caller_left',
+    'hear_load',
     'make_scheduler',
     'pump',
     'remove_upstream',
--- a/bluebellhub/scheduler/configure.py
+++ b/bluebellhub/scheduler/configure.py
@@ -20,17 +20,13 @@
 appliers: Registry[Applier] = make_registry('configuration applier')
 
 
-def apply_change(
-    scheduler: Scheduler, change: Change, now_s: float
-) -> None:
+def apply_change(scheduler: Scheduler, change: Change, now_s: float) -> None:
     """Put a change in force on this VM."""
     appliers.find(change.kind)(scheduler, change, now_s)
 
 
 @appliers.register('contract')
-def apply_contract(
-    scheduler: Scheduler, change: Change, now_s: float
-) -> None:
+def apply_contract(scheduler: Scheduler, change: Change, now_s: float) -> None:
     """Replace or withdraw a contract."""
     if change.record is None:
         scheduler.contracts.pop(change.name, None)
@@ -39,9 +35,7 @@
 
 
 @appliers.register('upstream')
-def apply_upstream(
-    scheduler: Scheduler, change: Change, now_s: float
-) -> None:
+def apply_upstream(scheduler: Scheduler, change: Change, now_s: float) -> None:
     """Add, change or remove an upstream; a new one counts as cold."""
     if change.record is None:
         remove_upstream(scheduler, change.name)
@@ -50,16 +44,34 @@
 
 
 @appliers.register('failure_domain')
-def apply_domain(
-    scheduler: Scheduler, change: Change, now_s: float
-) -> None:
+def apply_domain(scheduler: Scheduler, change: Change, now_s: float) -> None:
     """Take a failure domain out or back in."""
     if change.record is not None and is_out(change.record):
         scheduler.domains_out.add(change.name)
+        scheduler.domains_back.pop(change.name, None)
         return
+    if change.name in scheduler.domains_out and change.record is not None:
+        scheduler.domains_back[change.name] = (change.record, now_s)
     scheduler.domains_out.discard(change.name)
 
 
+@appliers.register('move_status')
+def apply_move_status(
+    scheduler: Scheduler, change: Change, now_s: float
+) -> None:
+    """Close the gate for a bad version, or open it for a proven one."""
+    gate = scheduler.moves.get(change.name)
+    status = change.record
+    if gate is None or status is None:
+        return
+    if status.to_version != gate.to_version:
+        return
+    scheduler.moves[change.name] = gate._replace(
+        bad=gate.bad or status.state == 'taken_back',
+        done=status.state == 'done',
+    )
+
+
 @appliers.register('version_move')
 def apply_move(scheduler: Scheduler, change: Change, now_s: float) -> None:
     """Start, replace or withdraw a move."""
--- a/bluebellhub/scheduler/dispatch.py
+++ b/bluebellhub/scheduler/dispatch.py
@@ -11,7 +11,12 @@
 from bluebellhub.scheduler.gates import is_eligible
 from bluebellhub.scheduler.preemption import find_victim, requeue
 from bluebellhub.scheduler.room import has_room
-from bluebellhub.scheduler.state import Scheduler, queue_of, upstreams_for
+from bluebellhub.scheduler.state import (
+    Scheduler,
+    queue_of,
+    signals_of,
+    upstreams_for,
+)
 from bluebellhub.upstream import add_work
 from bluebellhub.version_move.gate import count_dispatch
 
@@ -90,6 +95,8 @@
         chosen.uncached_tokens,
         now_s,
     )
+    signals = signals_of(scheduler, chosen.upstream)
+    signals['peak'] = max(signals['peak'], len(upstream.work))
     learn(scheduler.prefixes, chosen.upstream, ask.prefix_blocks)
     started = begin_attempt(life, chosen.upstream, now_s)
     scheduler.lives[ask.request_id] = started
--- /dev/null
+++ b/bluebellhub/scheduler/evidence.py
@@ -0,0 +1,84 @@
+"""Trials of versions: how requests went, by route and version."""
+
+from statistics import median
+from typing import Final
+
+from bluebellhub.request import Life
+from bluebellhub.scheduler.state import Scheduler, upstreams_for
+from bluebellhub.upstream import Upstream, Work
+from bluebellhub.version_move.evidence import Totals, Trials
+
+__all__ = ['note_trial', 'totals_of', 'went_slowly']
+
+SLOW_RATIO: Final = 1.8
+SLOW_SLACK_S: Final = 0.1
+STEP_SLACK_S: Final = 0.005
+
+
+def note_trial(
+    scheduler: Scheduler, life: Life, version: str, *, bad: bool
+) -> None:
+    """Count a request of a model that has a move."""
+    target = life.ask.target
+    if target not in scheduler.moves:
+        return
+    key = (target, life.ask.route, version)
+    old = scheduler.trials.get(key, Trials())
+    scheduler.trials[key] = Trials(old.count + 1, old.bad + bad)
+
+
+def totals_of(
+    scheduler: Scheduler, target: str, from_version: str, to_version: str
+) -> list[Totals]:
+    """Return this VM's running totals for a move, by route."""
+    routes = {route for model, route, _ in scheduler.trials if model == target}
+    return [
+        Totals(
+            route,
+            scheduler.trials.get((target, route, from_version), Trials()),
+            scheduler.trials.get((target, route, to_version), Trials()),
+        )
+        for route in sorted(routes)
+    ]
+
+
+def went_slowly(
+    scheduler: Scheduler, life: Life, work: Work, now_s: float
+) -> bool:
+    """Compare an answer with the other versions on like hardware.
+
+    The first token is compared with the time that their learned speed
+    predicts for the same backlog, the time between tokens with theirs.
+    """
+    gate = scheduler.moves.get(life.ask.target)
+    first_s = life.first_token_at_s
+    if gate is None or first_s is None or life.attempt is None:
+        return False
+    upstream = scheduler.upstreams[life.attempt.upstream]
+    rate, step_s = _reference(scheduler, upstream, gate.to_version)
+    expected_s = work.work_tokens / rate + step_s
+    took_s = first_s - work.sent_at_s
+    if took_s > SLOW_RATIO * expected_s + SLOW_SLACK_S:
+        return True
+    if life.tokens < 2:
+        return False
+    between_s = (now_s - first_s) / (life.tokens - 1)
+    return between_s > SLOW_RATIO * step_s + STEP_SLACK_S
+
+
+def _reference(
+    scheduler: Scheduler, upstream: Upstream, to_version: str
+) -> tuple[float, float]:
+    """Return the prefill rate and step time of comparable upstreams."""
+    speeds = [
+        peer.speed
+        for target in upstream.spec.targets
+        for peer in upstreams_for(scheduler, target)
+        if peer.spec.hardware == upstream.spec.hardware
+        and peer.spec.version != to_version
+    ]
+    if not speeds:
+        spec = upstream.spec
+        return spec.prefill_tokens_per_s, spec.step_s
+    rate = median(speed.prefill_tokens_per_s for speed in speeds)
+    return rate, median(speed.step_s for speed in speeds)
--- a/bluebellhub/scheduler/finish.py
+++ b/bluebellhub/scheduler/finish.py
@@ -47,9 +47,7 @@
     ask = life.ask
     if life.attempt is not None:
         attempt = life.attempt
-        events.append(
-            Cancel(ask.request_id, attempt.upstream, life.attempts)
-        )
+        events.append(Cancel(ask.request_id, attempt.upstream, life.attempts))
         leave_upstream(scheduler, life)
     queue = scheduler.queues.get(ask.target)
     if queue is not None:
--- a/bluebellhub/scheduler/gates.py
+++ b/bluebellhub/scheduler/gates.py
@@ -6,7 +6,7 @@
 from bluebellhub.request import Ask
 from bluebellhub.scheduler.state import Scheduler
 from bluebellhub.upstream import Upstream
-from bluebellhub.version_move.gate import allows_new
+from bluebellhub.version_move.gate import allows_new, allows_old
 
 __all__ = ['gates', 'is_eligible']
 
@@ -48,7 +48,7 @@
     if gate is None:
         return True
     if upstream.spec.version != gate.to_version:
-        return gate.old_open
+        return allows_old(gate, now_s)
     return allows_new(gate, now_s)
 
 
@@ -57,6 +57,5 @@
 ) -> bool:
     """Tell whether all gates let the request through to the upstream."""
     return all(
-        gate(scheduler, ask, upstream, now_s)
-        for gate in gates.entries.values()
+        gate(scheduler, ask, upstream, now_s) for gate in gates.entries.values()
     )
--- a/bluebellhub/scheduler/preemption.py
+++ b/bluebellhub/scheduler/preemption.py
@@ -10,9 +10,7 @@
 __all__ = ['find_victim', 'requeue']
 
 
-def find_victim(
-    scheduler: Scheduler, ask: Ask, now_s: float
-) -> Life | None:
+def find_victim(scheduler: Scheduler, ask: Ask, now_s: float) -> Life | None:
     """Return the running request that loses least by being cancelled.
 
     The lowest tier goes first, then requests without a first token, then
@@ -35,9 +33,7 @@
     return best
 
 
-def requeue(
-    scheduler: Scheduler, events: list[Event], victim: Life
-) -> None:
+def requeue(scheduler: Scheduler, events: list[Event], victim: Life) -> None:
     """Cancel the victim's attempt and put the request back in the queue."""
     attempt = victim.attempt
     if attempt is None:
--- a/bluebellhub/scheduler/progress.py
+++ b/bluebellhub/scheduler/progress.py
@@ -16,14 +16,18 @@
 )
 from bluebellhub.routing import correct
 from bluebellhub.routing.length import note_length
+from bluebellhub.routing.prefix import forget_upstream
 from bluebellhub.scheduler.dispatch import pump
 from bluebellhub.scheduler.entry import make_waiting
 from bluebellhub.scheduler.events import Event, Probe
+from bluebellhub.scheduler.evidence import note_trial, went_slowly
 from bluebellhub.scheduler.finish import close_life, leave_upstream, refuse
-from bluebellhub.scheduler.state import Scheduler, queue_of
+from bluebellhub.scheduler.state import Scheduler, queue_of, signals_of
 from bluebellhub.upstream import (
+    LoadReport,
     Work,
     finish_prefill,
+    hear_report,
     note_failure,
     observe_late,
     observe_on_time,
@@ -35,6 +39,8 @@
     'answer_ended',
     'attempt_failed',
     'caller_left',
+    'hear_load',
+    'note_restart',
     'request_sent',
     'tokens_arrived',
 ]
@@ -44,6 +50,9 @@
 RETRY_CREDIT_MAX: Final = 50.0
 RESTART_KINDS: Final = frozenset(('connect_failed',))
 FAULTS: Final = frozenset(('connect_failed', 'silent', 'upstream_error'))
+TRIAL_FAILURES: Final = frozenset(
+    ('cut', 'silent', 'upstream_error', 'mismatch'),
+)
 
 
 def request_sent(scheduler: Scheduler, request_id: str) -> None:
@@ -87,8 +96,10 @@
     if late:
         round_s = max(work.predicted_s, LATE_SLACK_S)
         window = observe_late(upstream.window, now_s, round_s)
+        signals_of(scheduler, name)['late'] += 1
     else:
         window = observe_on_time(upstream.window)
+        signals_of(scheduler, name)['on_time'] += 1
     scheduler.upstreams[name] = upstream._replace(
         speed=speed, window=window, failures_in_row=0
     )
@@ -124,6 +135,10 @@
     upstream = scheduler.upstreams.get(name)
     if upstream is None:
         return
+    work = upstream.work.get(life.ask.request_id)
+    if work is not None:
+        slow = went_slowly(scheduler, life, work, now_s)
+        note_trial(scheduler, life, upstream.spec.version, bad=slow)
     if cached_tokens is not None:
         correct(
             scheduler.prefixes,
@@ -173,11 +188,15 @@
     upstream = scheduler.upstreams.get(name)
     if upstream is None:
         return
+    if failure.kind in TRIAL_FAILURES:
+        note_trial(scheduler, life, upstream.spec.version, bad=True)
     if failure.kind in FAULTS:
         restarted = failure.kind in RESTART_KINDS
         scheduler.upstreams[name] = note_failure(
             upstream, now_s, restarted=restarted
         )
+        if restarted:
+            note_restart(scheduler, name, now_s)
     if failure.kind == 'silent':
         events.append(Probe(name))
 
@@ -208,6 +227,27 @@
     return UpstreamFailedError(detail, retry_after_s=1.0)
 
 
+def hear_load(
+    scheduler: Scheduler, name: str, report: LoadReport, now_s: float
+) -> None:
+    """Take an upstream's load report; notices a restart."""
+    upstream = scheduler.upstreams.get(name)
+    if upstream is None:
+        return
+    old = upstream.report
+    if old is not None and old.boot_id != report.boot_id:
+        note_restart(scheduler, name, now_s)
+    scheduler.upstreams[name] = hear_report(upstream, report)
+
+
+def note_restart(scheduler: Scheduler, name: str, now_s: float) -> None:
+    """Count a restart and forget what the upstream had cached."""
+    signals = signals_of(scheduler, name)
+    signals['restarts'] += 1
+    signals['restarted_at_s'] = now_s
+    forget_upstream(scheduler.prefixes, name)
+
+
 def caller_left(
     scheduler: Scheduler, request_id: str, now_s: float
 ) -> list[Event]:
--- a/bluebellhub/scheduler/room.py
+++ b/bluebellhub/scheduler/room.py
@@ -7,6 +7,7 @@
 from collections.abc import Callable, Sequence
 from typing import Final
 
+from bluebellhub.failure_domain import ramp_share
 from bluebellhub.registry import Registry, make_registry
 from bluebellhub.request import Ask
 from bluebellhub.routing import Candidate
@@ -17,7 +18,7 @@
     is_straggler,
 )
 
-__all__ = ['disciplines', 'has_room', 'whole_window']
+__all__ = ['disciplines', 'has_room', 'usable_slots', 'whole_window']
 
 HEADROOM_SHARE_PER_RANK: Final = 0.06
 PROBE_SLOTS: Final = 1
@@ -39,6 +40,19 @@
     return upstream.window.slots
 
 
+def usable_slots(
+    scheduler: Scheduler, upstream: Upstream, now_s: float
+) -> int:
+    """Return this VM's slots; fewer while a failure domain comes back."""
+    slots = min(scheduler.slots(upstream, now_s), upstream.window.slots)
+    back = scheduler.domains_back.get(upstream.spec.failure_domain)
+    if back is None:
+        return slots
+    domain, since_s = back
+    share = ramp_share(domain, now_s - since_s)
+    return min(slots, max(1, int(upstream.window.slots * share)))
+
+
 def has_room(
     scheduler: Scheduler,
     upstream: Upstream,
@@ -77,7 +91,7 @@
     now_s: float,
 ) -> bool:
     """Keep within the window and leave headroom for higher tiers."""
-    slots = min(scheduler.slots(upstream, now_s), upstream.window.slots)
+    slots = usable_slots(scheduler, upstream, now_s)
     if is_straggler(upstream, peers):
         slots = min(slots, PROBE_SLOTS)
     rank = ask.tier.rank
--- a/bluebellhub/scheduler/shedding.py
+++ b/bluebellhub/scheduler/shedding.py
@@ -20,6 +20,7 @@
 from bluebellhub.scheduler.events import Event
 from bluebellhub.scheduler.finish import refuse
 from bluebellhub.scheduler.gates import is_eligible
+from bluebellhub.scheduler.room import usable_slots
 from bluebellhub.scheduler.state import Scheduler, queue_of, upstreams_for
 
 __all__ = ['may_shed', 'shed', 'tick', 'total_slots']
@@ -32,7 +33,7 @@
 def total_slots(scheduler: Scheduler, target: str, now_s: float) -> int:
     """Sum the slots that this VM may use for a model or service."""
     return sum(
-        min(scheduler.slots(upstream, now_s), upstream.window.slots)
+        usable_slots(scheduler, upstream, now_s)
         for upstream in upstreams_for(scheduler, target)
         if upstream.spec.failure_domain not in scheduler.domains_out
     )
@@ -94,12 +95,24 @@
     """Refuse requests that cannot be answered in time; then dispatch."""
     events: list[Event] = []
     for target, queue in scheduler.queues.items():
+        _apply_floor(scheduler, events, target)
         for rank in ranks(queue):
             _refuse_hopeless(scheduler, events, target, rank, now_s)
         events.extend(pump(scheduler, target, now_s))
     return events
 
 
+def _apply_floor(
+    scheduler: Scheduler, events: list[Event], target: str
+) -> None:
+    """Shed what waits below the floor that the fleet has agreed on."""
+    floor = scheduler.floors.get(target)
+    if floor is None:
+        return
+    for entry in lower_ranks(queue_of(scheduler, target), floor):
+        _shed_lower(scheduler, events, scheduler.lives[entry.request_id])
+
+
 def _refuse_hopeless(
     scheduler: Scheduler,
     events: list[Event],
@@ -152,9 +165,7 @@
         shed(scheduler, events, life, now_s)
 
 
-def _shed_lower(
-    scheduler: Scheduler, events: list[Event], life: Life
-) -> None:
+def _shed_lower(scheduler: Scheduler, events: list[Event], life: Life) -> None:
     """Shed a lower-tier request to make way; lowest tiers come first."""
     error = ShedError(
         'capacity is needed for a higher tier', retry_after_s=RETRY_AFTER_S
--- a/bluebellhub/scheduler/state.py
+++ b/bluebellhub/scheduler/state.py
@@ -7,11 +7,13 @@
 
 from bluebellhub.admission import Queue, make_queue
 from bluebellhub.contract import AccountUse, Contract
+from bluebellhub.failure_domain import FailureDomain
 from bluebellhub.request import Life
 from bluebellhub.routing import PrefixIndex, make_prefix_index
 from bluebellhub.routing.length import Lengths, make_lengths
 from bluebellhub.routing.prefix import forget_upstream
 from bluebellhub.upstream import Upstream
+from bluebellhub.version_move.evidence import Trials
 from bluebellhub.version_move.gate import MoveGate
 
 __all__ = [
@@ -21,6 +23,7 @@
     'add_upstream',
     'make_scheduler',
     'queue_of',
+    'signals_of',
     'remove_upstream',
     'upstreams_for',
 ]
@@ -49,9 +52,25 @@
     retry_credit: float
 
 
+class Signals(TypedDict):
+    """Observations of one upstream since they were last taken.
+
+    ``peak`` is the most work at once; a restart was seen at
+    ``restarted_at_s``.
+    """
+
+    on_time: int
+    late: int
+    restarts: int
+    peak: int
+    restarted_at_s: float
+
+
 class Scheduler(NamedTuple):
     """The root; aggregates are stored by name or id.
 
+    ``trials`` counts requests by model, route and version;
+    ``domains_back`` holds the domains that came back, and when;
     ``floors`` holds, by target, the lowest tier rank that is admitted now;
     ``floors_wanted`` the ranks that this VM needs to shed and until when,
     and ``floors_agreed`` the ranks that all live VMs have agreed to.
@@ -69,17 +88,18 @@
     lives: dict[str, Life]
     prefixes: PrefixIndex
     lengths: Lengths
+    signals: dict[str, Signals]
     domains_out: set[str]
+    domains_back: dict[str, tuple[FailureDomain, float]]
     moves: dict[str, MoveGate]
+    trials: dict[tuple[str, str, str], Trials]
     floors: dict[str, int]
     floors_wanted: dict[str, tuple[int, float]]
     floors_agreed: dict[str, int]
     counters: Counter[tuple[str, str]]
 
 
-def make_scheduler(
-    plan: Plan, slots: SlotSource, seed: int = 0
-) -> Scheduler:
+def make_scheduler(plan: Plan, slots: SlotSource, seed: int = 0) -> Scheduler:
     """Create a scheduler without upstreams, contracts or requests."""
     flags: Flags = {
         'draining': False,
@@ -101,8 +121,11 @@
         lives={},
         prefixes=make_prefix_index(),
         lengths=make_lengths(),
+        signals={},
         domains_out=set(),
+        domains_back={},
         moves={},
+        trials={},
         floors={},
         floors_wanted={},
         floors_agreed={},
@@ -143,6 +166,20 @@
     return [scheduler.upstreams[name] for name in names]
 
 
+def signals_of(scheduler: Scheduler, name: str) -> Signals:
+    """Return the observations of an upstream."""
+    return scheduler.signals.setdefault(
+        name,
+        {
+            'on_time': 0,
+            'late': 0,
+            'restarts': 0,
+            'peak': 0,
+            'restarted_at_s': -float('inf'),
+        },
+    )
+
+
 def queue_of(scheduler: Scheduler, target: str) -> Queue:
     """Return the queue of a model or service."""
     queue = scheduler.queues.get(target)
--- a/bluebellhub/scheduler/submit.py
+++ b/bluebellhub/scheduler/submit.py
@@ -88,9 +88,7 @@
     put(queue, entry)
 
 
-def _comes_too_late(
-    scheduler: Scheduler, life: Life, entry: Waiting
-) -> bool:
+def _comes_too_late(scheduler: Scheduler, life: Life, entry: Waiting) -> bool:
     """Compare the slot time queued ahead with the time to the deadline."""
     ask = life.ask
     if scheduler.plan.discipline != 'tiered':
--- a/bluebellhub/standins/engine_server.py
+++ b/bluebellhub/standins/engine_server.py
@@ -72,9 +72,7 @@
 async def run(server: EngineServer) -> None:
     """Run the engine's steps in real time until cancelled."""
     while True:
-        server.reports.append(
-            report_load(server.engine, trio.current_time())
-        )
+        server.reports.append(report_load(server.engine, trio.current_time()))
         del server.reports[:-1000]
         if is_idle(server.engine):
             await trio.sleep(IDLE_S)
--- a/bluebellhub/standins/faults.py
+++ b/bluebellhub/standins/faults.py
@@ -62,9 +62,7 @@
 
 
 @fault_kinds.register('failing')
-def judge_failing(
-    fault: Fault, route: str, load: int, now_s: float
-) -> Effect:
+def judge_failing(fault: Fault, route: str, load: int, now_s: float) -> Effect:
     """Fail a share of the tokens' requests, on one route or on all."""
     concerned = not fault.route or fault.route == route
     if not route or not concerned or not _acts(fault, load, now_s):
--- a/bluebellhub/standins/platform_model.py
+++ b/bluebellhub/standins/platform_model.py
@@ -15,6 +15,7 @@
 __all__ = [
     'PlatformModel',
     'changes_since',
+    'config_revision',
     'make_platform_model',
     'read',
     'visible_vms',
@@ -100,6 +101,18 @@
     return sorted(changed, key=lambda stored: stored.revision)
 
 
+def config_revision(model: PlatformModel) -> int:
+    """Return the newest revision of a configuration object."""
+    return max(
+        (
+            stored.revision
+            for stored in model.objects.values()
+            if stored.kind in object_kinds.entries
+        ),
+        default=0,
+    )
+
+
 def visible_vms(model: PlatformModel, now_s: float) -> tuple[VmEntry, ...]:
     """Return the VM list as it was ``vm_lag_s`` ago."""
     seen: tuple[VmEntry, ...] = ()
--- a/bluebellhub/standins/platform_server.py
+++ b/bluebellhub/standins/platform_server.py
@@ -14,6 +14,7 @@
 from bluebellhub.standins.platform_model import (
     PlatformModel,
     changes_since,
+    config_revision,
     read,
     visible_vms,
     write,
@@ -110,7 +111,7 @@
             while not changes_since(model, since):
                 await trio.sleep(WATCH_STEP_S)
         changed = changes_since(model, since)
-        return _json((model.state['revision'], changed))
+        return _json((config_revision(model), changed))
 
     @app.get('/v1/vms')
     async def vms() -> Response:
--- /dev/null
+++ b/bluebellhub/standins/virtual_fleet.py
@@ -0,0 +1,349 @@
+"""VMs joined by a faulty link and a store, in virtual time.
+
+The fakes stand at the interfaces of `bluebellhub.fleet`: they carry its
+messages and store calls with delays, losses, doubles, cuts and pauses.
+"""
+
+from collections import Counter
+from random import Random
+from typing import Any, Final, NamedTuple, TypedDict
+
+from bluebellhub.errors import ConflictError, ObjectError
+from bluebellhub.fleet import (
+    Fleet,
+    Identity,
+    Outgoing,
+    StoreWrite,
+    decode_message,
+    encode_message,
+    handle,
+    make_fleet,
+    run_duties,
+    take_stored,
+    take_vm_list,
+)
+from bluebellhub.fleet.duties import is_watcher
+from bluebellhub.fleet.handlers import take_config
+from bluebellhub.fleet.messages import ConfigNews, StoreRead
+from bluebellhub.fleet.moving import take_order_answer
+from bluebellhub.scheduler import Scheduler
+from bluebellhub.standins.platform_model import (
+    PlatformModel,
+    changes_since,
+    config_revision,
+    make_platform_model,
+    read,
+    write,
+)
+from bluebellhub.standins.virtual_clock import (
+    VirtualClock,
+    call_at,
+    make_clock,
+)
+
+__all__ = [
+    'LinkFaults',
+    'VirtualFleet',
+    'add_vm',
+    'kill_vm',
+    'make_virtual_fleet',
+    'operate',
+    'pause_vm',
+]
+
+STEP_S: Final = 0.05
+WATCH_S: Final = 0.2
+SLOW_WATCH_S: Final = 5.0
+DELAY_S: Final = 0.0015
+STORE_DELAY_S: Final = 0.005
+VM_LIST_S: Final = 2.0
+
+
+class LinkFaults(TypedDict):
+    """Faults of the link; ratios of messages lost and doubled."""
+
+    loss: float
+    doubled: float
+    delay_max_s: float
+
+
+class VmState(TypedDict):
+    """Whether a VM lives, and until when it is paused."""
+
+    alive: bool
+    paused_until_s: float
+
+
+class VirtualFleet(NamedTuple):
+    """The root.
+
+    ``cuts`` holds unordered pairs of VMs that do not hear each other and
+    ``store_cuts`` VMs that do not reach the store.  ``traffic`` counts
+    messages and bytes sent by VM.
+    """
+
+    clock: VirtualClock
+    platform: PlatformModel
+    fleets: dict[str, Fleet]
+    states: dict[str, VmState]
+    cuts: set[frozenset[str]]
+    store_cuts: set[str]
+    faults: LinkFaults
+    random: Random
+    traffic: Counter[tuple[str, str]]
+
+
+def make_virtual_fleet(
+    clock: VirtualClock | None = None, seed: int = 0
+) -> VirtualFleet:
+    """Create a fleet without VMs and without faults."""
+    faults: LinkFaults = {
+        'loss': 0.0,
+        'doubled': 0.0,
+        'delay_max_s': DELAY_S,
+    }
+    return VirtualFleet(
+        clock or make_clock(),
+        make_platform_model(),
+        {},
+        {},
+        set(),
+        set(),
+        faults,
+        Random(seed),
+        Counter(),
+    )
+
+
+def add_vm(
+    virtual: VirtualFleet, name: str, domain: str, scheduler: Scheduler
+) -> Fleet:
+    """Start a VM, or start it again with an empty memory."""
+    now_s = virtual.clock.state['now_s']
+    incarnation = int(now_s * 1000) + 1
+    fleet = make_fleet(
+        Identity(name, domain, incarnation), scheduler, now_s
+    )
+    virtual.fleets[name] = fleet
+    virtual.states[name] = {'alive': True, 'paused_until_s': 0.0}
+    offset_s = virtual.random.random() * STEP_S
+    for call in (_step, _watch, _read_vms):
+        call_at(virtual.clock, now_s + offset_s, call, virtual, fleet)
+    return fleet
+
+
+def kill_vm(virtual: VirtualFleet, name: str) -> None:
+    """Stop a VM without notice."""
+    virtual.states[name]['alive'] = False
+
+
+def pause_vm(virtual: VirtualFleet, name: str, until_s: float) -> None:
+    """Suspend a VM: it keeps its memory and acts on nothing."""
+    virtual.states[name]['paused_until_s'] = until_s
+
+
+def operate(
+    virtual: VirtualFleet, kind: str, name: str, spec: dict[str, Any]
+) -> None:
+    """Write a configuration object as an operator would."""
+    version = read(virtual.platform, kind, name).version
+    write(virtual.platform, kind, name, spec, version)
+
+
+def _later(
+    virtual: VirtualFleet, fleet: Fleet, now_s: float
+) -> float | None:
+    """Return when the VM acts: now, after its pause, or never."""
+    name = fleet.identity.name
+    current = virtual.fleets.get(name) is fleet
+    state = virtual.states[name]
+    if not current or not state['alive']:
+        return None
+    return max(now_s, state['paused_until_s'])
+
+
+def _step(now_s: float, virtual: VirtualFleet, fleet: Fleet) -> None:
+    when_s = _later(virtual, fleet, now_s)
+    if when_s is None:
+        return
+    if when_s > now_s:
+        call_at(virtual.clock, when_s, _step, virtual, fleet)
+        return
+    run_duties(fleet, now_s)
+    flush(virtual, fleet, now_s)
+    call_at(virtual.clock, now_s + STEP_S, _step, virtual, fleet)
+
+
+def flush(virtual: VirtualFleet, fleet: Fleet, now_s: float) -> None:
+    """Carry out what the fleet has put into its outbox."""
+    outbox = fleet.outbox
+    while outbox.messages:
+        _send(virtual, fleet, outbox.messages.pop(0), now_s)
+    while outbox.writes:
+        write_wanted = outbox.writes.pop(0)
+        when_s = now_s + STORE_DELAY_S
+        call_at(
+            virtual.clock, when_s, _write, virtual, fleet, write_wanted, now_s
+        )
+    while outbox.reads:
+        wanted = outbox.reads.pop(0)
+        _read_later(virtual, fleet, wanted, now_s)
+    while outbox.orders:
+        take_order_answer(fleet, outbox.orders.pop(0), accepted=True)
+
+
+def _send(
+    virtual: VirtualFleet, fleet: Fleet, outgoing: Outgoing, now_s: float
+) -> None:
+    own = fleet.identity.name
+    encoded = encode_message(outgoing.message)
+    if outgoing.to == own:
+        call_at(virtual.clock, now_s, _deliver, virtual, own, own, encoded)
+        return
+    virtual.traffic[own, 'messages'] += 1
+    virtual.traffic[own, 'bytes'] += len(encoded)
+    copies = 1 + (virtual.random.random() < virtual.faults['doubled'])
+    for _ in range(copies):
+        if virtual.random.random() < virtual.faults['loss']:
+            continue
+        spread_s = virtual.faults['delay_max_s']
+        arrives_s = now_s + spread_s * virtual.random.random()
+        call_at(
+            virtual.clock,
+            arrives_s,
+            _deliver,
+            virtual,
+            own,
+            outgoing.to,
+            encoded,
+        )
+
+
+def _deliver(
+    now_s: float,
+    virtual: VirtualFleet,
+    sender: str,
+    receiver: str,
+    encoded: bytes,
+) -> None:
+    fleet = virtual.fleets.get(receiver)
+    if fleet is None or frozenset((sender, receiver)) in virtual.cuts:
+        return
+    when_s = _later(virtual, fleet, now_s)
+    if when_s is None:
+        return
+    if when_s > now_s:
+        call_at(
+            virtual.clock, when_s, _deliver, virtual, sender, receiver, encoded
+        )
+        return
+    handle(fleet, sender, decode_message(encoded), now_s)
+    flush(virtual, fleet, now_s)
+
+
+def _reaches_store(virtual: VirtualFleet, fleet: Fleet) -> bool:
+    cut = fleet.identity.name in virtual.store_cuts
+    return not cut and not virtual.platform.state['down']
+
+
+def _write(
+    now_s: float,
+    virtual: VirtualFleet,
+    fleet: Fleet,
+    wanted: StoreWrite,
+    asked_at_s: float,
+) -> None:
+    if _later(virtual, fleet, now_s) is None:
+        return
+    if not _reaches_store(virtual, fleet):
+        return
+    virtual.platform.calls['put'] += 1
+    state = virtual.platform.state
+    try:
+        write(
+            virtual.platform,
+            wanted.kind,
+            wanted.name,
+            wanted.spec,
+            wanted.version,
+        )
+    except (ConflictError, ObjectError):
+        virtual.platform.calls['conflict'] += 1
+    if state['lose_replies'] > 0:
+        state['lose_replies'] -= 1
+        return
+    _read_later(virtual, fleet, StoreRead(wanted.kind, wanted.name), now_s)
+
+
+def _read_later(
+    virtual: VirtualFleet, fleet: Fleet, wanted: StoreRead, now_s: float
+) -> None:
+    when_s = now_s + STORE_DELAY_S
+    call_at(virtual.clock, when_s, _read, virtual, fleet, wanted, now_s)
+
+
+def _read(
+    now_s: float,
+    virtual: VirtualFleet,
+    fleet: Fleet,
+    wanted: StoreRead,
+    asked_at_s: float,
+) -> None:
+    when_s = _later(virtual, fleet, now_s)
+    if when_s is None or not _reaches_store(virtual, fleet):
+        return
+    virtual.platform.calls['get'] += 1
+    stored = read(virtual.platform, wanted.kind, wanted.name)
+    if when_s > now_s:
+        call_at(
+            virtual.clock, when_s, _take, virtual, fleet, stored, asked_at_s
+        )
+        return
+    _take(now_s, virtual, fleet, stored, asked_at_s)
+
+
+def _take(
+    now_s: float,
+    virtual: VirtualFleet,
+    fleet: Fleet,
+    stored: Any,
+    asked_at_s: float,
+) -> None:
+    take_stored(fleet, stored, asked_at_s, now_s)
+    flush(virtual, fleet, now_s)
+
+
+def _watch(now_s: float, virtual: VirtualFleet, fleet: Fleet) -> None:
+    when_s = _later(virtual, fleet, now_s)
+    if when_s is None:
+        return
+    if when_s > now_s:
+        call_at(virtual.clock, when_s, _watch, virtual, fleet)
+        return
+    if _reaches_store(virtual, fleet):
+        _take_changes(virtual, fleet, now_s)
+    period_s = WATCH_S if is_watcher(fleet, now_s) else SLOW_WATCH_S
+    call_at(virtual.clock, now_s + period_s, _watch, virtual, fleet)
+
+
+def _take_changes(
+    virtual: VirtualFleet, fleet: Fleet, now_s: float
+) -> None:
+    since = fleet.configuration.progress['revision']
+    changed = changes_since(virtual.platform, since)
+    revision = config_revision(virtual.platform)
+    news = ConfigNews(revision, changed)
+    take_config(fleet, fleet.identity.name, news, now_s)
+    flush(virtual, fleet, now_s)
+
+
+def _read_vms(now_s: float, virtual: VirtualFleet, fleet: Fleet) -> None:
+    when_s = _later(virtual, fleet, now_s)
+    if when_s is None:
+        return
+    if _reaches_store(virtual, fleet) and when_s <= now_s:
+        names = {
+            name for name, state in virtual.states.items() if state['alive']
+        }
+        take_vm_list(fleet, names)
+    call_at(virtual.clock, when_s + VM_LIST_S, _read_vms, virtual, fleet)
--- a/bluebellhub/upstream/speed.py
+++ b/bluebellhub/upstream/speed.py
@@ -53,9 +53,7 @@
 
 def observe_step(speed: Speed, step_s: float) -> Speed:
     """Learn from the mean time between two tokens of one stream."""
-    return speed._replace(
-        step_s=_smooth(speed.step_s, max(step_s, STEP_MIN_S))
-    )
+    return speed._replace(step_s=_smooth(speed.step_s, max(step_s, STEP_MIN_S)))
 
 
 def _smooth(old: float, new: float) -> float:
--- a/bluebellhub/upstream/window.py
+++ b/bluebellhub/upstream/window.py
@@ -10,8 +10,10 @@
     'Window',
     'make_window',
     'observe_late',
+    'observe_many',
     'observe_on_time',
     'restart',
+    'take_limit',
 ]
 
 SHRINK: Final = 0.9
@@ -63,6 +65,26 @@
     return window._replace(limit=limit, shrunk_at_s=now_s)
 
 
+def observe_many(
+    window: Window, on_time: int, late: int, now_s: float, round_s: float
+) -> Window:
+    """Take a batch of observations from several VMs."""
+    for _ in range(min(on_time, window.full)):
+        window = observe_on_time(window)
+    if late > on_time:
+        window = observe_late(window, now_s, round_s)
+    return window
+
+
+def take_limit(window: Window, limit: float) -> Window:
+    """Adopt the limit that the window's owner has told."""
+    bounded = min(max(limit, 1.0), float(window.full))
+    phase: Literal['cold', 'warm'] = window.phase
+    if bounded > window.cold_limit:
+        phase = 'warm' if bounded >= window.full else phase
+    return window._replace(limit=bounded, phase=phase)
+
+
 def restart(window: Window) -> Window:
     """Return to the cold window."""
     return make_window(window.cold_limit, window.full)
--- a/bluebellhub/version_move/__init__.py
+++ b/bluebellhub/version_move/__init__.py
@@ -1,5 +1,6 @@
 """Version moves: shares, evidence, steps and taking back."""
 
+from bluebellhub.version_move.evidence import Totals, Trials
 from bluebellhub.version_move.gate import (
     MoveGate,
     allows_new,
@@ -7,13 +8,37 @@
     make_gate,
     set_share,
 )
-from bluebellhub.version_move.move import VersionMove
+from bluebellhub.version_move.lead import (
+    Lead,
+    advance_move,
+    first_standing,
+    hear_totals,
+    largest_share,
+    make_lead,
+    mark_bad,
+)
+from bluebellhub.version_move.move import (
+    MoveState,
+    MoveStatus,
+    VersionMove,
+)
 
 __all__ = [
+    'Lead',
     'MoveGate',
+    'MoveState',
+    'MoveStatus',
+    'Totals',
+    'Trials',
     'VersionMove',
+    'advance_move',
+    'first_standing',
     'allows_new',
     'count_dispatch',
+    'hear_totals',
+    'largest_share',
     'make_gate',
+    'make_lead',
+    'mark_bad',
     'set_share',
 ]
--- a/bluebellhub/version_move/gate.py
+++ b/bluebellhub/version_move/gate.py
@@ -8,7 +8,14 @@
 
 from bluebellhub.invariants import check_invariant
 
-__all__ = ['MoveGate', 'allows_new', 'count_dispatch', 'make_gate']
+__all__ = [
+    'MoveGate',
+    'allows_new',
+    'allows_old',
+    'count_dispatch',
+    'make_gate',
+    'set_share',
+]
 
 UNPROVEN_SHARE = 0.05
 
@@ -18,7 +25,7 @@
 
     ``share`` is the largest ratio of new-version dispatches; it is zero
     once the lease on it has lapsed at ``share_until_s`` or the version is
-    marked bad.  ``old_open`` becomes false when the move has completed.
+    marked bad.  Once the move is ``done`` the new version needs no lease.
     """
 
     model: str
@@ -28,7 +35,7 @@
     largest_unproven: float = UNPROVEN_SHARE
     proven: bool = False
     bad: bool = False
-    old_open: bool = True
+    done: bool = False
     dispatched: int = 0
     dispatched_new: int = 0
 
@@ -40,16 +47,30 @@
 
 def allows_new(gate: MoveGate, now_s: float) -> bool:
     """Tell whether one more dispatch to the new version keeps the share."""
+    if gate.done:
+        return True
     if gate.bad or now_s >= gate.share_until_s:
         return False
     total = gate.dispatched + 1
     return gate.dispatched_new + 1 <= gate.share * total
 
 
+def allows_old(gate: MoveGate, now_s: float) -> bool:
+    """Tell whether the old version takes requests.
+
+    It does until the move is done, but for the time in which the whole
+    share is leased to the new version.
+    """
+    if gate.done:
+        return False
+    whole = gate.share >= 1.0 and now_s < gate.share_until_s
+    return gate.bad or not whole
+
+
 def count_dispatch(gate: MoveGate, version: str, now_s: float) -> MoveGate:
     """Count a dispatch; asserts the limits on an unproven version."""
     counted = gate._replace(dispatched=gate.dispatched + 1)
-    if version != gate.to_version:
+    if version != gate.to_version or gate.done:
         return counted
     counted = counted._replace(dispatched_new=gate.dispatched_new + 1)
     check_invariant(
--- /dev/null
+++ b/bluebellhub/version_move/lead.py
@@ -0,0 +1,154 @@
+"""The leader's side of a version move: steps, evidence, taking back."""
+
+from typing import Final, NamedTuple
+
+from bluebellhub.invariants import check_invariant
+from bluebellhub.version_move.evidence import (
+    Totals,
+    Trials,
+    Verdict,
+    add_trials,
+    is_bad,
+    is_good,
+    make_verdict,
+    rare_routes,
+)
+from bluebellhub.version_move.move import MoveStatus, VersionMove
+
+__all__ = [
+    'Lead',
+    'advance_move',
+    'first_standing',
+    'hear_totals',
+    'largest_share',
+    'make_lead',
+    'mark_bad',
+]
+
+SHARES: Final = (0.25, 0.5, 1.0)
+STEP_MIN_S: Final = 3.0
+LATE_STEPS_S: Final = 60.0
+
+
+class Lead(NamedTuple):
+    """The root: the move, its standing and the evidence heard.
+
+    ``fence`` is the fencing number of this lead, ``heard`` holds the last
+    totals of each VM by route and ``ordered`` the upstreams that have
+    acknowledged the order to load the version.
+    """
+
+    move: VersionMove
+    standing: MoveStatus
+    fence: int
+    step_began_s: float
+    verdicts: dict[str, Verdict]
+    heard: dict[tuple[str, str], Totals]
+    ordered: set[str]
+    led_since_s: float
+
+
+def make_lead(
+    move: VersionMove, standing: MoveStatus, fence: int, now_s: float
+) -> Lead:
+    """Create the lead of a move that is taken over or begins now."""
+    return Lead(move, standing, fence, now_s, {}, {}, set(), now_s)
+
+
+def first_standing(
+    move: VersionMove, stored: MoveStatus | None
+) -> MoveStatus:
+    """Return the stored standing; one of an earlier move counts as none."""
+    if stored is not None and stored.to_version == move.to_version:
+        return stored
+    return MoveStatus(move.model, move.to_version)
+
+
+def largest_share(lead: Lead) -> float:
+    """Return the share of requests that the new version may get now."""
+    standing = lead.standing
+    if standing.state == 'taken_back':
+        return 0.0
+    if standing.state == 'done':
+        return 1.0
+    if standing.step == 0:
+        return lead.move.largest_unproven_share
+    return SHARES[standing.step - 1]
+
+
+def hear_totals(lead: Lead, vm: str, totals: Totals) -> None:
+    """Take one VM's running totals of a route."""
+    before = lead.heard.get((vm, totals.route))
+    old, new = totals.old, totals.new
+    if before is not None:
+        old = _since(before.old, old)
+        new = _since(before.new, new)
+    lead.heard[vm, totals.route] = totals
+    verdict = lead.verdicts.get(totals.route, make_verdict())
+    lead.verdicts[totals.route] = add_trials(verdict, old, new)
+
+
+def _since(before: Trials, after: Trials) -> Trials:
+    """Return the difference; a restarted VM counts from zero."""
+    if after.count < before.count or after.bad < before.bad:
+        return after
+    return Trials(after.count - before.count, after.bad - before.bad)
+
+
+def advance_move(lead: Lead, now_s: float, now_epoch_s: float) -> Lead:
+    """Take the version back, take the next step, finish, or wait."""
+    standing = lead.standing
+    if standing.state != 'running':
+        return lead
+    if lead.move.wanted == 'abort':
+        return mark_bad(lead, 'aborted by an operator')
+    for route, verdict in lead.verdicts.items():
+        if is_bad(verdict):
+            trials = f'{verdict.new.bad} of {verdict.new.count}'
+            reason = f'route {route}: {trials} requests went badly'
+            return mark_bad(lead, reason)
+    if now_s - lead.step_began_s < _step_time_s(lead, now_epoch_s):
+        return lead
+    return _next_step(lead, now_s) if _is_proven(lead) else lead
+
+
+def _step_time_s(lead: Lead, now_epoch_s: float) -> float:
+    """Spread the steps that are left over a part of the time left."""
+    steps_left = len(SHARES) + 1 - lead.standing.step
+    left_s = max(0.0, lead.move.due_at - now_epoch_s)
+    spread_s = min(left_s / (2 * steps_left), LATE_STEPS_S)
+    return max(STEP_MIN_S, spread_s)
+
+
+def _is_proven(lead: Lead) -> bool:
+    """All common routes have evidence for this step, none is suspect."""
+    rare = rare_routes(lead.verdicts)
+    common = [route for route in lead.verdicts if route not in rare]
+    if not common:
+        return False
+    return all(
+        is_good(verdict, rare=route in rare)
+        for route, verdict in lead.verdicts.items()
+    )
+
+
+def _next_step(lead: Lead, now_s: float) -> Lead:
+    check_invariant(
+        'steps_need_evidence',
+        holds=_is_proven(lead),
+        detail=lead.move.model,
+    )
+    for route, verdict in list(lead.verdicts.items()):
+        lead.verdicts[route] = verdict._replace(trust=0.0)
+    step = lead.standing.step + 1
+    done = step > len(SHARES)
+    standing = lead.standing._replace(
+        state='done' if done else 'running', step=min(step, len(SHARES))
+    )
+    return lead._replace(standing=standing, step_began_s=now_s)
+
+
+def mark_bad(lead: Lead, reason: str) -> Lead:
+    """Take the version back; nothing brings it forward again."""
+    standing = lead.standing._replace(state='taken_back', reason=reason)
+    return lead._replace(standing=standing)
--- a/bluebellhub/version_move/move.py
+++ b/bluebellhub/version_move/move.py
@@ -4,11 +4,28 @@
 
 import msgspec
 
-__all__ = ['VersionMove']
+__all__ = ['MoveState', 'MoveStatus', 'VersionMove']
 
 Share = Annotated[float, msgspec.Meta(gt=0, le=1)]
 
 
+MoveState = Literal['running', 'done', 'taken_back']
+
+
+class MoveStatus(NamedTuple):
+    """What the store keeps of a move, so that any VM can take it over.
+
+    ``step`` counts the shares reached, ``leader`` wrote the status last.
+    """
+
+    model: str
+    to_version: str
+    state: MoveState = 'running'
+    step: int = 0
+    reason: str = ''
+    leader: str = ''
+
+
 class VersionMove(NamedTuple):
     """Move a model's traffic from one version to another by a date.
 
