Make eight VMs agree on prefill: share backlogs, adapt the clear upstreams

Late first tokens, caused by prompts that other VMs had just sent, shrank the windows, and the lack of slots then preempted long requests after their prefill.

Change: windows of warm upstreams shrink only on first tokens five times later than predicted; grants tell the other holders' pending prefill; preemption spares requests past prefill unless slots are what is missing; the share of upstreams kept clear of long prompts follows what the top tier finds.

--- a/bluebellhub/budget/lease.py
+++ b/bluebellhub/budget/lease.py
@@ -22,6 +22,7 @@
     ``demand`` and ``in_use`` have the budget's unit.  ``held`` is the lease
     that it holds, for ``held_for_s`` more seconds; ``on_time``, ``late``
     and ``restarts`` count observations since the last renewal.
+    ``pending_tokens`` are the holder's that wait for prefill.
     """
 
     key: str
@@ -32,6 +33,7 @@
     on_time: int = 0
     late: int = 0
     restarts: int = 0
+    pending_tokens: int = 0
 
 
 class RenewalBatch(NamedTuple):
@@ -49,13 +51,15 @@
 class Grant(NamedTuple):
     """A lease, valid ``term_s`` from the moment the holder asked for it.
 
-    ``limit`` is the whole budget.
+    ``limit`` is the whole budget.  ``others_tokens`` wait for prefill and
+    come from other holders.
     """
 
     key: str
     amount: float
     term_s: float
     limit: float
+    others_tokens: int = 0
 
 
 class GrantBatch(NamedTuple):
--- a/bluebellhub/budget/owner.py
+++ b/bluebellhub/budget/owner.py
@@ -37,6 +37,7 @@
 
     demand: Demand
     at_s: float
+    pending_tokens: int = 0
 
 
 class Budget(NamedTuple):
@@ -105,7 +106,9 @@
     """
     number, applied = numbers
     budget.asked[holder] = Asked(
-        Demand(renewal.demand, renewal.in_use), now_s
+        Demand(renewal.demand, renewal.in_use),
+        now_s,
+        renewal.pending_tokens,
     )
     _drop_dead(budget, holder, applied, now_s)
     if now_s < budget.silent_until_s:
@@ -126,7 +129,12 @@
         or amount + others <= budget.limit + EPSILON,
         detail=f'{budget.key}: {amount} + {others} of {budget.limit}',
     )
-    return Grant(budget.key, amount, TERM_S, budget.limit)
+    others_tokens = sum(
+        asked.pending_tokens
+        for name, asked in budget.asked.items()
+        if name != holder
+    )
+    return Grant(budget.key, amount, TERM_S, budget.limit, others_tokens)
 
 
 def _drop_dead(
--- a/bluebellhub/fleet/duties.py
+++ b/bluebellhub/fleet/duties.py
@@ -24,6 +24,7 @@
 
 HEARTBEAT_S: Final = 0.4
 CHECK_S: Final = 0.2
+STARVED_S: Final = 0.1
 STORE_CHECK_S: Final = 0.8
 SLOW_CHECK_S: Final = 5.0
 PROPOSE_S: Final = 1.0
@@ -91,6 +92,15 @@
     return known
 
 
+@_every('starved', STARVED_S)
+def renew_starved(fleet: Fleet, now_s: float) -> None:
+    """Renew early when a request waited for want of a lease."""
+    flags = fleet.scheduler.flags
+    if flags['starved']:
+        flags['starved'] = False
+        fleet.due['renewal'] = now_s
+
+
 @_every('check', CHECK_S)
 def check_standing(fleet: Fleet, now_s: float) -> None:
     """Refuse new work while cut off; keep the floors up to date."""
--- a/bluebellhub/fleet/handlers.py
+++ b/bluebellhub/fleet/handlers.py
@@ -208,13 +208,17 @@
         prefix, _, name = granted.key.partition(':')
         lease = fleet.holder.leases[granted.key]
         if prefix == 'window':
-            _take_window(fleet, name, granted, lease.asked_at_s)
+            _take_window(fleet, name, granted, lease.asked_at_s, now_s)
         elif prefix == 'share':
             take_share(fleet, name, granted, lease.until_s)
 
 
 def _take_window(
-    fleet: Fleet, name: str, granted: Grant, asked_at_s: float
+    fleet: Fleet,
+    name: str,
+    granted: Grant,
+    asked_at_s: float,
+    now_s: float,
 ) -> None:
     """Adopt the owner's window, unless it is older than a restart."""
     scheduler = fleet.scheduler
@@ -224,7 +228,9 @@
         return
     if granted.limit > 0:
         scheduler.upstreams[name] = upstream._replace(
-            window=take_limit(upstream.window, granted.limit)
+            window=take_limit(upstream.window, granted.limit),
+            others_tokens=granted.others_tokens,
+            others_at_s=now_s,
         )
 
 
--- a/bluebellhub/fleet/leases.py
+++ b/bluebellhub/fleet/leases.py
@@ -18,7 +18,7 @@
 from bluebellhub.membership import owner_of
 from bluebellhub.scheduler import Scheduler
 from bluebellhub.scheduler.state import signals_of
-from bluebellhub.upstream import Upstream
+from bluebellhub.upstream import Upstream, pending_tokens
 
 __all__ = ['leased_limits', 'leased_slots', 'renew']
 
@@ -101,6 +101,7 @@
         on_time=signals['on_time'],
         late=signals['late'],
         restarts=signals['restarts'],
+        pending_tokens=pending_tokens(upstream),
     )
     signals['on_time'] = 0
     signals['late'] = 0
--- a/bluebellhub/scheduler/dispatch.py
+++ b/bluebellhub/scheduler/dispatch.py
@@ -9,8 +9,8 @@
 from bluebellhub.scheduler.events import Dispatch, Event
 from bluebellhub.scheduler.finish import leave_upstream
 from bluebellhub.scheduler.gates import is_eligible
-from bluebellhub.scheduler.preemption import find_victim, requeue
-from bluebellhub.scheduler.room import has_room
+from bluebellhub.scheduler.preemption import find_victim, lacks_slots, requeue
+from bluebellhub.scheduler.room import has_room, prefer_clear
 from bluebellhub.scheduler.state import (
     Scheduler,
     queue_of,
@@ -51,6 +51,7 @@
     candidates = candidates_for(scheduler, life, now_s)
     if not candidates:
         return _preempt(scheduler, events, life, now_s)
+    candidates = prefer_clear(scheduler, life.ask, candidates)
     policy = policies.find(scheduler.plan.policy)
     decisions = scheduler.flags['decisions']
     chosen = policy(candidates, scheduler.random, decisions)
@@ -116,7 +117,8 @@
         return False
     if slack_s > ask.tier.first_token_s * PREEMPT_SLACK_SHARE:
         return False
-    victim = find_victim(scheduler, ask, now_s)
+    full = lacks_slots(scheduler, ask, now_s)
+    victim = find_victim(scheduler, ask, now_s, unprefilled=not full)
     if victim is None:
         return False
     freed = victim.attempt
--- a/bluebellhub/scheduler/progress.py
+++ b/bluebellhub/scheduler/progress.py
@@ -1,5 +1,6 @@
 """What comes back from upstreams: tokens, ends and failures."""
 
+from types import MappingProxyType
 from typing import Final
 
 from bluebellhub.admission import put
@@ -45,8 +46,9 @@
     'tokens_arrived',
 ]
 
-LATE_RATIO: Final = 2.0
-LATE_SLACK_S: Final = 0.1
+LATE_RATIOS: Final = MappingProxyType({'cold': 2.0, 'warm': 5.0})
+LATE_TIER_SHARE: Final = 0.8
+LATE_ROUND_S: Final = 0.5
 RETRY_CREDIT_MAX: Final = 50.0
 RESTART_KINDS: Final = frozenset(('connect_failed',))
 FAULTS: Final = frozenset(('connect_failed', 'silent', 'upstream_error'))
@@ -80,22 +82,27 @@
     work = finish_prefill(upstream, request_id)
     if work is None:
         return []
-    _learn_first_token(scheduler, life.attempt.upstream, work, now_s)
+    _learn_first_token(scheduler, life, work, now_s)
     return pump(scheduler, life.ask.target, now_s)
 
 
 def _learn_first_token(
-    scheduler: Scheduler, name: str, work: Work, now_s: float
+    scheduler: Scheduler, life: Life, work: Work, now_s: float
 ) -> None:
+    name = life.attempt.upstream if life.attempt else ''
     upstream = scheduler.upstreams[name]
     elapsed_s = now_s - work.sent_at_s
     speed = observe_prefill(
         upstream.speed, work.work_tokens, elapsed_s, work.predicted_s
     )
-    late = elapsed_s > LATE_RATIO * work.predicted_s + LATE_SLACK_S
+    ratio = LATE_RATIOS[upstream.window.phase]
+    late_s = max(
+        ratio * work.predicted_s,
+        LATE_TIER_SHARE * life.ask.tier.first_token_s,
+    )
+    late = elapsed_s > late_s
     if late:
-        round_s = max(work.predicted_s, LATE_SLACK_S)
-        window = observe_late(upstream.window, now_s, round_s)
+        window = observe_late(upstream.window, now_s, LATE_ROUND_S)
         signals_of(scheduler, name)['late'] += 1
     else:
         window = observe_on_time(upstream.window)
--- a/bluebellhub/scheduler/room.py
+++ b/bluebellhub/scheduler/room.py
@@ -11,21 +11,25 @@
 from bluebellhub.registry import Registry, make_registry
 from bluebellhub.request import Ask
 from bluebellhub.routing import Candidate
-from bluebellhub.scheduler.state import Scheduler
+from bluebellhub.scheduler.state import Scheduler, upstreams_for
 from bluebellhub.upstream import (
     Upstream,
     backlog_tokens,
     is_straggler,
 )
 
-__all__ = ['disciplines', 'has_room', 'usable_slots', 'whole_window']
+__all__ = ['disciplines', 'has_room', 'prefer_clear', 'usable_slots', 'whole_window']
 
 HEADROOM_SHARE_PER_RANK: Final = 0.06
 PROBE_SLOTS: Final = 1
-CLEAR_SHARE: Final = 5
+CLEAR_SHARE_MIN: Final = 0.2
+CLEAR_SHARE_MAX: Final = 0.6
+CLEAR_STEP_UP: Final = 0.06
+CLEAR_STEP_DOWN: Final = 0.0003
 CLEAR_MIN_UPSTREAMS: Final = 3
-CLEAR_BACKLOG_S: Final = 0.05
-BULK_BACKLOG_S: Final = 0.15
+CLEAR_BACKLOG_S: Final = 0.12
+CLEAR_QUICK_SHARE: Final = 0.4
+BULK_BACKLOG_S: Final = 0.3
 RHYTHM_SHARE: Final = 0.95
 
 Discipline = Callable[
@@ -97,6 +101,8 @@
     rank = ask.tier.rank
     headroom = int(slots * HEADROOM_SHARE_PER_RANK * rank + 0.5)
     if len(upstream.work) >= slots - headroom:
+        if slots < upstream.window.slots:
+            scheduler.flags['starved'] = True
         return False
     if ask.prompt_tokens == 0:
         return True
@@ -104,7 +110,9 @@
         return False
     if not _keeps_rhythm(upstream, peers, ask):
         return False
-    return _is_backlog_short(upstream, peers, rank, candidate, now_s)
+    return _is_backlog_short(
+        scheduler, upstream, peers, ask, candidate, now_s
+    )
 
 
 def _keeps_rhythm(
@@ -121,27 +129,72 @@
 
 
 def _is_backlog_short(
+    scheduler: Scheduler,
     upstream: Upstream,
     peers: Sequence[Upstream],
-    rank: int,
+    ask: Ask,
     candidate: Candidate,
     now_s: float,
 ) -> bool:
     """Bound the prefill backlog by seconds, more tightly on clear ones."""
     rate = upstream.speed.prefill_tokens_per_s
     backlog_s = backlog_tokens(upstream, now_s) / rate
-    if rank == 0:
+    if ask.tier.rank == 0:
         return True
     after_s = backlog_s + candidate.uncached_tokens / rate
-    if _is_kept_clear(upstream, peers):
+    if upstream.spec.name in _clear_names(scheduler, ask.target, peers):
         return after_s <= CLEAR_BACKLOG_S
-    return backlog_s == 0 or after_s <= BULK_BACKLOG_S
+    return backlog_s <= BULK_BACKLOG_S
+
 
+def _clear_names(
+    scheduler: Scheduler, target: str, peers: Sequence[Upstream]
+) -> list[str]:
+    """The fastest upstreams by their settings take no long prefill.
 
-def _is_kept_clear(upstream: Upstream, peers: Sequence[Upstream]) -> bool:
-    """One upstream in five takes no long prefill of a lower tier."""
+    VMs choose them in the same order, without a message.
+    """
     if len(peers) < CLEAR_MIN_UPSTREAMS:
-        return False
-    clear = max(1, len(peers) // CLEAR_SHARE)
-    names = [peer.spec.name for peer in peers]
-    return upstream.spec.name in names[:clear]
+        return []
+    share = scheduler.clear_shares.get(target, CLEAR_SHARE_MIN)
+    clear = max(1, round(len(peers) * share))
+    fastest = sorted(peers, key=_speed_order)
+    return [peer.spec.name for peer in fastest[:clear]]
+
+
+def _speed_order(upstream: Upstream) -> tuple[float, str]:
+    return -upstream.spec.prefill_tokens_per_s, upstream.spec.name
+
+
+def prefer_clear(
+    scheduler: Scheduler, ask: Ask, candidates: list[Candidate]
+) -> list[Candidate]:
+    """Keep the top tier on the clear upstreams while they are quick.
+
+    Elsewhere another VM may have sent a long prompt a moment ago, which
+    predictions do not know yet.
+    """
+    if ask.tier.rank > 0 or scheduler.plan.discipline != 'tiered':
+        return candidates
+    names = _clear_names(
+        scheduler, ask.target, upstreams_for(scheduler, ask.target)
+    )
+    bound_s = ask.tier.first_token_s * CLEAR_QUICK_SHARE
+    quick = [
+        candidate
+        for candidate in candidates
+        if candidate.upstream in names and candidate.predicted_s <= bound_s
+    ]
+    _adapt_clear(scheduler, ask.target, enough=bool(quick))
+    return quick or candidates
+
+
+def _adapt_clear(scheduler: Scheduler, target: str, *, enough: bool) -> None:
+    """Keep more upstreams clear when the top tier finds none quick.
+
+    The steps balance where one request in a hundred finds none.
+    """
+    share = scheduler.clear_shares.get(target, CLEAR_SHARE_MIN)
+    share += -CLEAR_STEP_DOWN if enough else CLEAR_STEP_UP
+    bounded = min(max(share, CLEAR_SHARE_MIN), CLEAR_SHARE_MAX)
+    scheduler.clear_shares[target] = bounded
--- a/bluebellhub/scheduler/state.py
+++ b/bluebellhub/scheduler/state.py
@@ -48,6 +48,7 @@
     draining: bool
     isolated: bool
     fleet: bool
+    starved: bool
     decisions: int
     retry_credit: float
 
@@ -73,7 +74,8 @@
     ``domains_back`` holds the domains that came back, and when;
     ``floors`` holds, by target, the lowest tier rank that is admitted now;
     ``floors_wanted`` the ranks that this VM needs to shed and until when,
-    and ``floors_agreed`` the ranks that all live VMs have agreed to.
+    and ``floors_agreed`` the ranks that all live VMs have agreed to;
+    ``clear_shares`` the ratio of upstreams kept free of long prefill.
     """
 
     plan: Plan
@@ -96,6 +98,7 @@
     floors: dict[str, int]
     floors_wanted: dict[str, tuple[int, float]]
     floors_agreed: dict[str, int]
+    clear_shares: dict[str, float]
     counters: Counter[tuple[str, str]]
 
 
@@ -105,6 +108,7 @@
         'draining': False,
         'isolated': False,
         'fleet': False,
+        'starved': False,
         'decisions': 0,
         'retry_credit': 10.0,
     }
@@ -129,6 +133,7 @@
         floors={},
         floors_wanted={},
         floors_agreed={},
+        clear_shares={},
         counters=Counter(),
     )
 
--- a/bluebellhub/upstream/__init__.py
+++ b/bluebellhub/upstream/__init__.py
@@ -13,6 +13,7 @@
     is_straggler,
     make_upstream,
     note_failure,
+    pending_tokens,
     predict_first_token_s,
     remove_work,
 )
@@ -43,6 +44,7 @@
     'observe_late',
     'observe_on_time',
     'observe_prefill',
+    'pending_tokens',
     'predict_first_token_s',
     'remove_work',
     'restart',
--- a/bluebellhub/upstream/speed.py
+++ b/bluebellhub/upstream/speed.py
@@ -8,23 +8,27 @@
 WORK_MIN_TOKENS: Final = 64
 RATE_MIN_TOKENS_PER_S: Final = 50.0
 STEP_MIN_S: Final = 0.001
+CEILING_RATIO: Final = 1.25
 
 
 class Speed(NamedTuple):
     """Estimates that follow observations by exponential smoothing.
 
     ``delay_ratio`` is unitless: observed over predicted first-token time.
+    The prefill rate stays below ``prefill_max_tokens_per_s``.
     """
 
     prefill_tokens_per_s: float
     step_s: float
+    prefill_max_tokens_per_s: float
     delay_ratio: float = 1.0
     observations: int = 0
 
 
 def make_speed(prefill_tokens_per_s: float, step_s: float) -> Speed:
     """Create an estimate from the values in the upstream's settings."""
-    return Speed(prefill_tokens_per_s, step_s)
+    ceiling = prefill_tokens_per_s * CEILING_RATIO
+    return Speed(prefill_tokens_per_s, step_s, ceiling)
 
 
 def observe_prefill(
@@ -43,9 +47,8 @@
         return learned
     prefill_s = max(elapsed_s - speed.step_s, STEP_MIN_S)
     rate = work_tokens / prefill_s
-    low = speed.prefill_tokens_per_s / 4
-    high = speed.prefill_tokens_per_s * 4
-    bounded = min(max(rate, low, RATE_MIN_TOKENS_PER_S), high)
+    low = max(speed.prefill_tokens_per_s / 4, RATE_MIN_TOKENS_PER_S)
+    bounded = min(max(rate, low), speed.prefill_max_tokens_per_s)
     return learned._replace(
         prefill_tokens_per_s=_smooth(speed.prefill_tokens_per_s, bounded)
     )
--- a/bluebellhub/upstream/upstream.py
+++ b/bluebellhub/upstream/upstream.py
@@ -22,6 +22,7 @@
     'is_straggler',
     'make_upstream',
     'note_failure',
+    'pending_tokens',
     'predict_first_token_s',
     'remove_work',
 ]
@@ -83,7 +84,8 @@
     """The root: settings, learned speed, window and work in progress.
 
     Work is stored by request id.  ``paused_until_s`` keeps new work away
-    after failures.
+    after failures.  ``others_tokens`` wait for prefill and come from other
+    VMs, as this one was told at ``others_at_s``.
     """
 
     spec: UpstreamSpec
@@ -93,6 +95,8 @@
     report: LoadReport | None = None
     paused_until_s: float = 0.0
     failures_in_row: int = 0
+    others_tokens: int = 0
+    others_at_s: float = 0.0
 
 
 def make_upstream(spec: UpstreamSpec, *, warm: bool = False) -> Upstream:
@@ -105,11 +109,20 @@
     )
 
 
+def pending_tokens(upstream: Upstream) -> int:
+    """Sum this VM's tokens that wait for prefill at the upstream."""
+    return sum(
+        work.uncached_tokens
+        for work in upstream.work.values()
+        if not work.prefilled
+    )
+
+
 def backlog_tokens(upstream: Upstream, now_s: float) -> float:
     """Estimate the tokens waiting for prefill at the upstream now.
 
     The report is brought up to date with the learned rate and with what
-    this VM sent since; what this VM knows to wait is the lower bound.
+    this VM sent since; what is known to wait is the lower bound.
     """
     own = 0
     since = 0
@@ -121,10 +134,13 @@
         own += work.uncached_tokens
         if work.sent_at_s > taken_at_s:
             since += work.uncached_tokens
+    rate = upstream.speed.prefill_tokens_per_s
+    done = (now_s - upstream.others_at_s) * rate
+    known = own + max(0.0, upstream.others_tokens - done)
     if report is None:
-        return float(own)
-    drained = (now_s - taken_at_s) * upstream.speed.prefill_tokens_per_s
-    return max(float(own), report.waiting_prefill_tokens + since - drained)
+        return known
+    drained = (now_s - taken_at_s) * rate
+    return max(known, report.waiting_prefill_tokens + since - drained)
 
 
 def predict_first_token_s(
