Run the fleet in the daemon; add the command-line tool and a demonstration

Three daemons on loopback lease windows, relay configuration and claim order keys through the shard's owner. The demonstration found three faults, each mended here: a VM without leases shed as if it were full; new budgets kept silent although no former lease could be out; and an owner's ledger never read an outcome that another VM had written.

--- a/benchmarks/harness.py
+++ b/benchmarks/harness.py
@@ -128,9 +128,7 @@
         profile.name: make_engine(profile, 0.0, warm=True)
         for profile in site.profiles
     }
-    return Bench(
-        make_clock(), vms, engines, set(), set(), make_outcomes(), {}
-    )
+    return Bench(make_clock(), vms, engines, set(), set(), make_outcomes(), {})
 
 
 def make_fleet_bench(site: Site, plan: Plan, vms: int, seed: int) -> Bench:
--- a/bluebellhub/adapters/assembly.py
+++ b/bluebellhub/adapters/assembly.py
@@ -1,58 +1,141 @@
 """Assembly of a VM's parts from its settings."""
 
+import time
+from collections.abc import Callable
 from typing import NamedTuple
 
 import trio
 
 from bluebellhub.adapters.connections import make_connections
+from bluebellhub.adapters.fleet_runner import (
+    FleetRunner,
+    make_runner,
+    reply_claim,
+)
 from bluebellhub.adapters.front_end import FrontEnd
 from bluebellhub.adapters.node import Node, make_node
-from bluebellhub.adapters.orders import make_desk
-from bluebellhub.adapters.platform import Platform, make_platform
+from bluebellhub.adapters.orders import OrderDesk, make_desk
+from bluebellhub.adapters.peer_link import make_peer_link, send, set_peer
+from bluebellhub.adapters.platform import make_platform
 from bluebellhub.clock import now_s
-from bluebellhub.configuration import (
-    Change,
-    Configuration,
-    make_configuration,
-)
+from bluebellhub.configuration import Change
 from bluebellhub.configuration.kinds import check_object
+from bluebellhub.fleet import (
+    Fleet,
+    Identity,
+    leased_limits,
+    leased_slots,
+    make_fleet,
+)
+from bluebellhub.membership import live_peers, owner_of
+from bluebellhub.order import Claim, Outcome
 from bluebellhub.routing import policies
 from bluebellhub.scheduler import Scheduler, make_scheduler
 from bluebellhub.scheduler.configure import apply_change
 from bluebellhub.scheduler.room import whole_window
-from bluebellhub.scheduler.state import Plan
+from bluebellhub.scheduler.state import Plan, SlotSource
 from bluebellhub.scheduler.submit import account_limits
 from bluebellhub.settings import Settings
+from bluebellhub.upstream import Upstream, make_upstream
 
 __all__ = ['Assembly', 'assemble']
 
+OWNER_S = 1.2
+
 
 class Assembly(NamedTuple):
-    """The parts of one VM."""
+    """The parts of one VM; without a platform there is no fleet."""
 
     node: Node
     front: FrontEnd
-    platform: Platform | None
-    configuration: Configuration
+    runner: FleetRunner | None
 
 
 def assemble(settings: Settings, nursery: trio.Nursery) -> Assembly:
     """Create all parts; raises `HubError` for objects that fail checks."""
     policies.find(settings.policy)
+    if settings.platform is None or settings.peer_listen is None:
+        return _assemble_alone(settings, nursery)
+    return _assemble_member(settings, settings.platform, nursery)
+
+
+def _assemble_alone(settings: Settings, nursery: trio.Nursery) -> Assembly:
     scheduler = make_scheduler(Plan(settings.policy), whole_window)
     _apply_static(scheduler, settings)
     connections = make_connections(settings.limits.connect_timeout_s)
     node = make_node(settings, scheduler, connections, nursery)
-    platform = None
-    if settings.platform is not None:
-        platform = make_platform(settings.platform, scheduler.counters)
-    desk = make_desk(platform, nursery)
-    front = FrontEnd(node, account_limits, desk)
-    return Assembly(node, front, platform, make_configuration())
+    front = FrontEnd(node, account_limits, make_desk(None, nursery))
+    return Assembly(node, front, None)
+
+
+def _assemble_member(
+    settings: Settings, address: str, nursery: trio.Nursery
+) -> Assembly:
+    cell: list[Fleet] = []
+    scheduler = make_scheduler(Plan(settings.policy), _slots_of(cell))
+    incarnation = int(time.time())
+    identity = Identity(settings.vm, settings.failure_domain, incarnation)
+    fleet = make_fleet(identity, scheduler, now_s())
+    cell.append(fleet)
+    connections = make_connections(settings.limits.connect_timeout_s)
+    node = make_node(settings, scheduler, connections, nursery)
+    platform = make_platform(address, scheduler.counters)
+    link = make_peer_link(
+        settings.vm, settings.peer_listen or '', scheduler.counters
+    )
+    for peer in settings.peers:
+        set_peer(link, peer.name, peer.address)
+    runner = make_runner(fleet, node, link, platform, nursery)
+    desk = _make_member_desk(runner)
+    runner.desk.append(desk)
+    front = FrontEnd(
+        node,
+        lambda contract: leased_limits(fleet, contract, now_s()),
+        desk,
+        fleet,
+    )
+    return Assembly(node, front, runner)
+
+
+def _slots_of(cell: list[Fleet]) -> SlotSource:
+    """Spend the leases of a fleet that is made after the scheduler."""
+
+    def slots(upstream: Upstream, moment_s: float) -> int:
+        return leased_slots(cell[0])(upstream, moment_s)
+
+    return slots
+
+
+def _make_member_desk(runner: FleetRunner) -> OrderDesk:
+    return make_desk(
+        runner.platform,
+        runner.nursery,
+        _forward(runner),
+        lambda answer: reply_claim(runner, answer),
+    )
+
+
+def _forward(
+    runner: FleetRunner,
+) -> Callable[[str, Claim | Outcome], bool]:
+    """Send to the shard's owner, if that is another VM that lives."""
+
+    def forward(shard: str, message: Claim | Outcome) -> bool:
+        shard_map = runner.fleet.members.state['shard_map']
+        owner = owner_of(shard_map, f'order:{shard}')
+        if owner not in live_peers(runner.fleet.members, now_s(), OWNER_S):
+            return False
+        send(runner.link, str(owner), message)
+        return True
+
+    return forward
 
 
 def _apply_static(scheduler: Scheduler, settings: Settings) -> None:
-    lists = (('contract', settings.contracts), ('upstream', settings.upstreams))
+    lists = (
+        ('contract', settings.contracts),
+        ('upstream', settings.upstreams),
+    )
     for kind, entries in lists:
         for fields in entries:
             given = dict(fields)
@@ -66,7 +149,5 @@
 
 def _warm(scheduler: Scheduler) -> None:
     """Take the upstreams in the settings as warm."""
-    from bluebellhub.upstream import make_upstream
-
     for name, upstream in scheduler.upstreams.items():
         scheduler.upstreams[name] = make_upstream(upstream.spec, warm=True)
--- a/bluebellhub/adapters/front_end.py
+++ b/bluebellhub/adapters/front_end.py
@@ -4,6 +4,7 @@
 from typing import Any, Final, NamedTuple
 from uuid import uuid4
 
+import msgspec
 from quart import Response, request
 from quart_trio import QuartTrio
 
@@ -23,6 +24,7 @@
 )
 from bluebellhub.adapters.node import Node, leave, start
 from bluebellhub.adapters.orders import OrderDesk, place_order
+from bluebellhub.adapters.status import describe
 from bluebellhub.clock import now_s
 from bluebellhub.contract import (
     AccountLimits,
@@ -30,6 +32,7 @@
     authenticate,
     check_ask,
 )
+from bluebellhub.fleet import Fleet
 from bluebellhub.metrics import render_metrics
 from bluebellhub.request import Ask, RefusalError, make_ask
 from bluebellhub.request.refusal import (
@@ -48,11 +51,15 @@
 
 
 class FrontEnd(NamedTuple):
-    """What the routes need: the node, account limits and the order desk."""
+    """What the routes need: the node, account limits and the order desk.
+
+    ``fleet`` is ``None`` on a VM that runs alone.
+    """
 
     node: Node
     limits_of: LimitsOf
     desk: OrderDesk
+    fleet: Fleet | None = None
 
 
 def make_app(front: FrontEnd) -> QuartTrio:
@@ -103,6 +110,11 @@
         closed = flags['draining'] or flags['isolated']
         return Response(b'no\n' if closed else b'yes\n', 503 if closed else 200)
 
+    @app.get('/status')
+    async def status() -> Response:
+        body = msgspec.json.encode(describe(front.node, front.fleet))
+        return Response(body, content_type=JSON_TYPE)
+
     @app.get('/metrics')
     async def metrics() -> Response:
         body, content_type = render_metrics(front.node.scheduler)
--- a/bluebellhub/adapters/orders.py
+++ b/bluebellhub/adapters/orders.py
@@ -20,6 +20,7 @@
     begin_write,
     confirm_write,
     make_ledger,
+    needs_read,
     queue_claim,
     queue_outcome,
     queue_release,
@@ -33,7 +34,14 @@
     RefusalError,
 )
 
-__all__ = ['OrderDesk', 'make_desk', 'place_order', 'take_claim']
+__all__ = [
+    'OrderDesk',
+    'deliver_answer',
+    'make_desk',
+    'place_order',
+    'take_claim',
+    'take_outcome',
+]
 
 KIND: Final = 'order_shard'
 GATHER_S: Final = 0.005
@@ -43,13 +51,13 @@
 
 log = logbook.Logger('bluebellhub.orders')
 Answer = tuple[Head, bytes]
-Forward = Callable[[str, Claim], bool]
+Forward = Callable[[str, Claim | Outcome], bool]
 
 
 class OrderDesk(NamedTuple):
     """The root: ledgers by shard and the claims that wait for an answer.
 
-    ``forward`` sends a claim to the shard's owner and returns false when
+    ``forward`` sends a claim or outcome to the shard's owner and returns false when
     this VM is the owner or the owner cannot be reached; ``wakers`` wakes
     the writer of a shard.
     """
@@ -90,22 +98,38 @@
     answer = await _claim(desk, claim)
     if answer.state != 'granted':
         return _earlier_answer(answer)
+    outgoing, incoming = trio.open_memory_channel[Answer | RefusalError](1)
+    desk.nursery.start_soon(_dispatch, desk, claim, call, outgoing)
+    result = await incoming.receive()
+    if isinstance(result, RefusalError):
+        raise result
+    return result
+
+
+async def _dispatch(
+    desk: OrderDesk,
+    claim: Claim,
+    call: Callable[[], Awaitable[Answer]],
+    outgoing: trio.MemorySendChannel[Answer | RefusalError],
+) -> None:
+    """Run a claimed order to its end, also when its caller goes away."""
     try:
         head, body = await call()
     except RefusalError as error:
         if error.run == 'no':
             _release(desk, claim)
-        raise
+        outgoing.send_nowait(error)
+        return
+    outgoing.send_nowait((head, body))
     outcome = Outcome(
         claim.claim_id,
-        key,
+        claim.key,
         head.status,
         head.content_type,
         body.decode('utf-8', errors='replace'),
     )
-    queue_outcome(_ledger(desk, key), outcome)
-    _wake(desk, shard_of(key))
-    return head, body
+    if not desk.forward(shard_of(claim.key), outcome):
+        take_outcome(desk, outcome)
 
 
 def _earlier_answer(answer: ClaimAnswer) -> Answer:
@@ -164,6 +188,12 @@
     _wake(desk, shard_of(claim.key))
 
 
+def take_outcome(desk: OrderDesk, outcome: Outcome) -> None:
+    """Queue an outcome for this VM's writer of the shard."""
+    queue_outcome(_ledger(desk, outcome.key), outcome)
+    _wake(desk, shard_of(outcome.key))
+
+
 def _release(desk: OrderDesk, claim: Claim) -> None:
     queue_release(_ledger(desk, claim.key), claim.claim_id, claim.key)
     _wake(desk, shard_of(claim.key))
@@ -209,7 +239,7 @@
     platform = desk.platform
     if platform is None:
         return True
-    if ledger.state['version'] is None or ledger.state['write'] is not None:
+    if needs_read(ledger):
         stored = await get_object(platform, KIND, ledger.shard)
         _answer(desk, read_back(ledger, stored.version, stored.spec))
     write, answers = begin_write(ledger, time.time())
--- /dev/null
+++ b/bluebellhub/adapters/peer_link.py
@@ -0,0 +1,123 @@
+"""Messages between VMs over ZeroMQ.
+
+Each VM receives on one socket and sends on one socket per peer.  A peer that
+stays silent gets a fresh connection, since the old one may be lost without
+either end knowing.
+"""
+
+from collections import Counter
+from collections.abc import Callable
+from typing import Final, NamedTuple
+
+import logbook
+import trio
+import zmq
+
+from bluebellhub.errors import HubError
+from bluebellhub.fleet import decode_message, encode_message
+
+__all__ = ['PeerLink', 'make_peer_link', 'receive_all', 'send', 'set_peer']
+
+QUEUED_MAX: Final = 1000
+HEARTBEAT_MS: Final = 1000
+HEARTBEAT_TIMEOUT_MS: Final = 3000
+MESSAGE_MAX_BYTES: Final = 4_194_304
+
+log = logbook.Logger('bluebellhub.peers')
+Receiver = Callable[[str, object], None]
+
+
+class PeerLink(NamedTuple):
+    """The root: the sockets and the addresses of the other VMs."""
+
+    name: str
+    context: zmq.Context
+    inbox: zmq.Socket
+    outboxes: dict[str, zmq.Socket]
+    addresses: dict[str, str]
+    counters: Counter[tuple[str, str]]
+
+
+def make_peer_link(
+    name: str, listen: str, counters: Counter[tuple[str, str]]
+) -> PeerLink:
+    """Listen on an IP number and port; the link knows no peer yet."""
+    context = zmq.Context(io_threads=1)
+    inbox = context.socket(zmq.ROUTER)
+    inbox.setsockopt(zmq.ROUTER_HANDOVER, 1)
+    inbox.setsockopt(zmq.MAXMSGSIZE, MESSAGE_MAX_BYTES)
+    inbox.setsockopt(zmq.RCVHWM, QUEUED_MAX)
+    inbox.setsockopt(zmq.LINGER, 0)
+    inbox.bind(f'tcp://{listen}')
+    return PeerLink(name, context, inbox, {}, {}, counters)
+
+
+def set_peer(link: PeerLink, name: str, address: str) -> None:
+    """Set a peer's address; a changed one is connected anew."""
+    if name == link.name or link.addresses.get(name) == address:
+        return
+    link.addresses[name] = address
+    reconnect(link, name)
+
+
+def reconnect(link: PeerLink, name: str) -> None:
+    """Replace the connection to a peer with a fresh one."""
+    old = link.outboxes.pop(name, None)
+    if old is not None:
+        old.close(linger=0)
+    outbox = link.context.socket(zmq.DEALER)
+    outbox.setsockopt(zmq.IDENTITY, link.name.encode())
+    outbox.setsockopt(zmq.SNDHWM, QUEUED_MAX)
+    outbox.setsockopt(zmq.LINGER, 0)
+    outbox.setsockopt(zmq.HEARTBEAT_IVL, HEARTBEAT_MS)
+    outbox.setsockopt(zmq.HEARTBEAT_TIMEOUT, HEARTBEAT_TIMEOUT_MS)
+    outbox.connect(f'tcp://{link.addresses[name]}')
+    link.outboxes[name] = outbox
+
+
+def send(link: PeerLink, to: str, message: object) -> None:
+    """Send without waiting; a message that finds no room is dropped."""
+    outbox = link.outboxes.get(to)
+    if outbox is None:
+        return
+    encoded = encode_message(message)
+    try:
+        outbox.send(encoded, zmq.NOBLOCK)
+    except zmq.Again:
+        link.counters['peer_messages', 'dropped'] += 1
+        return
+    link.counters['peer_messages', 'sent'] += 1
+    link.counters['peer_bytes', 'sent'] += len(encoded)
+
+
+async def receive_all(link: PeerLink, receive: Receiver) -> None:
+    """Hand every message to ``receive`` until cancelled.
+
+    The descriptor signals changes only, so the socket is read until it is
+    empty before waiting again.
+    """
+    descriptor = link.inbox.getsockopt(zmq.FD)
+    while True:
+        while link.inbox.getsockopt(zmq.EVENTS) & zmq.POLLIN:
+            _receive_one(link, receive)
+        with trio.move_on_after(1.0):
+            await trio.lowlevel.wait_readable(descriptor)
+
+
+def _receive_one(link: PeerLink, receive: Receiver) -> None:
+    sender, encoded = link.inbox.recv_multipart(zmq.NOBLOCK)
+    link.counters['peer_messages', 'received'] += 1
+    link.counters['peer_bytes', 'received'] += len(encoded)
+    try:
+        receive(sender.decode(), decode_message(encoded))
+    except (HubError, UnicodeDecodeError) as error:
+        link.counters['peer_messages', 'refused'] += 1
+        log.warning('message from {!r}: {}', sender, error)
+
+
+def close_link(link: PeerLink) -> None:
+    """Close all sockets."""
+    for outbox in link.outboxes.values():
+        outbox.close(linger=0)
+    link.inbox.close(linger=0)
+    link.context.term()
--- a/bluebellhub/budget/owner.py
+++ b/bluebellhub/budget/owner.py
@@ -75,7 +75,10 @@
 def outstanding(budget: Budget, now_s: float, besides: str = '') -> float:
     """Sum what holders other than ``besides`` may still use."""
     return sum(
-        max((lent.amount for lent in entries if now_s < lent.until_s), default=0.0)
+        max(
+            (lent.amount for lent in entries if now_s < lent.until_s),
+            default=0.0,
+        )
         for holder, entries in budget.lent.items()
         if holder != besides
     )
@@ -137,9 +140,7 @@
     return Grant(budget.key, amount, TERM_S, budget.limit, others_tokens)
 
 
-def _drop_dead(
-    budget: Budget, holder: str, applied: int, now_s: float
-) -> None:
+def _drop_dead(budget: Budget, holder: str, applied: int, now_s: float) -> None:
     """Forget grants that expired or were superseded at the holder."""
     live = tuple(
         lent
--- /dev/null
+++ b/bluebellhub/cli/__init__.py
@@ -0,0 +1,1 @@
+"""The command-line tool ``bluebellhub`` for operators."""
--- /dev/null
+++ b/bluebellhub/cli/main.py
@@ -0,0 +1,98 @@
+"""Entry point of the tool: arguments, output and exit statuses."""
+
+import argparse
+import json
+import os
+import sys
+from pathlib import Path
+from typing import Any
+
+import trio
+from tabulate import tabulate
+
+from bluebellhub.adapters.platform import make_platform
+from bluebellhub.cli import moves, objects, status
+from bluebellhub.cli.commands import Command, Table, commands
+from bluebellhub.cli.errors import exit_status
+from bluebellhub.configuration.addresses import check_address
+from bluebellhub.errors import HubError
+
+__all__ = ['main', 'make_parser']
+
+COMMAND_MODULES = (moves, objects, status)
+FLAG_PREFIX = 'opt_'
+
+
+def make_parser() -> argparse.ArgumentParser:
+    """Create the parser from the registered commands."""
+    parser = argparse.ArgumentParser(prog='bluebellhub', description=__doc__)
+    parser.add_argument(
+        '--platform',
+        default=os.environ.get('BLUEBELLHUB_PLATFORM', '127.0.0.1:8000'),
+        help='the object API; BLUEBELLHUB_PLATFORM sets the default',
+    )
+    parser.add_argument(
+        '--json', action='store_true', help='print JSON, not a table'
+    )
+    nouns = parser.add_subparsers(dest='noun', required=True)
+    verbs: dict[str, Any] = {}
+    for name in commands.names():
+        noun, _, verb = name.partition(' ')
+        entry = commands.find(name)
+        if not verb:
+            _add_arguments(nouns.add_parser(noun, help=entry.help_text), entry)
+            continue
+        if noun not in verbs:
+            group = nouns.add_parser(noun)
+            verbs[noun] = group.add_subparsers(dest='verb', required=True)
+        _add_arguments(
+            verbs[noun].add_parser(verb, help=entry.help_text), entry
+        )
+    return parser
+
+
+def _add_arguments(parser: argparse.ArgumentParser, entry: Command) -> None:
+    for name, options in entry.arguments.items():
+        given = dict(options)
+        if name == 'file':
+            given['type'] = Path
+        if name.startswith(FLAG_PREFIX):
+            flag = name.removeprefix(FLAG_PREFIX)
+            parser.add_argument(
+                f'--{flag.replace("_", "-")}', dest=flag, **given
+            )
+        else:
+            parser.add_argument(name, **given)
+    parser.set_defaults(run=entry.run)
+
+
+async def _run(args: argparse.Namespace) -> Table:
+    check_address(args.platform, '--platform')
+    platform = make_platform(args.platform)
+    async with platform.client:
+        return await args.run(platform, args)
+
+
+def _print(table: Table, *, as_json: bool) -> None:
+    if as_json:
+        print(json.dumps(table.rows, indent=2))
+    elif table.rows:
+        print(tabulate(table.rows, headers='keys'))
+    else:
+        print('none')
+
+
+def main(argv: list[str] | None = None) -> None:
+    """Run one command and exit with its status."""
+    args = make_parser().parse_args(argv)
+    try:
+        table = trio.run(_run, args)
+    except HubError as error:
+        print(f'bluebellhub: {error}', file=sys.stderr)
+        sys.exit(exit_status(error))
+    _print(table, as_json=args.json)
+    sys.exit(table.status)
+
+
+if __name__ == '__main__':
+    main()
--- a/bluebellhub/contract/__init__.py
+++ b/bluebellhub/contract/__init__.py
@@ -17,6 +17,7 @@
     AccountUse,
     admit,
     make_account_use,
+    note_demand,
     release,
 )
 
@@ -33,5 +34,6 @@
     'hash_key',
     'make_account_use',
     'make_contract',
+    'note_demand',
     'release',
 ]
--- a/bluebellhub/contract/usage.py
+++ b/bluebellhub/contract/usage.py
@@ -4,6 +4,7 @@
 see `bluebellhub.budget`.
 """
 
+from math import exp
 from typing import NamedTuple
 
 from bluebellhub.request.refusal import (
@@ -16,10 +17,13 @@
     'AccountUse',
     'admit',
     'make_account_use',
+    'note_demand',
     'release',
 ]
 
 BURST_S = 2.0
+BURST_MIN = 4.0
+DEMAND_FADE_S = 2.0
 
 
 class AccountLimits(NamedTuple):
@@ -40,12 +44,13 @@
     updated_at_s: float
     in_progress: int
     demand_per_s: float
+    demand_at_s: float
 
 
 def make_account_use(limits: AccountLimits, now_s: float) -> AccountUse:
     """Create the use of an account that has no request in progress."""
-    credit = max(1.0, limits.rate_per_s * BURST_S)
-    return AccountUse(credit, now_s, 0, 0.0)
+    credit = max(BURST_MIN, limits.rate_per_s * BURST_S)
+    return AccountUse(credit, now_s, 0, 0.0, now_s)
 
 
 def admit(use: AccountUse, limits: AccountLimits, now_s: float) -> AccountUse:
@@ -57,7 +62,7 @@
     if use.in_progress >= limits.concurrency:
         raise ConcurrencyLimitError(use.in_progress, limits.concurrency)
     elapsed_s = max(0.0, now_s - use.updated_at_s)
-    ceiling = max(1.0, limits.rate_per_s * BURST_S)
+    ceiling = max(BURST_MIN, limits.rate_per_s * BURST_S)
     credit = min(ceiling, use.credit + elapsed_s * limits.rate_per_s)
     if credit < 1.0:
         wait_s = (1.0 - credit) / max(limits.rate_per_s, 1e-6)
@@ -69,6 +74,18 @@
     )
 
 
+def note_demand(use: AccountUse, now_s: float) -> AccountUse:
+    """Count a request towards the demand, also one that is refused.
+
+    The demand fades over `DEMAND_FADE_S` seconds.
+    """
+    elapsed_s = max(0.0, now_s - use.demand_at_s)
+    faded = use.demand_per_s * exp(-elapsed_s / DEMAND_FADE_S)
+    return use._replace(
+        demand_per_s=faded + 1 / DEMAND_FADE_S, demand_at_s=now_s
+    )
+
+
 def release(use: AccountUse) -> AccountUse:
     """Count one request less in progress."""
     return use._replace(in_progress=max(0, use.in_progress - 1))
--- a/bluebellhub/daemon.py
+++ b/bluebellhub/daemon.py
@@ -11,10 +11,10 @@
 from hypercorn.trio import serve
 
 from bluebellhub.adapters.assembly import Assembly, assemble
+from bluebellhub.adapters.fleet_runner import run_fleet
 from bluebellhub.adapters.front_end import make_app
 from bluebellhub.adapters.loads import poll_loads
 from bluebellhub.adapters.node import run_ticks
-from bluebellhub.adapters.watching import run_watch
 from bluebellhub.errors import HubError
 from bluebellhub.invariants import make_fatal
 from bluebellhub.logs import set_up_logs
@@ -36,7 +36,8 @@
         shutdown = trio.Event()
         nursery.start_soon(run_ticks, assembly.node)
         nursery.start_soon(poll_loads, assembly.node)
-        nursery.start_soon(run_watch, assembly)
+        if assembly.runner is not None:
+            nursery.start_soon(run_fleet, assembly.runner)
         nursery.start_soon(_await_signal, assembly, shutdown)
         await _serve(assembly, shutdown)
         nursery.cancel_scope.cancel()
--- a/bluebellhub/fleet/budget_kinds.py
+++ b/bluebellhub/fleet/budget_kinds.py
@@ -127,11 +127,12 @@
     fleet: Fleet, kind: BudgetKind, key: str, name: str, now_s: float
 ) -> Budget | None:
     budget = make_budget(key, kind.division, 0.0)
-    if not kind.strict(fleet, name):
-        return stay_silent(budget, now_s + LISTEN_S)
     stopped_s = successors_settled(fleet.members, now_s)
+    strict = kind.strict(fleet, name)
     if stopped_s is None:
-        return None
+        return None if strict else stay_silent(budget, now_s + LISTEN_S)
     started_s = fleet.members.state['started_at_s']
-    silent_until_s = max(stopped_s, started_s) + TERM_S * CLOCK_DRIFT_RATIO
-    return stay_silent(budget, silent_until_s)
+    lapsed_s = max(stopped_s, started_s) + TERM_S * CLOCK_DRIFT_RATIO
+    if strict:
+        return stay_silent(budget, lapsed_s)
+    return stay_silent(budget, min(lapsed_s, now_s + LISTEN_S))
--- a/bluebellhub/fleet/floors.py
+++ b/bluebellhub/fleet/floors.py
@@ -48,8 +48,6 @@
     agreed = fleet.scheduler.floors_agreed
     agreed.clear()
     for target, rank in fleet.scheduler.floors.items():
-        applied = [
-            peers[name].heartbeat.floors.get(target) for name in members
-        ]
+        applied = [peers[name].heartbeat.floors.get(target) for name in members]
         if all(floor is not None and floor <= rank for floor in applied):
             agreed[target] = rank
--- a/bluebellhub/fleet/handlers.py
+++ b/bluebellhub/fleet/handlers.py
@@ -90,9 +90,7 @@
 
 
 @peer_handlers.register('MapAsk')
-def answer_map(
-    fleet: Fleet, sender: str, ask: MapAsk, now_s: float
-) -> None:
+def answer_map(fleet: Fleet, sender: str, ask: MapAsk, now_s: float) -> None:
     """Send the shard map if it is newer."""
     shard_map = fleet.members.state['shard_map']
     if shard_map.version > ask.version:
--- a/bluebellhub/fleet/leases.py
+++ b/bluebellhub/fleet/leases.py
@@ -48,9 +48,7 @@
     rate = contract.rate_per_s * FLOOR_SHARE / vms
     rate += amount_held(fleet.holder, f'rate:{account}', now_s)
     running = max(1, int(contract.concurrency * FLOOR_SHARE / vms))
-    running += int(
-        amount_held(fleet.holder, f'concurrency:{account}', now_s)
-    )
+    running += int(amount_held(fleet.holder, f'concurrency:{account}', now_s))
     return AccountLimits(rate, running)
 
 
--- a/bluebellhub/fleet/messages.py
+++ b/bluebellhub/fleet/messages.py
@@ -8,7 +8,7 @@
 from bluebellhub.configuration import StoredObject
 from bluebellhub.errors import PeerMessageError
 from bluebellhub.membership import Heartbeat, ShardMap
-from bluebellhub.order import Claim, ClaimAnswer
+from bluebellhub.order import Claim, ClaimAnswer, Outcome
 from bluebellhub.registry import Registry, make_registry
 from bluebellhub.version_move import Totals
 
@@ -83,6 +83,7 @@
     GrantBatch,
     Heartbeat,
     MapAsk,
+    Outcome,
     RenewalBatch,
     Revoke,
     ShardMap,
--- a/bluebellhub/fleet/moving.py
+++ b/bluebellhub/fleet/moving.py
@@ -122,9 +122,7 @@
             fleet.leads[model] = mark_bad(lead, 'marked bad by a VM')
 
 
-def hear_evidence(
-    fleet: Fleet, sender: str, report: EvidenceReport
-) -> None:
+def hear_evidence(fleet: Fleet, sender: str, report: EvidenceReport) -> None:
     """Add totals to a move that this VM leads."""
     lead = fleet.leads.get(report.model)
     if lead is None or lead.move.to_version != report.to_version:
@@ -242,9 +240,7 @@
         if spec.name in lead.ordered or not (spec.fences or waited):
             continue
         fleet.outbox.orders.append(
-            EngineOrder(
-                spec.name, lead.move.model, spec.version, lead.fence
-            )
+            EngineOrder(spec.name, lead.move.model, spec.version, lead.fence)
         )
 
 
--- a/bluebellhub/fleet/state.py
+++ b/bluebellhub/fleet/state.py
@@ -79,9 +79,7 @@
     outbox: Outbox
 
 
-def make_fleet(
-    identity: Identity, scheduler: Scheduler, now_s: float
-) -> Fleet:
+def make_fleet(identity: Identity, scheduler: Scheduler, now_s: float) -> Fleet:
     """Create a VM's part that has heard nobody and leads nothing."""
     scheduler.flags['fleet'] = True
     clocks: Clocks = {
--- a/bluebellhub/membership/members.py
+++ b/bluebellhub/membership/members.py
@@ -269,9 +269,7 @@
     return ShardMap(shard_map.version + 1, wanted, shard_map.members)
 
 
-def _hears_most(
-    members: Members, live: dict[str, Peer], now_s: float
-) -> bool:
+def _hears_most(members: Members, live: dict[str, Peer], now_s: float) -> bool:
     first = members.state['shard_map'].version == 0
     heard_for_s = FIRST_MAP_S if first else GONE_S
     if now_s - members.state['started_at_s'] < heard_for_s:
--- a/bluebellhub/order/ledger.py
+++ b/bluebellhub/order/ledger.py
@@ -32,6 +32,7 @@
     'confirm_write',
     'forget_claim',
     'make_ledger',
+    'needs_read',
     'queue_claim',
     'queue_outcome',
     'queue_release',
@@ -137,6 +138,21 @@
     ledger.claims.pop(claim_id, None)
 
 
+def needs_read(ledger: Ledger) -> bool:
+    """Tell whether the shard has to be read before the next write.
+
+    It has to if it was never read, if the last update's answer is missing,
+    or if a claim meets a record whose outcome may be known by now.
+    """
+    if ledger.state['version'] is None or ledger.state['write'] is not None:
+        return True
+    records = ledger.records
+    return any(
+        claim.key in records and records[claim.key].state == 'claimed'
+        for claim in ledger.claims.values()
+    )
+
+
 def begin_write(
     ledger: Ledger, now_epoch_s: float
 ) -> tuple[ShardWrite | None, list[ClaimAnswer]]:
--- a/bluebellhub/scheduler/room.py
+++ b/bluebellhub/scheduler/room.py
@@ -18,7 +18,13 @@
     is_straggler,
 )
 
-__all__ = ['disciplines', 'has_room', 'prefer_clear', 'usable_slots', 'whole_window']
+__all__ = [
+    'disciplines',
+    'has_room',
+    'prefer_clear',
+    'usable_slots',
+    'whole_window',
+]
 
 HEADROOM_SHARE_PER_RANK: Final = 0.06
 PROBE_SLOTS: Final = 1
@@ -44,9 +50,7 @@
     return upstream.window.slots
 
 
-def usable_slots(
-    scheduler: Scheduler, upstream: Upstream, now_s: float
-) -> int:
+def usable_slots(scheduler: Scheduler, upstream: Upstream, now_s: float) -> int:
     """Return this VM's slots; fewer while a failure domain comes back."""
     slots = min(scheduler.slots(upstream, now_s), upstream.window.slots)
     back = scheduler.domains_back.get(upstream.spec.failure_domain)
@@ -110,9 +114,7 @@
         return False
     if not _keeps_rhythm(upstream, peers, ask):
         return False
-    return _is_backlog_short(
-        scheduler, upstream, peers, ask, candidate, now_s
-    )
+    return _is_backlog_short(scheduler, upstream, peers, ask, candidate, now_s)
 
 
 def _keeps_rhythm(
--- a/bluebellhub/scheduler/shedding.py
+++ b/bluebellhub/scheduler/shedding.py
@@ -121,12 +121,13 @@
     now_s: float,
 ) -> None:
     queue = queue_of(scheduler, target)
+    slots = total_slots(scheduler, target, now_s)
     for entry in queued_of_rank(queue, rank):
         life = scheduler.lives.get(entry.request_id)
         if life is None or life.first_token_at_s is not None:
             continue
         best_s = _best_first_token_s(scheduler, life, now_s)
-        if best_s is None:
+        if best_s is None or not slots:
             _refuse_unplaceable(scheduler, events, life, now_s)
         elif now_s + best_s > life.ask.deadline_s:
             _refuse_late(scheduler, events, life, now_s)
@@ -147,7 +148,7 @@
 def _refuse_unplaceable(
     scheduler: Scheduler, events: list[Event], life: Life, now_s: float
 ) -> None:
-    """With no eligible upstream, wait until the deadline."""
+    """With no eligible upstream or no lease, wait until the deadline."""
     if now_s >= life.ask.deadline_s:
         error = NoUpstreamError(
             'no upstream takes work', retry_after_s=RETRY_AFTER_S
--- a/bluebellhub/scheduler/submit.py
+++ b/bluebellhub/scheduler/submit.py
@@ -6,6 +6,7 @@
     Contract,
     admit,
     make_account_use,
+    note_demand,
 )
 from bluebellhub.request import Ask, Life, RefusalError, make_life
 from bluebellhub.request.refusal import (
@@ -73,6 +74,8 @@
     use = scheduler.uses.get(ask.account)
     if use is None:
         use = make_account_use(limits, now_s)
+    use = note_demand(use, now_s)
+    scheduler.uses[ask.account] = use
     scheduler.uses[ask.account] = admit(use, limits, now_s)
 
 
--- a/bluebellhub/standins/virtual_clock.py
+++ b/bluebellhub/standins/virtual_clock.py
@@ -29,9 +29,7 @@
     return VirtualClock([], count(), {'now_s': 0.0})
 
 
-def call_at(
-    clock: VirtualClock, when_s: float, call: Call, *args: Any
-) -> None:
+def call_at(clock: VirtualClock, when_s: float, call: Call, *args: Any) -> None:
     """Run ``call(when_s, *args)`` when the clock gets there."""
     heapq.heappush(clock.heap, (when_s, next(clock.serial), call, args))
 
--- a/bluebellhub/standins/virtual_fleet.py
+++ b/bluebellhub/standins/virtual_fleet.py
@@ -121,9 +121,7 @@
     """Start a VM, or start it again with an empty memory."""
     now_s = virtual.clock.state['now_s']
     incarnation = int(now_s * 1000) + 1
-    fleet = make_fleet(
-        Identity(name, domain, incarnation), scheduler, now_s
-    )
+    fleet = make_fleet(Identity(name, domain, incarnation), scheduler, now_s)
     virtual.fleets[name] = fleet
     virtual.states[name] = {'alive': True, 'paused_until_s': 0.0}
     offset_s = virtual.random.random() * STEP_S
@@ -150,9 +148,7 @@
     write(virtual.platform, kind, name, spec, version)
 
 
-def _later(
-    virtual: VirtualFleet, fleet: Fleet, now_s: float
-) -> float | None:
+def _later(virtual: VirtualFleet, fleet: Fleet, now_s: float) -> float | None:
     """Return when the VM acts: now, after its pause, or never."""
     name = fleet.identity.name
     current = virtual.fleets.get(name) is fleet
@@ -326,9 +322,7 @@
     call_at(virtual.clock, now_s + period_s, _watch, virtual, fleet)
 
 
-def _take_changes(
-    virtual: VirtualFleet, fleet: Fleet, now_s: float
-) -> None:
+def _take_changes(virtual: VirtualFleet, fleet: Fleet, now_s: float) -> None:
     since = fleet.configuration.progress['revision']
     changed = changes_since(virtual.platform, since)
     revision = config_revision(virtual.platform)
--- a/bluebellhub/version_move/lead.py
+++ b/bluebellhub/version_move/lead.py
@@ -55,9 +55,7 @@
     return Lead(move, standing, fence, now_s, {}, {}, set(), now_s)
 
 
-def first_standing(
-    move: VersionMove, stored: MoveStatus | None
-) -> MoveStatus:
+def first_standing(move: VersionMove, stored: MoveStatus | None) -> MoveStatus:
     """Return the stored standing; one of an earlier move counts as none."""
     if stored is not None and stored.to_version == move.to_version:
         return stored
--- /dev/null
+++ b/demo/__init__.py
@@ -0,0 +1,1 @@
+"""The demonstration: a small fleet on loopback and its callers."""
