--- a/benchmarks/policies.py
+++ b/benchmarks/policies.py
@@ -47,7 +47,9 @@
     """Run one case; the last engine is a straggler."""
     site = SITES[case.site]
     plan = PLANS[case.plan]
-    bench = make_bench(site, plan, [whole_window] * case.vms, case.seed)
+    bench = make_bench(
+        site, plan, [whole_window for _ in range(case.vms)], case.seed
+    )
     straggler = bench.engines[site.profiles[-1].name]
     straggler.faults.append(make_fault('slow', slowdown=STRAGGLER_SLOWDOWN))
     arrivals = make_arrivals(site, case.load, DURATION_S, case.vms, case.seed)
--- a/benchmarks/workloads.py
+++ b/benchmarks/workloads.py
@@ -51,7 +51,7 @@
 
 KINDS: Final = (
     Kind('availability', 'check', 0.68, 60, 400, 10, 60),
-    Kind('quote', 'quote', 0.20, 200, 1500, 40, 200),
+    Kind('quote', 'quote', 0.2, 200, 1500, 40, 200),
     Kind('plan', 'plan', 0.08, 1500, 6000, 200, 1000),
     Kind('digest', 'batch', 0.04, 1500, 6000, 200, 1000),
 )
--- a/bluebellhub/adapters/assembly.py
+++ b/bluebellhub/adapters/assembly.py
@@ -15,7 +15,12 @@
 from bluebellhub.adapters.front_end import FrontEnd
 from bluebellhub.adapters.node import Node, make_node
 from bluebellhub.adapters.orders import OrderDesk, make_desk
-from bluebellhub.adapters.peer_link import make_peer_link, send, set_peer
+from bluebellhub.adapters.peer_link import (
+    PeerLink,
+    make_peer_link,
+    send,
+    set_peer,
+)
 from bluebellhub.adapters.platform import make_platform
 from bluebellhub.clock import now_s
 from bluebellhub.configuration import Change
@@ -71,20 +76,12 @@
 def _assemble_member(
     settings: Settings, address: str, nursery: trio.Nursery
 ) -> Assembly:
-    cell: list[Fleet] = []
-    scheduler = make_scheduler(Plan(settings.policy), _slots_of(cell))
-    incarnation = int(time.time())
-    identity = Identity(settings.vm, settings.failure_domain, incarnation)
-    fleet = make_fleet(identity, scheduler, now_s())
-    cell.append(fleet)
+    fleet = _make_member(settings)
+    scheduler = fleet.scheduler
     connections = make_connections(settings.limits.connect_timeout_s)
     node = make_node(settings, scheduler, connections, nursery)
     platform = make_platform(address, scheduler.counters)
-    link = make_peer_link(
-        settings.vm, settings.peer_listen or '', scheduler.counters
-    )
-    for peer in settings.peers:
-        set_peer(link, peer.name, peer.address)
+    link = _make_link(settings, scheduler)
     runner = make_runner(fleet, node, link, platform, nursery)
     desk = _make_member_desk(runner)
     runner.desk.append(desk)
@@ -97,6 +94,24 @@
     return Assembly(node, front, runner)
 
 
+def _make_member(settings: Settings) -> Fleet:
+    cell: list[Fleet] = []
+    scheduler = make_scheduler(Plan(settings.policy), _slots_of(cell))
+    incarnation = int(time.time())
+    identity = Identity(settings.vm, settings.failure_domain, incarnation)
+    fleet = make_fleet(identity, scheduler, now_s())
+    cell.append(fleet)
+    return fleet
+
+
+def _make_link(settings: Settings, scheduler: Scheduler) -> PeerLink:
+    listen = settings.peer_listen or ''
+    link = make_peer_link(settings.vm, listen, scheduler.counters)
+    for peer in settings.peers:
+        set_peer(link, peer.name, peer.address)
+    return link
+
+
 def _slots_of(cell: list[Fleet]) -> SlotSource:
     """Spend the leases of a fleet that is made after the scheduler."""
 
--- a/bluebellhub/adapters/attempts.py
+++ b/bluebellhub/adapters/attempts.py
@@ -29,6 +29,11 @@
 OK: Final = 200
 SERVER_ERROR: Final = 500
 UNAVAILABLE: Final = 503
+FAILURE_KINDS: Final = (
+    ('connect_failed', (httpx.ConnectError, httpx.ConnectTimeout)),
+    ('mismatch', (MismatchError,)),
+    ('silent', (trio.TooSlowError,)),
+)
 
 
 class Ended(NamedTuple):
@@ -73,14 +78,16 @@
     """Turn the HTTP library's errors into attempt failures."""
     try:
         return await call()
-    except (httpx.ConnectError, httpx.ConnectTimeout) as error:
-        return AttemptFailure('connect_failed', type(error).__name__)
-    except httpx.HTTPError as error:
-        return AttemptFailure('cut', type(error).__name__)
-    except MismatchError as error:
-        return AttemptFailure('mismatch', str(error))
-    except trio.TooSlowError:
-        return AttemptFailure('silent', 'no byte in time')
+    except (httpx.HTTPError, MismatchError, trio.TooSlowError) as error:
+        kind = _failure_kind(error)
+        return AttemptFailure(kind, f'{type(error).__name__} {error}')
+
+
+def _failure_kind(error: Exception) -> str:
+    for kind, types in FAILURE_KINDS:
+        if isinstance(error, types):
+            return kind
+    return 'cut'
 
 
 @attempt_kinds.register('engine')
@@ -142,8 +149,8 @@
         offset = reader.offset
         reader, frames = take_frames(reader, chunk)
         usage = frames.usage or usage
-        if frames.count:
-            hooks.tokens(offset, frames.count)
+        if frames.tokens:
+            hooks.tokens(offset, frames.tokens)
             wait_s = limits.next_byte_s
         if frames.passed:
             await exchange.outgoing.send(frames.passed)
--- a/bluebellhub/adapters/frames.py
+++ b/bluebellhub/adapters/frames.py
@@ -18,6 +18,7 @@
 
 SEPARATOR: Final = b'\n\n'
 DONE: Final = b'data: [DONE]'
+USAGE: Final = b'"usage"'
 FRAME_MAX_BYTES: Final = 1_048_576
 
 
@@ -45,7 +46,7 @@
     """
 
     passed: bytes
-    count: int
+    tokens: int
     usage: bytes
 
 
@@ -61,24 +62,31 @@
     joined = reader.rest + chunk
     cut = joined.rfind(SEPARATOR)
     if cut < 0:
-        if len(joined) > FRAME_MAX_BYTES:
-            raise MismatchError(joined, reader.prefix)
-        return reader._replace(rest=joined), Frames(b'', 0, b'')
-    passed = joined[: cut + len(SEPARATOR)]
-    offset = reader.offset
-    done = False
+        return _keep(reader, joined), Frames(b'', 0, b'')
+    moved = reader
     usage = b''
     for frame in joined[:cut].split(SEPARATOR):
-        expected = b'%s%d\n' % (reader.prefix, offset)
-        if not frame.startswith(expected):
-            raise MismatchError(frame, expected)
-        if frame.endswith(DONE):
-            done = True
-        elif b'"usage"' in frame:
+        moved = _take_frame(moved, frame)
+        if USAGE in frame:
             usage = frame
-        else:
-            offset += 1
-    rest = joined[cut + len(SEPARATOR) :]
-    count = offset - reader.offset
-    moved = reader._replace(offset=offset, rest=rest, done=done)
-    return moved, Frames(passed, count, usage)
+    end = cut + len(SEPARATOR)
+    passed = Frames(joined[:end], moved.offset - reader.offset, usage)
+    return moved._replace(rest=joined[end:]), passed
+
+
+def _keep(reader: FrameReader, joined: bytes) -> FrameReader:
+    """Keep an unfinished frame for the next chunk."""
+    if len(joined) > FRAME_MAX_BYTES:
+        raise MismatchError(joined, reader.prefix)
+    return reader._replace(rest=joined)
+
+
+def _take_frame(reader: FrameReader, frame: bytes) -> FrameReader:
+    expected = b'%s%d\n' % (reader.prefix, reader.offset)
+    if not frame.startswith(expected):
+        raise MismatchError(frame, expected)
+    if frame.endswith(DONE):
+        return reader._replace(done=True)
+    if USAGE in frame:
+        return reader
+    return reader._replace(offset=reader.offset + 1)
--- a/bluebellhub/adapters/front_end.py
+++ b/bluebellhub/adapters/front_end.py
@@ -8,6 +8,7 @@
 from quart import Response, request
 from quart_trio import QuartTrio
 
+from bluebellhub.adapters.bodies import read_body
 from bluebellhub.adapters.chat import (
     DEFAULT_OUTPUT_TOKENS,
     engine_body,
@@ -146,7 +147,7 @@
 
 async def _serve_chat(front: FrontEnd) -> Response:
     contract = _account(front)
-    raw = await request.get_data()
+    raw = await read_body()
     body = parse_chat(raw)
     tokens, blocks = prompt_size(body)
     output = body.get('max_tokens', DEFAULT_OUTPUT_TOKENS)
@@ -195,7 +196,7 @@
         try:
             while not isinstance(part, Finished):
                 if isinstance(part, RefusalError):
-                    yield b'event: error\ndata: ' + error_body(part) + b'\n\n'
+                    yield b'event: error\ndata: %s\n\n' % error_body(part)
                     return
                 yield part
                 part = await exchange.incoming.receive()
@@ -230,7 +231,7 @@
 
 async def _serve_service(front: FrontEnd, name: str, path: str) -> Response:
     contract = _account(front)
-    raw = await request.get_data()
+    raw = await read_body()
     tier = check_ask(contract, name, request.headers.get('X-Tier'), 0, 0)
     ask = make_ask(
         uuid4().hex,
--- a/bluebellhub/adapters/loads.py
+++ b/bluebellhub/adapters/loads.py
@@ -3,12 +3,13 @@
 from typing import Final, NamedTuple
 
 import httpx
-import msgspec
 import trio
 
 from bluebellhub.adapters.connections import pool_for, use_pool
 from bluebellhub.adapters.node import Node
 from bluebellhub.clock import now_s
+from bluebellhub.errors import SettingsError
+from bluebellhub.records import read_record
 from bluebellhub.scheduler import hear_load
 from bluebellhub.upstream import LoadReport
 
@@ -42,9 +43,8 @@
     try:
         async with use_pool(pool_for(node.connections, spec)) as client:
             response = await client.get('/v1/load', timeout=TIMEOUT_S)
-        fields = response.json()
-        body = ReportBody(*(fields[key] for key in ReportBody._fields))
-    except (httpx.HTTPError, msgspec.MsgspecError, ValueError, KeyError):
+        body = read_record(ReportBody, response.json(), 'load report')
+    except (httpx.HTTPError, SettingsError, ValueError):
         node.scheduler.counters['refused_reports', name] += 1
         return
     _hear(node, name, body)
--- a/bluebellhub/adapters/node.py
+++ b/bluebellhub/adapters/node.py
@@ -1,7 +1,7 @@
 """One VM's runtime: it carries out the scheduler's events."""
 
 from collections.abc import Callable
-from typing import NamedTuple
+from typing import Any, NamedTuple
 
 import logbook
 import trio
@@ -63,7 +63,7 @@
     scopes: dict[tuple[str, int], trio.CancelScope]
 
 
-Carrier = Callable[[Node, Event], None]
+Carrier = Callable[[Node, Any], None]
 
 carriers: Registry[Carrier] = make_registry('event carrier')
 
--- a/bluebellhub/adapters/orders.py
+++ b/bluebellhub/adapters/orders.py
@@ -51,15 +51,17 @@
 
 log = logbook.Logger('bluebellhub.orders')
 Answer = tuple[Head, bytes]
+Result = Answer | RefusalError
 Forward = Callable[[str, Claim | Outcome], bool]
+Reply = Callable[[ClaimAnswer], None]
 
 
 class OrderDesk(NamedTuple):
     """The root: ledgers by shard and the claims that wait for an answer.
 
-    ``forward`` sends a claim or outcome to the shard's owner and returns false when
-    this VM is the owner or the owner cannot be reached; ``wakers`` wakes
-    the writer of a shard.
+    ``forward`` sends a claim or outcome to the shard's owner and returns
+    false when this VM is the owner or the owner cannot be reached;
+    ``wakers`` wakes the writer of a shard.
     """
 
     platform: Platform | None
@@ -68,17 +70,33 @@
     wakers: dict[str, trio.Event]
     waiting: dict[str, trio.MemorySendChannel[ClaimAnswer]]
     forward: Forward
-    reply: Callable[[ClaimAnswer], None]
+    reply: Reply
 
 
 def make_desk(
     platform: Platform | None,
     nursery: trio.Nursery,
-    forward: Forward = lambda shard, claim: False,
-    reply: Callable[[ClaimAnswer], None] = lambda answer: None,
+    forward: Forward | None = None,
+    reply: Reply | None = None,
 ) -> OrderDesk:
     """Create a desk; without a platform it refuses keyed orders."""
-    return OrderDesk(platform, nursery, {}, {}, {}, forward, reply)
+    return OrderDesk(
+        platform,
+        nursery,
+        {},
+        {},
+        {},
+        forward or _keep_here,
+        reply or _drop_reply,
+    )
+
+
+def _keep_here(_shard: str, _message: Claim | Outcome) -> bool:
+    return False
+
+
+def _drop_reply(answer: ClaimAnswer) -> None:
+    log.info('nobody waits for claim {}', answer.claim_id)
 
 
 async def place_order(
@@ -92,13 +110,13 @@
     Raises `KeyReuseError`, `OrderUnknownError`, `LedgerUnavailableError`
     and the refusals of ``call``.
     """
-    identity = f'{exchange.method} {exchange.path}'.encode()
-    body_hash = hashlib.sha256(identity + b'\n' + exchange.body).hexdigest()
-    claim = Claim(uuid4().hex, key, body_hash)
+    hashed = hashlib.sha256(f'{exchange.method} {exchange.path}\n'.encode())
+    hashed.update(exchange.body)
+    claim = Claim(uuid4().hex, key, hashed.hexdigest())
     answer = await _claim(desk, claim)
     if answer.state != 'granted':
         return _earlier_answer(answer)
-    outgoing, incoming = trio.open_memory_channel[Answer | RefusalError](1)
+    outgoing, incoming = trio.open_memory_channel[Result](1)
     desk.nursery.start_soon(_dispatch, desk, claim, call, outgoing)
     result = await incoming.receive()
     if isinstance(result, RefusalError):
@@ -110,7 +128,7 @@
     desk: OrderDesk,
     claim: Claim,
     call: Callable[[], Awaitable[Answer]],
-    outgoing: trio.MemorySendChannel[Answer | RefusalError],
+    outgoing: trio.MemorySendChannel[Result],
 ) -> None:
     """Run a claimed order to its end, also when its caller goes away."""
     try:
--- a/bluebellhub/adapters/peer_link.py
+++ b/bluebellhub/adapters/peer_link.py
@@ -96,9 +96,9 @@
     The descriptor signals changes only, so the socket is read until it is
     empty before waiting again.
     """
-    descriptor = link.inbox.getsockopt(zmq.FD)
+    descriptor = int(link.inbox.get(zmq.FD))
     while True:
-        while link.inbox.getsockopt(zmq.EVENTS) & zmq.POLLIN:
+        while int(link.inbox.get(zmq.EVENTS)) & zmq.POLLIN:
             _receive_one(link, receive)
         with trio.move_on_after(1.0):
             await trio.lowlevel.wait_readable(descriptor)
--- a/bluebellhub/cli/objects.py
+++ b/bluebellhub/cli/objects.py
@@ -119,7 +119,9 @@
     name: str, help_text: str, kind: str, changes: dict[str, Any]
 ) -> None:
     """Register a command that sets fields of one object."""
-    defaults = {} if kind == 'failure_domain' else None
+    defaults: dict[str, Any] | None = None
+    if kind == 'failure_domain':
+        defaults = {}
 
     @command(name, help_text, name=NAME, opt_wait=WAIT, opt_timeout_s=TIMEOUT)
     async def change(platform: Platform, args: argparse.Namespace) -> Table:
--- a/bluebellhub/cli/storing.py
+++ b/bluebellhub/cli/storing.py
@@ -90,7 +90,7 @@
     Raises `MissingObjectError` if there is none and no defaults are given.
     """
     stored = await get_object(platform, kind, name)
-    fields = stored.spec if stored.spec is not None else defaults
+    fields = defaults if stored.spec is None else stored.spec
     if fields is None:
         raise MissingObjectError(kind, name)
     return await save(
--- a/bluebellhub/daemon.py
+++ b/bluebellhub/daemon.py
@@ -61,8 +61,7 @@
     """At a signal refuse new work, wait for the rest, then stop."""
     signals = (signal.SIGTERM, signal.SIGINT)
     with trio.open_signal_receiver(*signals) as received:
-        async for _ in received:
-            break
+        await anext(received)
     node = assembly.node
     node.scheduler.flags['draining'] = True
     log.info('draining {} requests', len(node.scheduler.lives))
--- a/bluebellhub/fleet/messages.py
+++ b/bluebellhub/fleet/messages.py
@@ -9,7 +9,7 @@
 from bluebellhub.errors import PeerMessageError
 from bluebellhub.membership import Heartbeat, ShardMap
 from bluebellhub.order import Claim, ClaimAnswer, Outcome
-from bluebellhub.registry import Registry, make_registry
+from bluebellhub.registry import Registry
 from bluebellhub.version_move import Totals
 
 __all__ = [
@@ -72,8 +72,7 @@
 
 Message = Any
 
-message_types: Registry[Any] = make_registry('message type')
-for _type in (
+MESSAGE_TYPES: Final = (
     BadVersion,
     Claim,
     ClaimAnswer,
@@ -87,8 +86,10 @@
     RenewalBatch,
     Revoke,
     ShardMap,
-):
-    message_types.register(_type.__name__)(_type)
+)
+message_types: Registry[Any] = Registry(
+    'message type', {kind.__name__: kind for kind in MESSAGE_TYPES}
+)
 
 _encoder: Final = msgspec.msgpack.Encoder()
 _frame_decoder: Final = msgspec.msgpack.Decoder(tuple[str, msgspec.Raw])
--- a/bluebellhub/fleet/moving.py
+++ b/bluebellhub/fleet/moving.py
@@ -232,16 +232,16 @@
     An upstream that ignores fencing numbers gets the order only when the
     former leader's orders must be over.
     """
+    move = lead.move
     waited = now_s - lead.led_since_s >= UNFENCED_WAIT_S
-    for upstream in upstreams_for(fleet.scheduler, lead.move.model):
-        spec = upstream.spec
-        if spec.version != lead.move.to_version or spec.kind != 'engine':
-            continue
-        if spec.name in lead.ordered or not (spec.fences or waited):
-            continue
-        fleet.outbox.orders.append(
-            EngineOrder(spec.name, lead.move.model, spec.version, lead.fence)
-        )
+    specs = [peer.spec for peer in upstreams_for(fleet.scheduler, move.model)]
+    fleet.outbox.orders.extend(
+        EngineOrder(spec.name, move.model, spec.version, lead.fence)
+        for spec in specs
+        if spec.version == move.to_version
+        and spec.name not in lead.ordered
+        and (spec.fences or waited)
+    )
 
 
 def take_order_answer(
--- a/bluebellhub/order/ledger.py
+++ b/bluebellhub/order/ledger.py
@@ -223,8 +223,9 @@
 def _drop_released(ledger: Ledger, records: Records) -> None:
     for claim_id, key in ledger.releases.items():
         record = records.get(key)
-        mine = record is not None and record.claim_id == claim_id
-        if mine and record.state == 'claimed':
+        if record is None or record.claim_id != claim_id:
+            continue
+        if record.state == 'claimed':
             records.pop(key)
 
 
--- a/bluebellhub/routing/length.py
+++ b/bluebellhub/routing/length.py
@@ -28,10 +28,11 @@
     lengths: Lengths, account: str, route: str, tokens: int
 ) -> None:
     """Count one answer's length; old observations lose weight."""
-    counts = lengths.counts.setdefault((account, route), [0] * BUCKETS)
+    empty = [0 for _ in range(BUCKETS)]
+    counts = lengths.counts.setdefault((account, route), empty)
     counts[min(tokens.bit_length(), BUCKETS - 1)] += 1
     if sum(counts) >= HALVE_AFTER:
-        counts[:] = [count // 2 for count in counts]
+        lengths.counts[account, route] = [count // 2 for count in counts]
 
 
 def expected_tokens(
--- a/bluebellhub/scheduler/entry.py
+++ b/bluebellhub/scheduler/entry.py
@@ -17,7 +17,9 @@
         scheduler.lengths, ask.account, ask.route, ask.output_tokens
     )
     contract = scheduler.contracts.get(ask.account)
-    weight = ask.tier.weight * (contract.weight if contract else 1.0)
+    weight = ask.tier.weight
+    if contract is not None:
+        weight *= contract.weight
     prefill_s = ask.prompt_tokens / speed.prefill_tokens_per_s
     decode_s = max(0, tokens - life.tokens) * speed.step_s
     return Waiting(
--- a/bluebellhub/scheduler/evidence.py
+++ b/bluebellhub/scheduler/evidence.py
@@ -24,7 +24,7 @@
         return
     key = (target, life.ask.route, version)
     old = scheduler.trials.get(key, Trials())
-    scheduler.trials[key] = Trials(old.count + 1, old.bad + bad)
+    scheduler.trials[key] = Trials(old.requests + 1, old.bad + bad)
 
 
 def totals_of(
--- a/bluebellhub/scheduler/preemption.py
+++ b/bluebellhub/scheduler/preemption.py
@@ -1,5 +1,8 @@
 """Preemption: a higher tier takes the place of a lower one."""
 
+from collections.abc import Iterator
+from typing import NamedTuple
+
 from bluebellhub.admission import put
 from bluebellhub.request import Ask, Life
 from bluebellhub.scheduler.entry import make_waiting
@@ -7,10 +10,18 @@
 from bluebellhub.scheduler.gates import is_eligible
 from bluebellhub.scheduler.room import usable_slots
 from bluebellhub.scheduler.state import Scheduler, queue_of, upstreams_for
+from bluebellhub.upstream import Upstream, Work
 
 __all__ = ['find_victim', 'lacks_slots', 'requeue']
 
 
+class Victim(NamedTuple):
+    """A running request that a higher tier may displace."""
+
+    life: Life
+    work: Work
+
+
 def lacks_slots(scheduler: Scheduler, ask: Ask, now_s: float) -> bool:
     """Tell whether every eligible upstream's slots are taken."""
     return not any(
@@ -26,27 +37,37 @@
     """Return the running request that loses least by being cancelled.
 
     The lowest tier goes first, then requests without a first token, then
-    those that were sent last.  Only idempotent requests are candidates,
-    and with ``unprefilled`` only those without a first token: cancelling
-    others frees a slot but no prefill time.
+    those that were sent last.  With ``unprefilled`` only those without a
+    first token are candidates: cancelling others frees a slot but no
+    prefill time.
     """
-    best: Life | None = None
-    best_order: tuple[int, bool, float] | None = None
-    for upstream in upstreams_for(scheduler, ask.target):
-        if not is_eligible(scheduler, ask, upstream, now_s):
+    victims = [
+        victim
+        for upstream in upstreams_for(scheduler, ask.target)
+        if is_eligible(scheduler, ask, upstream, now_s)
+        for victim in _victims_at(scheduler, ask, upstream)
+        if not (unprefilled and victim.work.prefilled)
+    ]
+    if not victims:
+        return None
+    return max(victims, key=_loss_order).life
+
+
+def _victims_at(
+    scheduler: Scheduler, ask: Ask, upstream: Upstream
+) -> Iterator[Victim]:
+    """Yield idempotent requests of lower tiers that run at the upstream."""
+    for request_id, work in upstream.work.items():
+        life = scheduler.lives.get(request_id)
+        if life is None or not life.ask.idempotent:
             continue
-        for request_id, work in upstream.work.items():
-            life = scheduler.lives.get(request_id)
-            if work.rank <= ask.tier.rank or life is None:
-                continue
-            if unprefilled and work.prefilled:
-                continue
-            order = (work.rank, not work.prefilled, work.sent_at_s)
-            better = best_order is None or order > best_order
-            if better and life.ask.idempotent:
-                best = life
-                best_order = order
-    return best
+        if work.rank > ask.tier.rank:
+            yield Victim(life, work)
+
+
+def _loss_order(victim: Victim) -> tuple[int, bool, float]:
+    work = victim.work
+    return work.rank, not work.prefilled, work.sent_at_s
 
 
 def requeue(scheduler: Scheduler, events: list[Event], victim: Life) -> None:
--- a/bluebellhub/scheduler/shedding.py
+++ b/bluebellhub/scheduler/shedding.py
@@ -47,18 +47,17 @@
     """
     ask = life.ask
     queue = queue_of(scheduler, ask.target)
-    found = [
+    queued = [
         scheduler.lives[entry.request_id]
         for entry in lower_ranks(queue, ask.tier.rank)
     ]
-    for upstream in upstreams_for(scheduler, ask.target):
-        for request_id, work in upstream.work.items():
-            other = scheduler.lives.get(request_id)
-            if work.rank <= ask.tier.rank or work.prefilled:
-                continue
-            if other is not None and other.ask.idempotent:
-                found.append(other)
-    return found
+    sent = [
+        scheduler.lives[request_id]
+        for upstream in upstreams_for(scheduler, ask.target)
+        for request_id, work in upstream.work.items()
+        if work.rank > ask.tier.rank and not work.prefilled
+    ]
+    return queued + [other for other in sent if other.ask.idempotent]
 
 
 def may_shed(scheduler: Scheduler, life: Life, now_s: float) -> bool:
--- a/bluebellhub/standins/engine_server.py
+++ b/bluebellhub/standins/engine_server.py
@@ -5,14 +5,16 @@
 is noticed.  ``POST /control`` sets faults as a JSON object.
 """
 
+from collections import deque
 from collections.abc import AsyncIterator
-from typing import Any, Final, NamedTuple, TypedDict
+from typing import Final, NamedTuple, TypedDict
 
 import msgspec
 import trio
 from quart import Response, request
 from quart_trio import QuartTrio
 
+from bluebellhub.adapters.bodies import read_body
 from bluebellhub.adapters.chat import parse_chat, prompt_size
 from bluebellhub.standins.engine_model import (
     Emission,
@@ -27,10 +29,12 @@
     run_step,
 )
 from bluebellhub.standins.faults import make_fault
+from bluebellhub.upstream import LoadReport
 
 __all__ = ['EngineServer', 'make_engine_app', 'make_engine_server', 'run']
 
 IDLE_S: Final = 0.002
+REPORTS_KEPT: Final = 1000
 QUEUED_EMISSIONS: Final = 4096
 
 
@@ -54,7 +58,7 @@
     engine: Engine
     channels: dict[str, trio.MemorySendChannel[Emission | None]]
     faults: ServerFaults
-    reports: list[Any]
+    reports: deque[LoadReport]
 
 
 def make_engine_server(engine: Engine) -> EngineServer:
@@ -66,14 +70,13 @@
         'report_lag_s': 0.5,
         'fence': 0,
     }
-    return EngineServer(engine, {}, faults, [])
+    return EngineServer(engine, {}, faults, deque(maxlen=REPORTS_KEPT))
 
 
 async def run(server: EngineServer) -> None:
     """Run the engine's steps in real time until cancelled."""
     while True:
         server.reports.append(report_load(server.engine, trio.current_time()))
-        del server.reports[:-1000]
         if is_idle(server.engine):
             await trio.sleep(IDLE_S)
             continue
@@ -114,7 +117,7 @@
     async def answer() -> Response:
         job_id = request.headers['X-Request-Id']
         offset = int(request.headers.get('Last-Event-ID', '0'))
-        job = _job_of(job_id, await request.get_data(), offset)
+        job = _job_of(job_id, await read_body(), offset)
         outgoing, incoming = trio.open_memory_channel[Emission | None](
             QUEUED_EMISSIONS
         )
@@ -144,26 +147,38 @@
 ) -> AsyncIterator[bytes]:
     faults = server.faults
     shown_id = 'someone-else.1' if faults['crossed'] else job.job_id
-    faults['crossed'] = False
-    cut_after, faults['cut_after'] = faults['cut_after'], 0
-    stall_after, faults['stall_after'] = faults['stall_after'], 0
-    sent = 0
+    cut_after = faults['cut_after']
+    stall_after = faults['stall_after']
+    faults.update({'cut_after': 0, 'stall_after': 0, 'crossed': False})
     try:
-        async for emission in incoming:
-            if emission is None or (cut_after and sent >= cut_after):
-                return
-            if stall_after and sent >= stall_after:
+        async for emission in _until_cut(incoming, cut_after):
+            if stall_after and emission.offset >= stall_after:
                 await trio.sleep_forever()
-            yield _token_frame(shown_id, emission)
-            sent += 1
-            if emission.finished:
-                yield _end_frames(shown_id, emission)
-                return
+            yield _frames_of(shown_id, emission)
     finally:
         server.channels.pop(job.job_id, None)
         cancel(server.engine, job.job_id)
 
 
+async def _until_cut(
+    incoming: trio.MemoryReceiveChannel[Emission | None], cut_after: int
+) -> AsyncIterator[Emission]:
+    """Yield emissions to the last one, or until a failure or a cut."""
+    async for emission in incoming:
+        if emission is None or (cut_after and emission.offset >= cut_after):
+            return
+        yield emission
+        if emission.finished:
+            return
+
+
+def _frames_of(job_id: str, emission: Emission) -> bytes:
+    token = _token_frame(job_id, emission)
+    if not emission.finished:
+        return token
+    return b'%s%s' % (token, _end_frames(job_id, emission))
+
+
 def _token_frame(job_id: str, emission: Emission) -> bytes:
     text = f'tok{emission.offset} '
     choice = {'index': 0, 'delta': {'content': text}}
@@ -183,7 +198,7 @@
     usage = msgspec.json.encode(
         {'choices': [], 'usage': {'prompt_tokens_details': details}}
     )
-    return end + usage + b'\n\n' + end + b'[DONE]\n\n'
+    return b'%s%s\n\n%s[DONE]\n\n' % (end, usage, end)
 
 
 def _add_state(app: QuartTrio, server: EngineServer) -> None:
@@ -210,7 +225,7 @@
 
     @app.post('/control')
     async def control() -> Response:
-        fields = msgspec.json.decode(await request.get_data())
+        fields = msgspec.json.decode(await read_body())
         if fields.pop('die', False):
             _drop(server, crash(server.engine, trio.current_time()))
         for fault in fields.pop('faults', ()):
--- a/bluebellhub/standins/platform_model.py
+++ b/bluebellhub/standins/platform_model.py
@@ -17,9 +17,9 @@
     'changes_since',
     'config_revision',
     'make_platform_model',
-    'read',
+    'read_object',
     'visible_vms',
-    'write',
+    'write_object',
 ]
 
 
@@ -54,13 +54,13 @@
     return PlatformModel({}, [], state, Counter())
 
 
-def read(model: PlatformModel, kind: str, name: str) -> StoredObject:
+def read_object(model: PlatformModel, kind: str, name: str) -> StoredObject:
     """Return an object; version 0 and no fields if there is none."""
     empty = StoredObject(kind, name, 0, 0, None)
     return model.objects.get((kind, name), empty)
 
 
-def write(
+def write_object(
     model: PlatformModel,
     kind: str,
     name: str,
@@ -72,7 +72,7 @@
     Raises `ConflictError` unless the object is at ``version``, and
     `ObjectError` if a configuration object fails its checks.
     """
-    old = read(model, kind, name)
+    old = read_object(model, kind, name)
     if old.version != version:
         raise ConflictError(f'{kind} {name!r}', version, old.version)
     if spec is not None and kind in object_kinds.entries:
--- a/bluebellhub/standins/platform_server.py
+++ b/bluebellhub/standins/platform_server.py
@@ -8,6 +8,7 @@
 from quart import Response, request
 from quart_trio import QuartTrio
 
+from bluebellhub.adapters.bodies import read_body
 from bluebellhub.adapters.platform import VmEntry
 from bluebellhub.configuration import StoredObject
 from bluebellhub.errors import ConflictError, ObjectError
@@ -15,9 +16,9 @@
     PlatformModel,
     changes_since,
     config_revision,
-    read,
+    read_object,
     visible_vms,
-    write,
+    write_object,
 )
 
 __all__ = ['make_platform_app']
@@ -52,7 +53,7 @@
 
     @app.post('/control')
     async def control() -> Response:
-        fields = msgspec.json.decode(await request.get_data())
+        fields = msgspec.json.decode(await read_body())
         vms = fields.pop('vms', None)
         if vms is not None:
             entries = msgspec.convert(vms, tuple[VmEntry, ...])
@@ -66,7 +67,7 @@
 ) -> Response:
     expected = int(request.headers.get('If-Match', '0'))
     try:
-        stored = write(model, kind, name, spec, expected)
+        stored = write_object(model, kind, name, spec, expected)
     except ConflictError as error:
         return _json({'version': error.found}, 409)
     except ObjectError as error:
@@ -80,12 +81,12 @@
 def _add_objects(app: QuartTrio, model: PlatformModel) -> None:
     @app.get('/v1/objects/<kind>/<name>')
     async def get(kind: str, name: str) -> Response:
-        stored = read(model, kind, name)
+        stored = read_object(model, kind, name)
         return _json(stored, 200 if stored.version else 404)
 
     @app.put('/v1/objects/<kind>/<name>')
     async def put(kind: str, name: str) -> Response:
-        spec = msgspec.json.decode(await request.get_data())
+        spec = msgspec.json.decode(await read_body())
         return _write(model, kind, name, spec)
 
     @app.delete('/v1/objects/<kind>/<name>')
--- a/bluebellhub/standins/service_server.py
+++ b/bluebellhub/standins/service_server.py
@@ -4,9 +4,11 @@
 
 import msgspec
 import trio
-from quart import Response, request
+from quart import Response
 from quart_trio import QuartTrio
 
+from bluebellhub.adapters.bodies import read_body
+
 __all__ = ['make_service_app']
 
 
@@ -16,7 +18,7 @@
 
     @app.post('/bookings')
     async def book() -> Response:
-        body = (await request.get_data()).decode()
+        body = (await read_body()).decode()
         await trio.sleep(delay_s)
         runs[body] += 1
         return _json({'booked': body, 'number': runs.total()}, 201)
--- a/bluebellhub/standins/virtual_fleet.py
+++ b/bluebellhub/standins/virtual_fleet.py
@@ -32,8 +32,8 @@
     changes_since,
     config_revision,
     make_platform_model,
-    read,
-    write,
+    read_object,
+    write_object,
 )
 from bluebellhub.standins.virtual_clock import (
     VirtualClock,
@@ -144,8 +144,8 @@
     virtual: VirtualFleet, kind: str, name: str, spec: dict[str, Any]
 ) -> None:
     """Write a configuration object as an operator would."""
-    version = read(virtual.platform, kind, name).version
-    write(virtual.platform, kind, name, spec, version)
+    version = read_object(virtual.platform, kind, name).version
+    write_object(virtual.platform, kind, name, spec, version)
 
 
 def _later(virtual: VirtualFleet, fleet: Fleet, now_s: float) -> float | None:
@@ -256,7 +256,7 @@
     virtual.platform.calls['put'] += 1
     state = virtual.platform.state
     try:
-        write(
+        write_object(
             virtual.platform,
             wanted.kind,
             wanted.name,
@@ -289,7 +289,7 @@
     if when_s is None or not _reaches_store(virtual, fleet):
         return
     virtual.platform.calls['get'] += 1
-    stored = read(virtual.platform, wanted.kind, wanted.name)
+    stored = read_object(virtual.platform, wanted.kind, wanted.name)
     if when_s > now_s:
         call_at(
             virtual.clock, when_s, _take, virtual, fleet, stored, asked_at_s
--- a/bluebellhub/version_move/evidence.py
+++ b/bluebellhub/version_move/evidence.py
@@ -30,7 +30,7 @@
 class Trials(NamedTuple):
     """Requests and how many of them went badly."""
 
-    count: int = 0
+    requests: int = 0
     bad: int = 0
 
 
@@ -69,10 +69,10 @@
     that is 0.1 higher.
     """
     old_sum = _add(verdict.old, old)
-    usual = max(BAD_SHARE_MIN, (old_sum.bad + 1) / (old_sum.count + 20))
+    usual = max(BAD_SHARE_MIN, (old_sum.bad + 1) / (old_sum.requests + 20))
     usual = min(usual, 1 - BAD_SHARE_ADDED - BAD_SHARE_MIN)
     raised = usual + BAD_SHARE_ADDED
-    fine = new.count - new.bad
+    fine = new.requests - new.bad
     gain = new.bad * log(raised / usual)
     gain += fine * log((1 - raised) / (1 - usual))
     return Verdict(
@@ -84,7 +84,7 @@
 
 
 def _add(first: Trials, second: Trials) -> Trials:
-    return Trials(first.count + second.count, first.bad + second.bad)
+    return Trials(first.requests + second.requests, first.bad + second.bad)
 
 
 def is_bad(verdict: Verdict) -> bool:
@@ -105,7 +105,7 @@
 def rare_routes(verdicts: dict[str, Verdict]) -> set[str]:
     """Return the routes with less than a tenth of the requests."""
     counts = {
-        route: verdict.old.count + verdict.new.count
+        route: verdict.old.requests + verdict.new.requests
         for route, verdict in verdicts.items()
     }
     total = sum(counts.values())
--- a/bluebellhub/version_move/lead.py
+++ b/bluebellhub/version_move/lead.py
@@ -88,9 +88,9 @@
 
 def _since(before: Trials, after: Trials) -> Trials:
     """Return the difference; a restarted VM counts from zero."""
-    if after.count < before.count or after.bad < before.bad:
+    if after.requests < before.requests or after.bad < before.bad:
         return after
-    return Trials(after.count - before.count, after.bad - before.bad)
+    return Trials(after.requests - before.requests, after.bad - before.bad)
 
 
 def advance_move(lead: Lead, now_s: float, now_epoch_s: float) -> Lead:
@@ -102,7 +102,7 @@
         return mark_bad(lead, 'aborted by an operator')
     for route, verdict in lead.verdicts.items():
         if is_bad(verdict):
-            trials = f'{verdict.new.bad} of {verdict.new.count}'
+            trials = f'{verdict.new.bad} of {verdict.new.requests}'
             reason = f'route {route}: {trials} requests went badly'
             return mark_bad(lead, reason)
     if now_s - lead.step_began_s < _step_time_s(lead, now_epoch_s):
--- a/demo/callers.py
+++ b/demo/callers.py
@@ -169,7 +169,7 @@
         )
         await trio.sleep(3)
         hubs = [await _domains_out(client, hub) for hub in HUBS]
-        expect(holds=hubs == [['rennes']] * 3, detail=str(hubs))
+        expect(holds=hubs == [['rennes'] for _ in HUBS], detail=str(hubs))
         for hub in range(len(HUBS)):
             body = chat('Is a ladder free?', 3)
             answer = await call(client, hub, '/v1/chat/completions', body)
