--- /dev/null
+++ b/bluebellhub/admission/tests/test_queue.py
@@ -0,0 +1,82 @@
+"""The order of the queue."""
+
+import pytest
+
+from bluebellhub.admission import (
+    Waiting,
+    charge,
+    head,
+    lower_ranks,
+    make_queue,
+    put,
+    queued_cost_s,
+    remove,
+)
+
+
+def _entry(name, rank=0, account='a', deadline_s=1.0, cost_s=0.1, weight=1.0):
+    return Waiting(deadline_s, name, account, rank, cost_s, weight)
+
+
+def _drain(queue):
+    order = []
+    while (entry := head(queue)) is not None:
+        remove(queue, entry.request_id)
+        charge(queue, entry)
+        order.append(entry.request_id)
+    return order
+
+
+@pytest.mark.parametrize(
+    ('entries', 'expected'),
+    [
+        ([_entry('low', 2), _entry('high', 0)], ['high', 'low']),
+        (
+            [_entry('late', deadline_s=2.0), _entry('soon', deadline_s=1.0)],
+            ['soon', 'late'],
+        ),
+        (
+            [
+                _entry('a1'),
+                _entry('a2', deadline_s=1.1),
+                _entry('b1', account='b', deadline_s=9.0),
+            ],
+            ['a1', 'b1', 'a2'],
+        ),
+        (
+            [
+                _entry('a1', cost_s=9.0),
+                _entry('a2', deadline_s=1.1),
+                _entry('b1', account='b', deadline_s=1.0),
+                _entry('b2', account='b', deadline_s=2.0),
+            ],
+            ['a1', 'b1', 'b2', 'a2'],
+        ),
+    ],
+)
+def test_order(entries, expected):
+    queue = make_queue()
+    for entry in entries:
+        put(queue, entry)
+    assert _drain(queue) == expected
+
+
+def test_weight_gives_more_turns():
+    queue = make_queue()
+    for number in range(20):
+        put(queue, _entry(f'h{number:02}', account='heavy', weight=3.0))
+        put(queue, _entry(f'l{number:02}', account='light'))
+    first = _drain(queue)[:12]
+    heavy = sum(name.startswith('h') for name in first)
+    assert heavy == 9
+
+
+def test_costs_and_lower_ranks_follow_removal():
+    queue = make_queue()
+    for rank in (0, 1, 2):
+        put(queue, _entry(f'r{rank}', rank, cost_s=1.0 + rank))
+    assert queued_cost_s(queue, 1) == 3.0
+    assert [entry.rank for entry in lower_ranks(queue, 0)] == [2, 1]
+    remove(queue, 'r1')
+    assert queued_cost_s(queue, 1) == 1.0
+    assert remove(queue, 'r1') is None
--- /dev/null
+++ b/bluebellhub/conftest.py
@@ -0,0 +1,35 @@
+"""Settings shared by all tests: invariants are fatal, seeds are fixed."""
+
+import os
+
+import pytest
+from hypothesis import HealthCheck, settings
+
+from bluebellhub.invariants import make_fatal, violations
+
+SOAK = os.environ.get('BLUEBELLHUB_SOAK') == '1'
+
+settings.register_profile(
+    'ci',
+    derandomize=True,
+    deadline=None,
+    max_examples=25,
+    stateful_step_count=30,
+    suppress_health_check=list(HealthCheck),
+    database=None,
+)
+settings.register_profile(
+    'soak',
+    settings.get_profile('ci'),
+    max_examples=400,
+    stateful_step_count=80,
+)
+settings.load_profile('soak' if SOAK else 'ci')
+
+
+@pytest.fixture(autouse=True)
+def _fatal_invariants():
+    make_fatal(fatal=True)
+    violations.clear()
+    yield
+    assert not violations
--- /dev/null
+++ b/bluebellhub/request/tests/test_life.py
@@ -0,0 +1,95 @@
+"""A request's life: attempts, whole answers, retries and refusals."""
+
+import pytest
+
+from bluebellhub.contract import find_tier
+from bluebellhub.errors import InvariantError
+from bluebellhub.invariants import violations
+from bluebellhub.request import (
+    AttemptFailure,
+    begin_attempt,
+    end_attempt,
+    make_ask,
+    make_life,
+    may_retry,
+    record_sent,
+    record_tokens,
+    refusal_reasons,
+    run_claim,
+)
+
+
+def _life(*, idempotent=True):
+    ask = make_ask('r', find_tier('check'), 'm', idempotent=idempotent)
+    return make_life(ask)
+
+
+@pytest.mark.parametrize(
+    ('sent', 'ended', 'claim'),
+    [
+        (False, False, 'no'),
+        (False, True, 'no'),
+        (True, False, 'unknown'),
+        (True, True, 'unknown'),
+    ],
+)
+def test_run_claim_is_true(sent, ended, claim):
+    life = begin_attempt(_life(), 'u', 0.0)
+    life = record_sent(life) if sent else life
+    life = end_attempt(life) if ended else life
+    assert run_claim(life) == claim
+
+
+@pytest.mark.parametrize('sent', [True, False])
+def test_second_attempt_of_an_order_needs_an_unsent_first(sent):
+    life = begin_attempt(_life(idempotent=False), 'u', 0.0)
+    life = end_attempt(record_sent(life) if sent else life)
+    if not sent:
+        assert begin_attempt(life, 'v', 0.1).attempts == 2
+        return
+    with pytest.raises(InvariantError, match='dispatched_at_most_once'):
+        begin_attempt(life, 'v', 0.1)
+    violations.clear()
+
+
+@pytest.mark.parametrize(
+    ('offsets', 'whole'),
+    [([0, 1, 2], True), ([0, 2], False), ([0, 0], False), ([1], False)],
+)
+def test_answers_have_no_gap_and_no_repetition(offsets, whole):
+    life = begin_attempt(_life(), 'u', 0.0)
+    try:
+        for offset in offsets:
+            life = record_tokens(life, offset, 1, 0.0)
+    except InvariantError:
+        assert not whole
+        violations.clear()
+    else:
+        assert whole
+
+
+@pytest.mark.parametrize(
+    ('kind', 'idempotent', 'now_s', 'attempts', 'expected'),
+    [
+        ('connect_failed', False, 0.1, 1, True),
+        ('not_run', False, 0.1, 1, False),
+        ('not_run', True, 0.1, 1, True),
+        ('cut', True, 0.1, 1, True),
+        ('cut', False, 0.1, 1, False),
+        ('silent', False, 0.1, 1, False),
+        ('upstream_error', True, 0.1, 1, True),
+        ('mismatch', True, 0.1, 1, True),
+        ('cut', True, 0.6, 1, False),
+        ('cut', True, 0.1, 4, False),
+        ('preempted', True, 0.1, 4, True),
+    ],
+)
+def test_retry_rules(kind, idempotent, now_s, attempts, expected):
+    life = _life(idempotent=idempotent)._replace(attempts=attempts)
+    assert may_retry(life, AttemptFailure(kind), now_s) is expected
+
+
+def test_every_refusal_reason_is_an_error_with_a_status():
+    for name, refusal in refusal_reasons.entries.items():
+        assert refusal.reason == name
+        assert 400 <= refusal.status < 600
--- /dev/null
+++ b/bluebellhub/routing/tests/test_routing.py
@@ -0,0 +1,104 @@
+"""Routing policies, the prefix index and length estimates."""
+
+from random import Random
+
+import pytest
+
+from bluebellhub.errors import UnknownEntryError
+from bluebellhub.routing import (
+    Candidate,
+    cached_blocks,
+    correct,
+    learn,
+    make_prefix_index,
+    policies,
+)
+from bluebellhub.routing.length import (
+    expected_tokens,
+    make_lengths,
+    note_length,
+)
+
+CANDIDATES = (
+    Candidate('a', 5, 0.9, 10),
+    Candidate('b', 1, 0.5, 10),
+    Candidate('c', 3, 0.1, 10),
+)
+
+
+@pytest.mark.parametrize(
+    ('policy', 'chosen'),
+    [('predicted', {'c'}), ('least_outstanding', {'b'})],
+)
+def test_policies_with_one_choice(policy, chosen):
+    choose = policies.find(policy)
+    picked = {
+        choose(CANDIDATES, Random(seed), 0).upstream for seed in range(20)
+    }
+    assert picked == chosen
+
+
+@pytest.mark.parametrize('policy', policies.names())
+def test_policies_choose_a_candidate(policy):
+    choose = policies.find(policy)
+    for count in (1, 2, 3):
+        chosen = choose(CANDIDATES[:count], Random(1), 4)
+        assert chosen in CANDIDATES[:count]
+
+
+def test_near_ties_are_spread():
+    near = tuple(Candidate(name, 0, 0.1, 10) for name in 'abcd')
+    choose = policies.find('predicted')
+    picked = {choose(near, Random(seed), 0).upstream for seed in range(40)}
+    assert len(picked) == 4
+
+
+def test_an_unknown_policy_names_the_known_ones():
+    with pytest.raises(UnknownEntryError, match='round_robin'):
+        policies.find('fastest')
+
+
+@pytest.mark.parametrize(
+    ('learned', 'asked', 'expected'),
+    [
+        ((), (1, 2), 0),
+        ((1, 2, 3), (1, 2, 9), 2),
+        ((1, 2, 3), (9, 2, 3), 0),
+        ((1, 2, 3), (1, 2, 3, 4), 3),
+    ],
+)
+def test_cached_blocks_are_a_prefix(learned, asked, expected):
+    index = make_prefix_index()
+    learn(index, 'u', learned)
+    assert cached_blocks(index, 'u', asked) == expected
+
+
+def test_answers_correct_the_index():
+    index = make_prefix_index()
+    learn(index, 'u', (1, 2, 3, 4))
+    correct(index, 'u', (1, 9), cached_tokens=0)
+    assert cached_blocks(index, 'u', (1, 9)) == 2
+    correct(index, 'u', (5, 6), cached_tokens=64)
+    assert cached_blocks(index, 'u', (5, 6)) == 2
+
+
+def test_the_index_is_bounded():
+    index = make_prefix_index(blocks_max=3)
+    learn(index, 'u', (1, 2, 3, 4, 5))
+    assert list(index.blocks['u']) == [3, 4, 5]
+
+
+@pytest.mark.parametrize(
+    ('lengths', 'asked', 'expected'),
+    [
+        ([], 500, 500),
+        ([20] * 10, 500, 32),
+        ([20] * 10, 10, 10),
+        ([20] * 10 + [2000] * 10, 5000, 2048),
+    ],
+)
+def test_lengths_are_estimated_by_quantile(lengths, asked, expected):
+    known = make_lengths()
+    for tokens in lengths:
+        note_length(known, 'a', 'r', tokens)
+    assert expected_tokens(known, 'a', 'r', asked) == expected
