--- /dev/null
+++ b/bluebellhub/fleet/tests/helpers.py
@@ -0,0 +1,73 @@
+"""A small fleet with upstreams and faults for the tests."""
+
+from bluebellhub.budget import amount_held
+from bluebellhub.fleet import leased_slots
+from bluebellhub.scheduler import make_scheduler
+from bluebellhub.scheduler.state import Plan
+from bluebellhub.standins.virtual_clock import run_until
+from bluebellhub.standins.virtual_fleet import (
+    add_vm,
+    make_virtual_fleet,
+    operate,
+)
+
+DOMAINS = ('rennes', 'vannes', 'brest')
+
+
+def start_vm(virtual, name, domain):
+    """Start a VM, or start it again."""
+    cell = []
+
+    def slots(upstream, now_s):
+        return leased_slots(cell[0])(upstream, now_s)
+
+    cell.append(add_vm(virtual, name, domain, make_scheduler(Plan(), slots)))
+    return cell[0]
+
+
+def start_fleet(vms=5, seed=1, upstreams=3, settle_s=8.0, **fields):
+    """Start VMs and upstreams, and let them settle."""
+    virtual = make_virtual_fleet(seed=seed)
+    for number in range(vms):
+        start_vm(virtual, f'hub-{number}', DOMAINS[number % 3])
+    for number in range(upstreams):
+        spec = {
+            'address': '127.0.0.1:1',
+            'targets': ['m'],
+            'failure_domain': DOMAINS[number % 3],
+            'window': 16,
+            'cold_window': 2,
+            **fields,
+        }
+        operate(virtual, 'upstream', f'u{number}', spec)
+    run_until(virtual.clock, settle_s)
+    return virtual
+
+
+def leased(virtual, upstream):
+    """Return what each VM may spend on an upstream now."""
+    now_s = virtual.clock.state['now_s']
+    key = f'window:{upstream}'
+    return {
+        name: amount_held(fleet.holder, key, now_s)
+        for name, fleet in virtual.fleets.items()
+    }
+
+
+def total_leased(virtual, upstream):
+    """Return what all VMs together may spend on an upstream now."""
+    return sum(leased(virtual, upstream).values())
+
+
+def later(virtual, seconds):
+    """Let time pass."""
+    run_until(virtual.clock, virtual.clock.state['now_s'] + seconds)
+
+
+def cut_off(virtual, name, *, store=True):
+    """Cut a VM off from all others and, by default, from the store."""
+    for other in virtual.fleets:
+        if other != name:
+            virtual.cuts.add(frozenset((name, other)))
+    if store:
+        virtual.store_cuts.add(name)
--- /dev/null
+++ b/bluebellhub/order/tests/test_ledger.py
@@ -0,0 +1,209 @@
+"""The order ledger: claims, lost answers, racing writers and retries."""
+
+import pytest
+from hypothesis import strategies as st
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    initialize,
+    invariant,
+    rule,
+)
+
+from bluebellhub.errors import ConflictError
+from bluebellhub.order import (
+    Claim,
+    Outcome,
+    begin_write,
+    confirm_write,
+    make_ledger,
+    needs_read,
+    queue_claim,
+    queue_outcome,
+    queue_release,
+    read_back,
+    shard_of,
+)
+from bluebellhub.order.record import BODY_MAX_BYTES, KEEP_S, RECORDS_MAX
+from bluebellhub.standins.platform_model import (
+    make_platform_model,
+    read_object,
+    write_object,
+)
+
+KIND = 'order_shard'
+
+
+def _read(ledger, model):
+    stored = read_object(model, KIND, ledger.shard)
+    return read_back(ledger, stored.version, stored.spec)
+
+
+def _write(ledger, model, now_s, fault='none'):
+    """Do one round of a writer against the store."""
+    answers = []
+    if needs_read(ledger):
+        answers += _read(ledger, model)
+    update, taken = begin_write(ledger, now_s)
+    answers += taken
+    if update is None or fault == 'lost_before':
+        return answers
+    try:
+        stored = write_object(
+            model, KIND, ledger.shard, update.spec, update.version
+        )
+    except ConflictError:
+        return answers
+    if fault == 'lost_after':
+        return answers
+    return answers + confirm_write(ledger, stored.version)
+
+
+def _states(answers):
+    return {answer.claim_id: answer.state for answer in answers}
+
+
+@pytest.mark.parametrize('fault', ['none', 'lost_before', 'lost_after'])
+def test_a_claim_is_granted_once_also_after_a_lost_answer(fault):
+    model = make_platform_model()
+    ledger = make_ledger('000')
+    queue_claim(ledger, Claim('c1', 'k', 'h'))
+    first = _states(_write(ledger, model, 0.0, fault))
+    second = _states(_write(ledger, model, 0.1))
+    granted = [states for states in (first, second) if states]
+    assert granted == [{'c1': 'granted'}]
+
+
+@pytest.mark.parametrize(
+    ('second', 'done', 'expected'),
+    [
+        (Claim('c2', 'k', 'h'), False, 'unknown'),
+        (Claim('c2', 'k', 'h'), True, 'done'),
+        (Claim('c2', 'k', 'other'), True, 'reused'),
+        (Claim('c2', 'k2', 'h'), True, 'granted'),
+    ],
+)
+def test_a_second_claim_at_another_vm(second, done, expected):
+    model = make_platform_model()
+    first = make_ledger('000')
+    other = make_ledger('000')
+    queue_claim(first, Claim('c1', 'k', 'h'))
+    _write(first, model, 0.0)
+    if done:
+        queue_outcome(first, Outcome('c1', 'k', 201, 'text/plain', 'ok'))
+        _write(first, model, 0.1)
+    queue_claim(other, second)
+    assert _states(_write(other, model, 0.2)) == {'c2': expected}
+
+
+def test_two_writers_at_once_grant_one():
+    model = make_platform_model()
+    ledgers = [make_ledger('000'), make_ledger('000')]
+    updates = []
+    for number, ledger in enumerate(ledgers):
+        _read(ledger, model)
+        queue_claim(ledger, Claim(f'c{number}', 'k', 'h'))
+        updates.append(begin_write(ledger, 0.0)[0])
+    write_object(model, KIND, '000', updates[1].spec, updates[1].version)
+    with pytest.raises(ConflictError):
+        write_object(model, KIND, '000', updates[0].spec, updates[0].version)
+    assert _states(_read(ledgers[0], model)) == {'c0': 'unknown'}
+    assert _states(_read(ledgers[1], model)) == {'c1': 'granted'}
+
+
+@pytest.mark.parametrize(
+    ('size', 'kept'), [(BODY_MAX_BYTES, True), (BODY_MAX_BYTES + 1, False)]
+)
+def test_long_answers_are_not_kept(size, kept):
+    model = make_platform_model()
+    ledger = make_ledger('000')
+    queue_claim(ledger, Claim('c1', 'k', 'h'))
+    _write(ledger, model, 0.0)
+    outcome = Outcome('c1', 'k', 200, 'text/plain', 'x' * size)
+    queue_outcome(ledger, outcome)
+    _write(ledger, model, 0.1)
+    assert (ledger.records['k'].body is not None) is kept
+
+
+@pytest.mark.parametrize(
+    ('age_s', 'expected'), [(KEEP_S - 1, 'unknown'), (KEEP_S + 1, 'granted')]
+)
+def test_records_are_kept_for_the_stated_time(age_s, expected):
+    model = make_platform_model()
+    ledger = make_ledger('000')
+    queue_claim(ledger, Claim('c1', 'k', 'h'))
+    _write(ledger, model, 0.0)
+    queue_claim(ledger, Claim('c2', 'k', 'h'))
+    assert _states(_write(ledger, model, age_s)) == {'c2': expected}
+
+
+def test_a_released_claim_frees_its_key():
+    model = make_platform_model()
+    ledger = make_ledger('000')
+    queue_claim(ledger, Claim('c1', 'k', 'h'))
+    _write(ledger, model, 0.0)
+    queue_release(ledger, 'c1', 'k')
+    _write(ledger, model, 0.1)
+    queue_claim(ledger, Claim('c2', 'k', 'h'))
+    assert _states(_write(ledger, model, 0.2)) == {'c2': 'granted'}
+
+
+def test_a_full_shard_says_so_and_stays_below_the_store_limit():
+    model = make_platform_model()
+    ledger = make_ledger('000')
+    for number in range(RECORDS_MAX + 1):
+        queue_claim(ledger, Claim(f'c{number}', f'k{number}', 'h' * 64))
+    states = _states(_write(ledger, model, 0.0))
+    assert states[f'c{RECORDS_MAX}'] == 'full'
+    assert len(ledger.records) == RECORDS_MAX
+
+
+def test_keys_spread_over_the_shards():
+    shards = {shard_of(f'key-{number}') for number in range(2000)}
+    assert len(shards) == 64
+
+
+class LedgerMachine(RuleBasedStateMachine):
+    """Two VMs with the same keys against one store with faults."""
+
+    @initialize()
+    def start(self):
+        self.model = make_platform_model()
+        self.ledgers = [make_ledger('000'), make_ledger('000')]
+        self.dispatched = {}
+        self.serial = 0
+
+    def _dispatch(self, vm, answers):
+        for answer in answers:
+            claim = self.claims.pop(answer.claim_id, None)
+            if answer.state == 'granted' and claim is not None:
+                key = claim.key
+                self.dispatched[key] = self.dispatched.get(key, 0) + 1
+
+    @rule(vm=st.integers(0, 1), key=st.sampled_from('abc'))
+    def claim(self, vm, key):
+        self.serial += 1
+        claim = Claim(f'c{self.serial}', key, 'h')
+        self.claims = getattr(self, 'claims', {})
+        self.claims[claim.claim_id] = claim
+        queue_claim(self.ledgers[vm], claim)
+
+    @rule(
+        vm=st.integers(0, 1),
+        fault=st.sampled_from(['none', 'lost_before', 'lost_after']),
+    )
+    def write(self, vm, fault):
+        answers = _write(self.ledgers[vm], self.model, 0.0, fault)
+        self.claims = getattr(self, 'claims', {})
+        self._dispatch(vm, answers)
+
+    @rule(vm=st.integers(0, 1))
+    def crash(self, vm):
+        self.ledgers[vm] = make_ledger('000')
+
+    @invariant()
+    def dispatched_at_most_once(self):
+        counts = getattr(self, 'dispatched', {})
+        assert all(count <= 1 for count in counts.values())
+
+
+TestLedgerSoak = LedgerMachine.TestCase
--- a/bluebellhub/version_move/__init__.py
+++ b/bluebellhub/version_move/__init__.py
@@ -4,6 +4,7 @@
 from bluebellhub.version_move.gate import (
     MoveGate,
     allows_new,
+    allows_old,
     count_dispatch,
     make_gate,
     set_share,
@@ -34,6 +35,7 @@
     'advance_move',
     'first_standing',
     'allows_new',
+    'allows_old',
     'count_dispatch',
     'hear_totals',
     'largest_share',
