--- /dev/null
+++ b/bluebellhub/fleet/tests/test_soak.py
@@ -0,0 +1,133 @@
+"""Long randomised runs of a fleet with loss, cuts, pauses and crashes.
+
+``make soak`` runs many more steps than ``make test``.
+"""
+
+from hypothesis import strategies as st
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    initialize,
+    invariant,
+    rule,
+)
+
+from bluebellhub.fleet.tests.helpers import (
+    DOMAINS,
+    later,
+    leased,
+    start_fleet,
+    start_vm,
+)
+from bluebellhub.scheduler.state import signals_of
+from bluebellhub.standins.platform_model import read_object
+from bluebellhub.standins.virtual_fleet import kill_vm, operate, pause_vm
+
+COLD_WINDOW = 2
+VMS = 4
+NAMES = tuple(f'hub-{number}' for number in range(VMS))
+names = st.sampled_from(NAMES)
+
+
+class FleetMachine(RuleBasedStateMachine):
+    """Four VMs and three cold upstreams under any order of faults."""
+
+    @initialize(seed=st.integers(0, 3))
+    def start(self, seed):
+        self.virtual = start_fleet(vms=VMS, seed=seed, settle_s=6.0)
+        self.revisions = {}
+
+    @rule(seconds=st.sampled_from([0.05, 0.3, 1.0, 2.0, 5.0]))
+    def wait(self, seconds):
+        later(self.virtual, seconds)
+
+    @rule(one=names, other=names)
+    def cut(self, one, other):
+        if one != other:
+            self.virtual.cuts.add(frozenset((one, other)))
+
+    @rule()
+    def heal(self):
+        self.virtual.cuts.clear()
+        self.virtual.store_cuts.clear()
+
+    @rule(name=names)
+    def cut_store(self, name):
+        self.virtual.store_cuts.add(name)
+
+    @rule(down=st.booleans(), lost=st.integers(0, 2))
+    def trouble_store(self, down, lost):
+        self.virtual.platform.state['down'] = down
+        self.virtual.platform.state['lose_replies'] = lost
+
+    @rule(
+        loss=st.sampled_from([0.0, 0.3]), delay_s=st.sampled_from([0.01, 2.0])
+    )
+    def trouble_link(self, loss, delay_s):
+        self.virtual.faults.update(
+            {'loss': loss, 'doubled': loss, 'delay_max_s': delay_s}
+        )
+
+    @rule(name=names, seconds=st.sampled_from([0.5, 1.7, 4.0]))
+    def pause(self, name, seconds):
+        now_s = self.virtual.clock.state['now_s']
+        pause_vm(self.virtual, name, now_s + seconds)
+
+    @rule(name=names)
+    def crash(self, name):
+        kill_vm(self.virtual, name)
+        start_vm(self.virtual, name, DOMAINS[NAMES.index(name) % 3])
+        self.revisions.pop(name, None)
+
+    @rule(domain=st.sampled_from(DOMAINS), state=st.sampled_from(['in', 'out']))
+    def operate_domain(self, domain, state):
+        operate(self.virtual, 'failure_domain', domain, {'state': state})
+
+    @rule(name=names)
+    def see_restart(self, name):
+        scheduler = self.virtual.fleets[name].scheduler
+        if 'u0' in scheduler.upstreams:
+            signals_of(scheduler, 'u0')['restarts'] += 1
+
+    @invariant()
+    def cold_windows_hold(self):
+        if not hasattr(self, 'virtual'):
+            return
+        now_s = self.virtual.clock.state['now_s']
+        for upstream in ('u0', 'u1', 'u2'):
+            running = [
+                amount
+                for name, amount in leased(self.virtual, upstream).items()
+                if self.virtual.states[name]['paused_until_s'] <= now_s
+            ]
+            assert sum(running) <= COLD_WINDOW
+
+    @invariant()
+    def configuration_never_reverts(self):
+        if not hasattr(self, 'virtual'):
+            return
+        for name, fleet in self.virtual.fleets.items():
+            revision = fleet.configuration.progress['revision']
+            assert revision >= self.revisions.get(name, 0)
+            self.revisions[name] = revision
+
+    def teardown(self):
+        """After everything heals, all VMs agree with the store."""
+        if not hasattr(self, 'virtual'):
+            return
+        self.heal()
+        self.trouble_store(down=False, lost=0)
+        self.trouble_link(loss=0.0, delay_s=0.0015)
+        later(self.virtual, 25.0)
+        shard_map = read_object(self.virtual.platform, 'shard_map', 'fleet')
+        for fleet in self.virtual.fleets.values():
+            version = fleet.members.state['shard_map'].version
+            assert version == shard_map.version
+            for domain in DOMAINS:
+                stored = read_object(
+                    self.virtual.platform, 'failure_domain', domain
+                )
+                wanted = bool(stored.spec) and stored.spec['state'] == 'out'
+                assert (domain in fleet.scheduler.domains_out) is wanted
+
+
+TestFleetSoak = FleetMachine.TestCase
