Show in features what callers and operators see, with real processes

Seen: after a kill, a cold service whose window the dead VM owned takes no new work for about seven seconds (4 s until the VM counts as gone, then one lease term of silence).

--- a/bluebellhub/fleet/tests/test_fleet.py
+++ b/bluebellhub/fleet/tests/test_fleet.py
@@ -3,7 +3,7 @@
 import pytest
 
 from bluebellhub.errors import ConflictError
-from bluebellhub.fleet.tests.helpers import (
+from bluebellhub.fleet.tests.small_fleet import (
     cut_off,
     later,
     leased,
--- a/bluebellhub/fleet/tests/test_moves.py
+++ b/bluebellhub/fleet/tests/test_moves.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from bluebellhub.fleet.tests.helpers import (
+from bluebellhub.fleet.tests.small_fleet import (
     cut_off,
     later,
     start_fleet,
--- a/bluebellhub/fleet/tests/test_soak.py
+++ b/bluebellhub/fleet/tests/test_soak.py
@@ -11,7 +11,7 @@
     rule,
 )
 
-from bluebellhub.fleet.tests.helpers import (
+from bluebellhub.fleet.tests.small_fleet import (
     DOMAINS,
     later,
     leased,
--- /dev/null
+++ b/features/__init__.py
@@ -0,0 +1,1 @@
+"""What callers and operators see, with real processes on loopback."""
--- /dev/null
+++ b/features/steps/__init__.py
@@ -0,0 +1,1 @@
+"""Steps of the features."""
--- /dev/null
+++ b/features/steps/caller_steps.py
@@ -0,0 +1,126 @@
+"""Steps of callers."""
+
+from concurrent.futures import ThreadPoolExecutor
+
+import httpx
+from behave import given, then, when
+
+from features.processes import wait_until
+from features.steps.calls import MODEL, book, chat, post, tokens_of
+
+PATH = '/v1/chat/completions'
+LARGE_BYTES = 2_000_000
+MESSAGES = [{'role': 'user', 'content': 'hi'}]
+
+REQUESTS = {
+    'a wrong key': {'account': 'nobody', 'json': {}},
+    'a body that is not JSON': {'content': b'{'},
+    'a body that is too large': {'content': b'x' * LARGE_BYTES},
+    'an unknown model': {'json': {'model': 'x', 'messages': MESSAGES}},
+    'a tier of another contract': {
+        'account': 'small',
+        'json': {'model': MODEL, 'messages': MESSAGES},
+        'headers': {'X-Tier': 'plan'},
+    },
+    'a prompt that is too long': {
+        'account': 'small',
+        'json': {
+            'model': MODEL,
+            'messages': [{'role': 'user', 'content': 'x' * 1000}],
+        },
+    },
+}
+FAULTS = {'cut': {'cut_after': 4}, 'crossed': {'crossed': True}}
+
+
+@when(
+    'account "{account}" asks hub {hub:d} in tier "{tier}" '
+    'for {tokens:d} tokens {how}'
+)
+def ask(context, account, hub, tier, tokens, how):
+    fields = {'stream': how == 'streamed', 'tier': tier}
+    context.answer = chat(context.site.hubs[hub], tokens, account, **fields)
+
+
+@then('the answer has all {tokens:d} tokens in order')
+def check_tokens(context, tokens):
+    expected = [f'tok{number}' for number in range(tokens)]
+    assert context.answer.status_code == 200, context.answer.text
+    assert tokens_of(context.answer.text) == expected, context.answer.text
+
+
+@when('a caller sends {request}')
+def send(context, request):
+    options = dict(REQUESTS[request])
+    account = options.pop('account', 'yard')
+    context.answer = post(context.site.hubs[0], PATH, account, **options)
+
+
+@then('the refusal has status {status:d}, reason "{reason}" and run "{run}"')
+def check_refusal(context, status, reason, run):
+    error = context.answer.json()['error']
+    found = (context.answer.status_code, error['type'], error['run'])
+    assert found == (status, reason, run), context.answer.text
+
+
+@when(
+    'account "yard" books "{text}" with key "{key}" at hubs 0, 1 and 2 at once'
+)
+def book_at_once(context, text, key):
+    with ThreadPoolExecutor() as pool:
+        calls = [pool.submit(book, hub, text, key) for hub in context.site.hubs]
+        context.answers = [call.result() for call in calls]
+
+
+@when('account "yard" books "{text}" with key "{key}" at hub {hub:d}')
+def book_one(context, text, key, hub):
+    context.answer = book(context.site.hubs[hub], text, key)
+
+
+def _runs(context, text):
+    url = f'http://{context.site.service}/bookings'
+    return httpx.get(url).json().get(text, 0)
+
+
+@then('the booking "{text}" ran once')
+def check_once(context, text):
+    assert _runs(context, text) == 1
+    good = [entry for entry in context.answers if entry.status_code == 201]
+    assert good, [entry.text for entry in context.answers]
+
+
+@then('the booking "{text}" ran {times:d} times')
+def check_runs(context, text, times):
+    assert _runs(context, text) == times
+
+
+@then('booking "{text}" again with key "{key}" gives the first answer')
+def book_again(context, text, key):
+    hub = context.site.hubs[2]
+    wait_until(lambda: book(hub, text, key).status_code == 201)
+    assert _runs(context, text) == 1
+
+
+@then('booking "{text}" with key "{key}" is refused with reason "{reason}"')
+def book_reused(context, text, key, reason):
+    answer = book(context.site.hubs[0], text, key)
+    assert answer.json()['error']['type'] == reason, answer.text
+
+
+@then('the booking is refused with reason "{reason}" and run "{run}"')
+def check_booking_refused(context, reason, run):
+    error = context.answer.json()['error']
+    assert (error['type'], error['run']) == (reason, run)
+
+
+@given('the platform is down')
+def stop_platform(context):
+    url = f'http://{context.site.platform}/control'
+    httpx.post(url, json={'down': True})
+    context.add_cleanup(httpx.post, url, json={'down': False})
+
+
+@given('the next answer of every engine is {fault}')
+def break_engines(context, fault):
+    for address in context.site.engines:
+        httpx.post(f'http://{address}/control', json=FAULTS[fault])
--- /dev/null
+++ b/features/steps/calls.py
@@ -0,0 +1,47 @@
+"""Requests of callers."""
+
+from typing import Any
+
+import httpx
+
+__all__ = ['book', 'chat', 'post', 'tokens_of']
+
+TIMEOUT_S = 30.0
+MODEL = 'hire-assistant'
+
+
+def post(hub: str, path: str, account: str = 'yard', **options: Any):
+    """Send a request; headers are given without the key."""
+    headers = {
+        'Authorization': f'Bearer {account}.orchard',
+        **options.pop('headers', {}),
+    }
+    url = f'http://{hub}{path}'
+    return httpx.post(url, headers=headers, timeout=TIMEOUT_S, **options)
+
+
+def chat(hub: str, tokens: int, account: str = 'yard', **fields: Any):
+    """Ask for a completion of so many tokens."""
+    tier = fields.pop('tier', 'check')
+    text = fields.pop('text', 'Is a ladder free?')
+    body = {
+        'model': MODEL,
+        'messages': [{'role': 'user', 'content': text}],
+        'max_tokens': tokens,
+        **fields,
+    }
+    path = '/v1/chat/completions'
+    return post(hub, path, account, json=body, headers={'X-Tier': tier})
+
+
+def book(hub: str, text: str, key: str | None):
+    """Send a booking."""
+    headers = {'Idempotency-Key': key} if key else {}
+    path = '/services/bookings/bookings'
+    return post(hub, path, content=text, headers=headers)
+
+
+def tokens_of(text: str) -> list[str]:
+    """Return the stand-in engine's tokens in an answer."""
+    words = text.replace('"', ' ').split()
+    return [word for word in words if word.startswith('tok')]
