--- /dev/null
+++ b/benchmarks/cost.py
@@ -0,0 +1,167 @@
+"""Processor time and memory of decisions and of the data plane.
+
+``python -m benchmarks.cost`` prints the time of a routing decision at 5, 40
+and 160 candidates, of the frames of a stream against a bare pass-through,
+and the memory of a VM's state, built for real.
+"""
+
+import time
+import tracemalloc
+from collections.abc import Callable
+from functools import partial
+from statistics import median
+from typing import Any, Final
+
+from tabulate import tabulate
+
+from benchmarks.protocol import build_member
+from bluebellhub.adapters.frames import make_frame_reader, take_frames
+from bluebellhub.contract import AccountLimits, find_tier
+from bluebellhub.order import Claim, begin_write, confirm_write, make_ledger
+from bluebellhub.order import queue_claim as add_claim
+from bluebellhub.request import make_ask
+from bluebellhub.routing.prefix import learn
+from bluebellhub.scheduler import (
+    Dispatch,
+    add_upstream,
+    answer_ended,
+    make_scheduler,
+    submit,
+    tokens_arrived,
+)
+from bluebellhub.scheduler.room import whole_window
+from bluebellhub.scheduler.state import Plan
+from bluebellhub.upstream import UpstreamSpec, make_upstream
+
+__all__ = ['main']
+
+RUNS: Final = 5
+REQUESTS: Final = 300
+NO_LIMITS: Final = AccountLimits(1e9, 10**9)
+STREAM_TOKENS: Final = 2000
+MICROSECONDS: Final = 1e6
+
+
+def _best(call: Callable[[], None]) -> float:
+    """Return the median processor time of a call in seconds."""
+    spent = []
+    for _ in range(RUNS):
+        began_s = time.process_time()
+        call()
+        spent.append(time.process_time() - began_s)
+    return median(spent)
+
+
+def _serve_requests(candidates: int) -> None:
+    scheduler = make_scheduler(Plan(), whole_window)
+    for number in range(candidates):
+        spec = UpstreamSpec(f'u{number}', '127.0.0.1:1', ('m',), 'd')
+        add_upstream(scheduler, make_upstream(spec, warm=True))
+    tier = find_tier('check')
+    for number in range(REQUESTS):
+        now_s = number * 0.01
+        ask = make_ask(
+            f'r{number}', tier, 'm', prompt_tokens=200, arrived_at_s=now_s
+        )
+        events = submit(scheduler, ask, NO_LIMITS, now_s)
+        for event in events:
+            if isinstance(event, Dispatch):
+                name = event.request_id
+                tokens_arrived(scheduler, name, 0, 1, now_s + 0.03)
+                answer_ended(scheduler, name, now_s + 0.05)
+
+
+def decision_rows() -> list[dict[str, Any]]:
+    """Measure a whole request's decisions by the number of candidates."""
+    rows = []
+    for candidates in (5, 40, 160):
+        spent_s = _best(partial(_serve_requests, candidates))
+        per_request = spent_s / REQUESTS * MICROSECONDS
+        rows.append({'candidates': candidates, 'us/request': per_request})
+    return rows
+
+
+def _stream() -> bytes:
+    frames = []
+    for offset in range(STREAM_TOKENS):
+        text = f'{{"choices":[{{"delta":{{"content":"tok{offset} "}}}}]}}'
+        frames.append(f'id: r.1/{offset}\ndata: {text}\n\n')
+    return ''.join(frames).encode()
+
+
+def _read_frames(chunks: list[bytes]) -> None:
+    reader = make_frame_reader('r.1', 0)
+    for chunk in chunks:
+        reader, _ = take_frames(reader, chunk)
+
+
+def frame_rows() -> list[dict[str, Any]]:
+    """Measure the check of frames by the number of tokens a chunk."""
+    stream = _stream()
+    rows = []
+    for tokens in (1, 4, 16):
+        size = len(stream) * tokens // STREAM_TOKENS
+        chunks = [
+            stream[start : start + size]
+            for start in range(0, len(stream), size)
+        ]
+        spent_s = _best(partial(_read_frames, chunks))
+        per_token = spent_s / STREAM_TOKENS * MICROSECONDS
+        rows.append({'tokens/chunk': tokens, 'us/token': per_token})
+    return rows
+
+
+def _measure_bytes(build: Callable[[], Any]) -> int:
+    tracemalloc.start()
+    kept = [build()]
+    used, _ = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+    kept.clear()
+    return used
+
+
+def _build_ledger(records: int) -> Any:
+    ledger = make_ledger('000')
+    for number in range(records):
+        add_claim(ledger, Claim(f'c{number:032}', f'k{number:032}', 'h' * 64))
+    begin_write(ledger, 0.0)
+    confirm_write(ledger, 1)
+    return ledger
+
+
+def _build_prefixes(upstreams: int) -> Any:
+    fleet = build_member(8, upstreams)
+    for number in range(upstreams):
+        blocks = tuple(range(number * 4096, (number + 1) * 4096))
+        learn(fleet.scheduler.prefixes, f'u{number}', blocks)
+    return fleet
+
+
+def memory_rows() -> list[dict[str, Any]]:
+    """Build a VM's state at two sizes and return the slopes."""
+    builders: dict[str, tuple[Callable[[int], Any], int, int]] = {
+        'member': (lambda count: build_member(count, 1), 8, 320),
+        'upstream': (lambda count: build_member(8, count), 15, 640),
+        'account': (lambda count: build_member(8, 1, count), 5, 1300),
+        'order record': (_build_ledger, 100, 1200),
+        'upstream with a full prefix index': (_build_prefixes, 2, 10),
+    }
+    rows = []
+    for name, (build, low, high) in builders.items():
+        least = _measure_bytes(partial(build, low))
+        most = _measure_bytes(partial(build, high))
+        slope = (most - least) / (high - low)
+        rows.append(
+            {'state': name, 'from': low, 'to': high, 'bytes each': slope}
+        )
+    return rows
+
+
+def main() -> None:
+    """Print the three tables."""
+    for rows in (decision_rows(), frame_rows(), memory_rows()):
+        print(tabulate(rows, 'keys', tablefmt='github', floatfmt='.1f'))
+
+
+if __name__ == '__main__':
+    main()
--- a/benchmarks/moving.py
+++ b/benchmarks/moving.py
@@ -1,5 +1,6 @@
 """Version moves on small fakes: good versions, and bad ones of each kind."""
 
+from functools import partial
 from random import Random
 from typing import Any, Final, NamedTuple
 
@@ -80,8 +81,9 @@
     case = CASES[name]
     bench = make_fleet_bench(site, Plan(), VMS, seed)
     clock = bench.clock
+    read_clock = partial(clock.state.__getitem__, 'now_s')
     for fleet in bench.virtual.fleets.values() if bench.virtual else ():
-        fleet.time_of_day.append(lambda: clock.state['now_s'])
+        fleet.time_of_day.append(read_clock)
     _break(bench, site, case, seed)
     at(bench, 0.5, _announce_unmoved, site)
     at(bench, ANNOUNCE_S, _announce, site, ANNOUNCE_S + WITHIN_S)
