Run attempts in the caller's task; check frames by their ids at once

Change: the caller's task runs the attempts itself, and a chunk's ids are checked by one regular expression. Ruled out: the decisions (tokens_arrived is a few percent).

--- a/bluebellhub/adapters/exchange.py
+++ b/bluebellhub/adapters/exchange.py
@@ -1,14 +1,15 @@
-"""The way from an upstream's answer to the caller that waits for it."""
+"""What a caller waits for while its request is queued."""
 
 from typing import NamedTuple
 
 import trio
 
 from bluebellhub.request.refusal import RefusalError
+from bluebellhub.scheduler import Dispatch
 
-__all__ = ['Exchange', 'Finished', 'Head', 'Item', 'make_exchange']
+__all__ = ['Exchange', 'Head', 'Item', 'make_exchange']
 
-BUFFERED_ITEMS = 64
+BUFFERED_ITEMS = 16
 
 
 class Head(NamedTuple):
@@ -18,17 +19,13 @@
     content_type: str
 
 
-class Finished(NamedTuple):
-    """The whole answer went before this item."""
-
-
-Item = bytes | Head | Finished | RefusalError
+Item = Dispatch | RefusalError
 
 
 class Exchange(NamedTuple):
-    """One caller's request: what to send and where the answer goes.
+    """One caller's request, and the decisions on it as they come.
 
-    ``headers`` and ``method`` and ``path`` are used for plain services.
+    ``method``, ``path`` and ``content_type`` are used for plain services.
     """
 
     request_id: str
@@ -41,6 +38,6 @@
 
 
 def make_exchange(request_id: str, body: bytes, **fields: str) -> Exchange:
-    """Create an exchange with an empty channel."""
+    """Create an exchange without decisions."""
     outgoing, incoming = trio.open_memory_channel[Item](BUFFERED_ITEMS)
     return Exchange(request_id, body, outgoing, incoming, **fields)
--- a/bluebellhub/adapters/frames.py
+++ b/bluebellhub/adapters/frames.py
@@ -4,6 +4,7 @@
 reader checks ids and offsets and passes the bytes on as they are.
 """
 
+import re
 from typing import Final, NamedTuple
 
 from bluebellhub.errors import HubError
@@ -30,9 +31,13 @@
 
 
 class FrameReader(NamedTuple):
-    """The root: the expected id, the next offset and an unfinished frame."""
+    """The root: the expected id, the next offset and an unfinished frame.
+
+    ``ids`` finds the offsets of all frames of the answer.
+    """
 
     prefix: bytes
+    ids: re.Pattern[bytes]
     offset: int
     rest: bytes = b''
     done: bool = False
@@ -52,7 +57,9 @@
 
 def make_frame_reader(attempt_id: str, offset: int) -> FrameReader:
     """Create a reader for an answer that starts at ``offset``."""
-    return FrameReader(f'id: {attempt_id}/'.encode(), offset)
+    prefix = f'id: {attempt_id}/'.encode()
+    ids = re.compile(rb'\n\n%s(\d+)\n' % re.escape(prefix))
+    return FrameReader(prefix, ids, offset)
 
 
 def take_frames(
@@ -63,17 +70,37 @@
     cut = joined.rfind(SEPARATOR)
     if cut < 0:
         return _keep(reader, joined), Frames(b'', 0, b'')
-    moved = reader
-    usage = b''
-    for frame in joined[:cut].split(SEPARATOR):
-        moved = _take_frame(moved, frame)
-        if USAGE in frame:
-            usage = frame
     end = cut + len(SEPARATOR)
+    block = joined[:cut]
+    usage = b''
+    if USAGE in block or DONE in block:
+        moved, usage = _take_last(reader, block)
+    else:
+        moved = _take_tokens(reader, block)
     passed = Frames(joined[:end], moved.offset - reader.offset, usage)
     return moved._replace(rest=joined[end:]), passed
 
 
+def _take_tokens(reader: FrameReader, block: bytes) -> FrameReader:
+    """Take frames that each hold a token, by their ids at once."""
+    found = reader.ids.findall(b'%s%s' % (SEPARATOR, block))
+    after = reader.offset + block.count(SEPARATOR) + 1
+    expected = [b'%d' % offset for offset in range(reader.offset, after)]
+    if found != expected:
+        raise MismatchError(block, b'%s%d' % (reader.prefix, reader.offset))
+    return reader._replace(offset=after)
+
+
+def _take_last(reader: FrameReader, block: bytes) -> tuple[FrameReader, bytes]:
+    """Take frames one by one; returns the frame that tells the usage."""
+    usage = b''
+    for frame in block.split(SEPARATOR):
+        reader = _take_frame(reader, frame)
+        if USAGE in frame:
+            usage = frame
+    return reader, usage
+
+
 def _keep(reader: FrameReader, joined: bytes) -> FrameReader:
     """Keep an unfinished frame for the next chunk."""
     if len(joined) > FRAME_MAX_BYTES:
--- a/bluebellhub/adapters/front_end.py
+++ b/bluebellhub/adapters/front_end.py
@@ -1,6 +1,7 @@
 """The HTTP front end for callers."""
 
 from collections.abc import AsyncIterator, Callable
+from contextlib import aclosing
 from typing import Any, Final, NamedTuple
 from uuid import uuid4
 
@@ -19,11 +20,10 @@
 )
 from bluebellhub.adapters.exchange import (
     Exchange,
-    Finished,
     Head,
     make_exchange,
 )
-from bluebellhub.adapters.node import Node, leave, start
+from bluebellhub.adapters.node import Node, answer_parts, start
 from bluebellhub.adapters.orders import OrderDesk, place_order
 from bluebellhub.adapters.status import describe
 from bluebellhub.clock import now_s
@@ -176,32 +176,19 @@
     return await _whole(front, exchange, body['model'])
 
 
-async def _first(front: FrontEnd, exchange: Exchange) -> Any:
-    """Wait for the first item; raises the refusal if it is one."""
-    try:
-        first = await exchange.incoming.receive()
-    except BaseException:
-        leave(front.node, exchange.request_id)
-        raise
-    if isinstance(first, RefusalError):
-        raise first
-    return first
-
-
 async def _stream(front: FrontEnd, exchange: Exchange) -> Response:
-    first = await _first(front, exchange)
-
-    async def body() -> AsyncIterator[bytes]:
-        part = first
-        try:
-            while not isinstance(part, Finished):
-                if isinstance(part, RefusalError):
-                    yield b'event: error\ndata: %s\n\n' % error_body(part)
-                    return
-                yield part
-                part = await exchange.incoming.receive()
-        finally:
-            leave(front.node, exchange.request_id)
+    """Answer with a stream; a refusal before its start has a status."""
+    parts = answer_parts(front.node, exchange)
+    first = await anext(parts)
+
+    async def body() -> AsyncIterator[Any]:
+        async with aclosing(parts):
+            yield first
+            try:
+                async for part in parts:
+                    yield part
+            except RefusalError as error:
+                yield b'event: error\ndata: %s\n\n' % error_body(error)
 
     response = Response(body(), content_type=SSE_TYPE)
     response.timeout = None
@@ -211,16 +198,8 @@
 
 async def _collect(front: FrontEnd, exchange: Exchange) -> list[Any]:
     """Wait for the whole answer; raises a refusal on the way."""
-    parts = [await _first(front, exchange)]
-    try:
-        while not isinstance(parts[-1], Finished):
-            part = await exchange.incoming.receive()
-            if isinstance(part, RefusalError):
-                raise part
-            parts.append(part)
-    finally:
-        leave(front.node, exchange.request_id)
-    return parts[:-1]
+    async with aclosing(answer_parts(front.node, exchange)) as parts:
+        return [part async for part in parts]
 
 
 async def _whole(front: FrontEnd, exchange: Exchange, model: str) -> Response:
--- a/bluebellhub/adapters/node.py
+++ b/bluebellhub/adapters/node.py
@@ -1,27 +1,33 @@
 """One VM's runtime: it carries out the scheduler's events."""
 
-from collections.abc import Callable
+from collections.abc import AsyncGenerator, Callable
+from contextlib import aclosing
 from typing import Any, NamedTuple
 
 import logbook
 import trio
 
 from bluebellhub.adapters.attempts import (
+    Call,
+    Cancelled,
     Ended,
     Hooks,
+    Reads,
     TimeLimits,
-    attempt_kinds,
+    cancel_reads,
+    make_reads,
+    run_attempt,
 )
 from bluebellhub.adapters.connections import (
     Connections,
     pool_for,
     replace_silent,
 )
-from bluebellhub.adapters.exchange import Exchange, Finished
+from bluebellhub.adapters.exchange import Exchange, Head
 from bluebellhub.clock import now_s
 from bluebellhub.contract import AccountLimits
 from bluebellhub.registry import Registry, make_registry
-from bluebellhub.request import Ask, AttemptFailure
+from bluebellhub.request import Ask, AttemptFailure, RefusalError
 from bluebellhub.scheduler import (
     Cancel,
     Dispatch,
@@ -39,7 +45,15 @@
 )
 from bluebellhub.settings import Settings
 
-__all__ = ['Node', 'carry_out', 'leave', 'make_node', 'run_ticks', 'start']
+__all__ = [
+    'Node',
+    'answer_parts',
+    'carry_out',
+    'leave',
+    'make_node',
+    'run_ticks',
+    'start',
+]
 
 TICK_S = 0.05
 FIRST_BYTE_RATIO = 2.0
@@ -52,7 +66,7 @@
 class Node(NamedTuple):
     """The root: decisions, connections and the requests in progress.
 
-    ``scopes`` cancels attempts, by request id and attempt number.
+    ``reads`` holds the attempts by request id and attempt number.
     """
 
     settings: Settings
@@ -60,7 +74,7 @@
     connections: Connections
     nursery: trio.Nursery
     exchanges: dict[str, Exchange]
-    scopes: dict[tuple[str, int], trio.CancelScope]
+    reads: dict[tuple[str, int], Reads]
 
 
 Carrier = Callable[[Node, Any], None]
@@ -100,18 +114,19 @@
 
 @carriers.register('Dispatch')
 def carry_dispatch(node: Node, event: Dispatch) -> None:
-    """Start an attempt."""
-    scope = trio.CancelScope()
-    node.scopes[event.request_id, event.attempt] = scope
-    node.nursery.start_soon(_run_attempt, node, event, scope)
+    """Tell the caller's task to start an attempt."""
+    exchange = node.exchanges.get(event.request_id)
+    if exchange is not None:
+        node.reads[event.request_id, event.attempt] = make_reads()
+        exchange.outgoing.send_nowait(event)
 
 
 @carriers.register('Cancel')
 def carry_cancel(node: Node, event: Cancel) -> None:
-    """Cancel an attempt; closing its connection tells the upstream."""
-    scope = node.scopes.get((event.request_id, event.attempt))
-    if scope is not None:
-        scope.cancel()
+    """End an attempt; closing its connection tells the upstream."""
+    reads = node.reads.pop((event.request_id, event.attempt), None)
+    if reads is not None:
+        cancel_reads(reads)
 
 
 @carriers.register('Refuse')
@@ -125,7 +140,7 @@
         event.error.run,
     )
     if exchange is not None:
-        node.nursery.start_soon(exchange.outgoing.send, event.error)
+        exchange.outgoing.send_nowait(event.error)
 
 
 @carriers.register('Probe')
@@ -136,25 +151,61 @@
         node.nursery.start_soon(replace_silent, node.connections, upstream.spec)
 
 
-async def _run_attempt(
-    node: Node, event: Dispatch, scope: trio.CancelScope
-) -> None:
-    exchange = node.exchanges.get(event.request_id)
-    upstream = node.scheduler.upstreams.get(event.upstream)
-    life = node.scheduler.lives.get(event.request_id)
+async def answer_parts(
+    node: Node, exchange: Exchange
+) -> AsyncGenerator[bytes | Head, None]:
+    """Yield the parts of the answer, over as many attempts as it takes.
+
+    Raises the refusal that ends the request, if one does.  Frees what the
+    request holds at the end, or when the caller goes away.
+    """
     try:
-        with scope:
-            if exchange and upstream and life:
-                ended = await attempt_kinds.find(upstream.spec.kind)(
-                    pool_for(node.connections, upstream.spec),
-                    event,
-                    exchange,
-                    _time_limits(node, life.ask),
-                    _make_hooks(node, event),
-                )
-                await _finish(node, event, exchange, ended)
+        while not _is_over(node, exchange):
+            event = await _next_dispatch(exchange)
+            call = _make_call(node, event, exchange)
+            if call is None:
+                continue
+            async with aclosing(run_attempt(call)) as parts:
+                async for part in parts:
+                    if not isinstance(part, bytes | Head):
+                        _settle(node, event, part)
+                        break
+                    yield part
     finally:
-        node.scopes.pop((event.request_id, event.attempt), None)
+        leave(node, exchange.request_id)
+
+
+def _is_over(node: Node, exchange: Exchange) -> bool:
+    """Tell whether the request has ended and no refusal waits."""
+    if exchange.request_id in node.scheduler.lives:
+        return False
+    return not exchange.incoming.statistics().current_buffer_used
+
+
+async def _next_dispatch(exchange: Exchange) -> Dispatch:
+    """Wait for the next attempt; raises a refusal."""
+    decision = await exchange.incoming.receive()
+    if isinstance(decision, RefusalError):
+        raise decision
+    return decision
+
+
+def _make_call(node: Node, event: Dispatch, exchange: Exchange) -> Call | None:
+    """Return the attempt's call; ``None`` if it was cancelled already."""
+    upstream = node.scheduler.upstreams.get(event.upstream)
+    life = node.scheduler.lives.get(event.request_id)
+    reads = node.reads.get((event.request_id, event.attempt))
+    if upstream is None or life is None or reads is None:
+        return None
+    return Call(
+        upstream.spec.kind,
+        pool_for(node.connections, upstream.spec),
+        event,
+        exchange,
+        _time_limits(node, life.ask),
+        _make_hooks(node, event),
+        reads,
+    )
 
 
 def _time_limits(node: Node, ask: Ask) -> TimeLimits:
@@ -184,21 +235,19 @@
     return Hooks(sent, tokens)
 
 
-async def _finish(
-    node: Node,
-    event: Dispatch,
-    exchange: Exchange,
-    ended: Ended | AttemptFailure,
+def _settle(
+    node: Node, event: Dispatch, ended: Ended | Cancelled | AttemptFailure
 ) -> None:
+    """Tell the scheduler how an attempt ended."""
     request_id = event.request_id
-    if request_id not in node.scheduler.lives:
+    node.reads.pop((request_id, event.attempt), None)
+    if isinstance(ended, Cancelled):
         return
     if isinstance(ended, Ended):
         events = answer_ended(
             node.scheduler, request_id, now_s(), ended.cached_tokens
         )
         carry_out(node, events)
-        await exchange.outgoing.send(Finished())
         return
     log.info(
         'attempt {}.{} at {} failed: {} {}',
@@ -208,8 +257,7 @@
         ended.kind,
         ended.detail,
     )
-    events = attempt_failed(node.scheduler, request_id, ended, now_s())
-    carry_out(node, events)
+    carry_out(node, attempt_failed(node.scheduler, request_id, ended, now_s()))
 
 
 async def run_ticks(node: Node) -> None:
--- a/features/processes.py
+++ b/features/processes.py
@@ -171,7 +171,12 @@
         },
         timeout=10.0,
     )
-    return response.status_code == 200
+    bookings = httpx.get(
+        f'http://{hub}/services/bookings/bookings',
+        headers={'Authorization': 'Bearer yard.orchard'},
+        timeout=10.0,
+    )
+    return response.status_code == bookings.status_code == 200
 
 
 def stop_site(site: Site) -> None:
