--- a/benchmarks/fleet.py
+++ b/benchmarks/fleet.py
@@ -24,7 +24,7 @@
 from bluebellhub.standins.virtual_fleet import operate
 from bluebellhub.upstream import Upstream
 
-__all__ = ['main', 'studies']
+__all__ = ['VARIANTS', 'by_second', 'main', 'play_domain', 'studies']
 
 VMS: Final = 8
 OUT_S: Final = 30.13
@@ -100,7 +100,8 @@
     return max(moments, default=OUT_S) - OUT_S
 
 
-def _by_second(bench: Bench, tier: str) -> dict[int, float]:
+def by_second(bench: Bench, tier: str) -> dict[int, float]:
+    """Return a tier's goodput by the second of arrival."""
     offered: Counter[int] = Counter()
     good: Counter[int] = Counter()
     for outcome in bench.outcomes.by_id.values():
@@ -115,6 +116,18 @@
     }
 
 
+def play_domain(
+    variant: Variant, site_name: str, load: float, seed: int
+) -> Bench:
+    """Take a site's first failure domain out and back."""
+    site = SITES[site_name]
+    bench = variant.make(site, seed)
+    at(bench, OUT_S, _set_domain, site.domains[0], 'out')
+    at(bench, BACK_S, _set_domain, site.domains[0], 'in')
+    _play(bench, site, load, seed)
+    return bench
+
+
 @studies.register('domain')
 def study_domain(args: argparse.Namespace) -> None:
     """Take a failure domain out at 30 s and back at 60 s."""
@@ -122,14 +135,10 @@
     columns: dict[str, dict[int, float]] = {}
     rows = []
     for variant in VARIANTS:
-        bench = variant.make(site, args.seed)
-        domain = site.domains[0]
-        at(bench, OUT_S, _set_domain, domain, 'out')
-        at(bench, BACK_S, _set_domain, domain, 'in')
-        _play(bench, site, args)
+        bench = play_domain(variant, args.site, args.load, args.seed)
         for tier in ('check', 'plan'):
-            columns[f'{variant.name} {tier}'] = _by_second(bench, tier)
-        last_s = _last_new_work_s(bench, site, domain)
+            columns[f'{variant.name} {tier}'] = by_second(bench, tier)
+        last_s = _last_new_work_s(bench, site, site.domains[0])
         rows.append([variant.name, round(last_s, 2)])
     print(tabulate(rows, ['variant', 'last new work after (s)'], 'github'))
     _print_columns(columns)
@@ -147,10 +156,10 @@
     print(tabulate(table, ['second', *columns], tablefmt='github'))
 
 
-def _play(bench: Bench, site: Site, args: argparse.Namespace) -> None:
+def _play(bench: Bench, site: Site, load: float, seed: int) -> None:
     arrivals = [
         arrival
-        for arrival in make_arrivals(site, args.load, END_S, VMS, args.seed)
+        for arrival in make_arrivals(site, load, END_S, VMS, seed)
         if arrival.at_s >= BEGIN_S
     ]
     run(bench, arrivals, END_S + DRAIN_S)
@@ -164,7 +173,7 @@
     for variant in VARIANTS:
         bench = variant.make(site, args.seed)
         at(bench, KILL_S, kill, VMS - 1)
-        _play(bench, site, args)
+        _play(bench, site, args.load, args.seed)
         rows.append([variant.name, *_around_kill(bench)])
     header = ['variant', 'before', '0-10 s after', 'later', 'lost in flight']
     print(tabulate(rows, header, 'github', floatfmt='.3f'))
--- a/benchmarks/policies.py
+++ b/benchmarks/policies.py
@@ -10,14 +10,14 @@
 
 from tabulate import tabulate
 
-from benchmarks.harness import make_bench, run
+from benchmarks.harness import Bench, make_bench, make_fleet_bench, run
 from benchmarks.outcome import Summary, summarise
-from benchmarks.workloads import SITES, make_arrivals
+from benchmarks.workloads import SITES, Site, make_arrivals
 from bluebellhub.scheduler.room import whole_window
 from bluebellhub.scheduler.state import Plan
 from bluebellhub.standins.faults import make_fault
 
-__all__ = ['PLANS', 'main', 'measure']
+__all__ = ['Case', 'PLANS', 'main', 'measure']
 
 PLANS: Final = {
     'bluebellhub': Plan(),
@@ -28,6 +28,7 @@
 }
 LOADS: Final = (0.7, 1.0, 1.3)
 DURATION_S: Final = 90.0
+BEGIN_S: Final = 8.0
 WARM_UP_S: Final = 15.0
 DRAIN_S: Final = 60.0
 STRAGGLER_SLOWDOWN: Final = 3.0
@@ -47,16 +48,28 @@
     """Run one case; the last engine is a straggler."""
     site = SITES[case.site]
     plan = PLANS[case.plan]
-    bench = make_bench(
-        site, plan, [whole_window for _ in range(case.vms)], case.seed
-    )
+    bench = _make(site, plan, case)
     straggler = bench.engines[site.profiles[-1].name]
     straggler.faults.append(make_fault('slow', slowdown=STRAGGLER_SLOWDOWN))
-    arrivals = make_arrivals(site, case.load, DURATION_S, case.vms, case.seed)
+    arrivals = [
+        arrival
+        for arrival in make_arrivals(
+            site, case.load, DURATION_S, case.vms, case.seed
+        )
+        if arrival.at_s >= BEGIN_S
+    ]
     outcomes = run(bench, arrivals, DURATION_S + DRAIN_S)
     return summarise(outcomes, bench.engines, WARM_UP_S, DURATION_S)
 
 
+def _make(site: Site, plan: Plan, case: Case) -> Bench:
+    """Several VMs lease their windows; baselines send at once."""
+    if case.vms > 1 and plan.discipline == 'tiered':
+        return make_fleet_bench(site, plan, case.vms, case.seed)
+    sources = [whole_window for _ in range(case.vms)]
+    return make_bench(site, plan, sources, case.seed)
+
+
 def _row(case: Case, summary: Summary) -> list[object]:
     tiers = ('check', 'quote', 'plan', 'batch')
     goodput = [round(summary.goodput.get(tier, 0.0), 3) for tier in tiers]
@@ -75,7 +88,7 @@
     for site in [args.site] if args.site else SITES:
         for load in [args.load] if args.load else LOADS:
             for plan in PLANS:
-                yield Case(site, plan, load, seed=args.seed)
+                yield Case(site, plan, load, args.vms, args.seed)
 
 
 def main() -> None:
@@ -84,6 +97,7 @@
     parser.add_argument('--site', choices=SITES)
     parser.add_argument('--load', type=float)
     parser.add_argument('--seed', type=int, default=1)
+    parser.add_argument('--vms', type=int, default=8)
     args = parser.parse_args()
     header = ['site', 'load', 'policy', 'check', 'quote', 'plan', 'batch']
     header += ['total', 'tokens/s', 'wasted prefill']
--- a/bluebellhub/scheduler/shedding.py
+++ b/bluebellhub/scheduler/shedding.py
@@ -26,7 +26,7 @@
 __all__ = ['may_shed', 'shed', 'tick', 'total_slots']
 
 RETRY_AFTER_S: Final = 2.0
-FLOOR_HOLD_S: Final = 2.0
+FLOOR_HOLD_S: Final = 0.6
 LOWEST_RANK: Final = max(tier.rank for tier in DEFAULT_TIERS)
 
 
