--- a/bluebellhub/scheduler/room.py
+++ b/bluebellhub/scheduler/room.py
@@ -37,6 +37,7 @@
 CLEAR_QUICK_SHARE: Final = 0.4
 BULK_BACKLOG_S: Final = 0.3
 RHYTHM_SHARE: Final = 0.95
+URGENT_SHARE: Final = 0.5
 
 Discipline = Callable[
     [Scheduler, Upstream, Sequence[Upstream], Ask, Candidate, float], bool
@@ -143,10 +144,16 @@
     backlog_s = backlog_tokens(upstream, now_s) / rate
     if ask.tier.rank == 0:
         return True
-    after_s = backlog_s + candidate.uncached_tokens / rate
     if upstream.spec.name in _clear_names(scheduler, ask.target, peers):
+        after_s = backlog_s + candidate.uncached_tokens / rate
         return after_s <= CLEAR_BACKLOG_S
-    return backlog_s <= BULK_BACKLOG_S
+    return backlog_s <= BULK_BACKLOG_S or _is_urgent(ask, now_s)
+
+
+def _is_urgent(ask: Ask, now_s: float) -> bool:
+    """Tell whether half of the time to the first token has gone by."""
+    waited_s = now_s - ask.arrived_at_s
+    return waited_s > URGENT_SHARE * ask.tier.first_token_s
 
 
 def _clear_names(
