--- a/demo/callers.py
+++ b/demo/callers.py
@@ -17,7 +17,9 @@
 
 PLATFORM: Final = '127.0.0.1:18000'
 HUBS: Final = ('127.0.0.1:18101', '127.0.0.1:18102', '127.0.0.1:18103')
-READY_TIMEOUT_S: Final = 40.0
+READY_TIMEOUT_S: Final = 60.0
+UNAVAILABLE: Final = 503
+TRIES: Final = 5
 DOMAINS: Final = ('rennes', 'vannes', 'brest')
 
 
@@ -50,14 +52,20 @@
     account: str = 'yard',
     **headers: str,
 ) -> Answer:
-    """Send a request through one of the hubs."""
+    """Send a request; after a refusal for want of capacity, try again."""
     names = {name.replace('_', '-'): text for name, text in headers.items()}
-    response = await client.post(
-        f'http://{HUBS[hub]}{path}',
-        json=body,
-        headers={'Authorization': f'Bearer {account}.orchard', **names},
-    )
-    return Answer(response.status_code, response.text)
+    answer = Answer(UNAVAILABLE, '')
+    for _ in range(TRIES):
+        response = await client.post(
+            f'http://{HUBS[hub]}{path}',
+            json=body,
+            headers={'Authorization': f'Bearer {account}.orchard', **names},
+        )
+        answer = Answer(response.status_code, response.text)
+        if answer.status != UNAVAILABLE:
+            break
+        await trio.sleep(int(response.headers.get('Retry-After', '1')))
+    return answer
 
 
 def chat(text: str, tokens: int, **fields: Any) -> dict[str, Any]:
--- a/features/steps/calls.py
+++ b/features/steps/calls.py
@@ -1,12 +1,16 @@
 """Requests of callers."""
 
+import time
+from collections.abc import Callable
 from typing import Any
 
 import httpx
 
-__all__ = ['book', 'chat', 'post', 'tokens_of']
+__all__ = ['book', 'chat', 'post', 'retry', 'tokens_of']
 
 TIMEOUT_S = 30.0
+UNAVAILABLE = 503
+TRIES = 5
 MODEL = 'hire-assistant'
 
 
@@ -20,6 +24,17 @@
     return httpx.post(url, headers=headers, timeout=TIMEOUT_S, **options)
 
 
+def retry(send: Callable[[], httpx.Response]) -> httpx.Response:
+    """Send again after a refusal for want of capacity, as callers do."""
+    answer = send()
+    for _ in range(TRIES):
+        if answer.status_code != UNAVAILABLE:
+            break
+        time.sleep(int(answer.headers.get('Retry-After', '1')))
+        answer = send()
+    return answer
+
+
 def chat(hub: str, tokens: int, account: str = 'yard', **fields: Any):
     """Ask for a completion of so many tokens."""
     tier = fields.pop('tier', 'check')
@@ -31,7 +46,8 @@
         **fields,
     }
     path = '/v1/chat/completions'
-    return post(hub, path, account, json=body, headers={'X-Tier': tier})
+    headers = {'X-Tier': tier}
+    return retry(lambda: post(hub, path, account, json=body, headers=headers))
 
 
 def book(hub: str, text: str, key: str | None):
