Read load reports again; read cache events; refuse impossible prompts

Found by reading; no test looked.

Also: cache events, late and with gaps, feed the prefix index; a prompt that even an idle upstream prefills too late is refused at once with deadline.

--- a/bluebellhub/adapters/loads.py
+++ b/bluebellhub/adapters/loads.py
@@ -1,26 +1,34 @@
-"""Polling of the upstreams' load reports."""
+"""Polling of the upstreams' load reports and cache events."""
 
-from typing import Final, NamedTuple
+from typing import Final, TypedDict
 
 import httpx
+import msgspec
 import trio
 
 from bluebellhub.adapters.connections import pool_for, use_pool
 from bluebellhub.adapters.node import Node
 from bluebellhub.clock import now_s
-from bluebellhub.errors import SettingsError
-from bluebellhub.records import read_record
+from bluebellhub.errors import HubError
+from bluebellhub.routing.events import CacheEvent, take_events
 from bluebellhub.scheduler import hear_load
-from bluebellhub.upstream import LoadReport
+from bluebellhub.upstream import LoadReport, UpstreamSpec
 
-__all__ = ['poll_loads']
+__all__ = ['ReportError', 'parse_events', 'parse_report', 'poll_loads']
 
 INTERVAL_S: Final = 1.0
 TIMEOUT_S: Final = 1.0
 
 
-class ReportBody(NamedTuple):
-    """A load report's fields on the wire; ``age_s`` seconds old."""
+class ReportError(HubError):
+    """A load report or cache events cannot be read."""
+
+
+class ReportBody(TypedDict):
+    """A load report's fields on the wire; ``age_s`` seconds old.
+
+    Fields not named here are left aside.
+    """
 
     age_s: float
     boot_id: str
@@ -28,33 +36,78 @@
     waiting_prefill_tokens: int
 
 
+_report_decoder: Final = msgspec.json.Decoder(ReportBody)
+_events_decoder: Final = msgspec.json.Decoder(list[CacheEvent])
+
+
+def parse_report(content: bytes, moment_s: float) -> LoadReport:
+    """Read a load report that arrived at ``moment_s``.
+
+    Raises `ReportError`.
+    """
+    try:
+        body = _report_decoder.decode(content)
+    except msgspec.MsgspecError as error:
+        raise ReportError(f'load report: {error}') from None
+    return LoadReport(
+        moment_s - body['age_s'],
+        body['boot_id'],
+        body['running'],
+        body['waiting_prefill_tokens'],
+    )
+
+
+def parse_events(content: bytes) -> list[CacheEvent]:
+    """Read cache events; raises `ReportError`."""
+    try:
+        return _events_decoder.decode(content)
+    except msgspec.MsgspecError as error:
+        raise ReportError(f'cache events: {error}') from None
+
+
 async def poll_loads(node: Node) -> None:
     """Read every upstream's report once a second until cancelled."""
     while True:
         with trio.move_on_after(TIMEOUT_S):
             async with trio.open_nursery() as nursery:
-                for name in list(node.scheduler.upstreams):
-                    nursery.start_soon(_poll, node, name)
+                for upstream in list(node.scheduler.upstreams.values()):
+                    nursery.start_soon(_poll, node, upstream.spec)
         await trio.sleep(INTERVAL_S)
 
 
-async def _poll(node: Node, name: str) -> None:
-    spec = node.scheduler.upstreams[name].spec
+async def _poll(node: Node, spec: UpstreamSpec) -> None:
     try:
         async with use_pool(pool_for(node.connections, spec)) as client:
-            response = await client.get('/v1/load', timeout=TIMEOUT_S)
-        body = read_record(ReportBody, response.json(), 'load report')
-    except (httpx.HTTPError, SettingsError, ValueError):
-        node.scheduler.counters['refused_reports', name] += 1
-        return
-    _hear(node, name, body)
+            await _poll_report(node, client, spec)
+            await _poll_events(node, client, spec)
+    except (httpx.HTTPError, ReportError):
+        node.scheduler.counters['refused_reports', spec.name] += 1
 
 
-def _hear(node: Node, name: str, body: ReportBody) -> None:
-    report = LoadReport(
-        now_s() - body.age_s,
-        body.boot_id,
-        body.running,
-        body.waiting_prefill_tokens,
+async def _poll_report(
+    node: Node, client: httpx.AsyncClient, spec: UpstreamSpec
+) -> None:
+    response = await client.get('/v1/load', timeout=TIMEOUT_S)
+    report = parse_report(response.content, now_s())
+    hear_load(node.scheduler, spec.name, report, now_s())
+    node.scheduler.counters['reports', spec.name] += 1
+
+
+async def _poll_events(
+    node: Node, client: httpx.AsyncClient, spec: UpstreamSpec
+) -> None:
+    """Read the cache events since the last read, by boot of the engine."""
+    upstream = node.scheduler.upstreams.get(spec.name)
+    if spec.kind != 'engine' or upstream is None or upstream.report is None:
+        return
+    key = (spec.name, upstream.report.boot_id)
+    known = node.cache_events.get(key, 0)
+    response = await client.get(
+        '/v1/cache-events', params={'since': str(known)}, timeout=TIMEOUT_S
+    )
+    node.cache_events[key] = take_events(
+        node.scheduler.prefixes,
+        spec.name,
+        known,
+        parse_events(response.content),
     )
-    hear_load(node.scheduler, name, report, now_s())
--- a/bluebellhub/adapters/node.py
+++ b/bluebellhub/adapters/node.py
@@ -66,7 +66,8 @@
 class Node(NamedTuple):
     """The root: decisions, connections and the requests in progress.
 
-    ``reads`` holds the attempts by request id and attempt number.
+    ``reads`` holds the attempts by request id and attempt number, and
+    ``cache_events`` the newest event read, by upstream and its boot.
     """
 
     settings: Settings
@@ -75,6 +76,7 @@
     nursery: trio.Nursery
     exchanges: dict[str, Exchange]
     reads: dict[tuple[str, int], Reads]
+    cache_events: dict[tuple[str, str], int]
 
 
 Carrier = Callable[[Node, Any], None]
@@ -89,7 +91,7 @@
     nursery: trio.Nursery,
 ) -> Node:
     """Create the runtime of a VM without requests."""
-    return Node(settings, scheduler, connections, nursery, {}, {})
+    return Node(settings, scheduler, connections, nursery, {}, {}, {})
 
 
 def start(
--- a/bluebellhub/metrics.py
+++ b/bluebellhub/metrics.py
@@ -28,6 +28,7 @@
     'store_calls': 'call',
     'moves': 'outcome',
     'refused_reports': 'upstream',
+    'reports': 'upstream',
 }
 
 
--- a/bluebellhub/request/refusal.py
+++ b/bluebellhub/request/refusal.py
@@ -11,7 +11,6 @@
 from bluebellhub.registry import Registry, make_registry
 
 __all__ = [
-    'AccountGoneError',
     'AnswerMismatchError',
     'BadRequestError',
     'BodyTooLargeError',
@@ -154,11 +153,6 @@
     """The VM hears neither the object API nor another VM."""
 
 
-@_reason('account_gone', 403)
-class AccountGoneError(RefusalError):
-    """The contract was withdrawn while the request waited."""
-
-
 @_reason('key_reuse', 422)
 class KeyReuseError(RefusalError):
     """The idempotency key was used before with another request."""
--- /dev/null
+++ b/bluebellhub/routing/events.py
@@ -0,0 +1,43 @@
+"""Cache events of engines, which come late and with gaps."""
+
+from collections.abc import Iterable
+from typing import NamedTuple
+
+from bluebellhub.routing.prefix import (
+    PrefixIndex,
+    forget_blocks,
+    forget_upstream,
+    learn,
+)
+
+__all__ = ['CacheEvent', 'take_events']
+
+
+class CacheEvent(NamedTuple):
+    """Blocks that an engine has stored and evicted, in this order."""
+
+    number: int
+    stored: tuple[int, ...]
+    evicted: tuple[int, ...]
+
+
+def take_events(
+    index: PrefixIndex,
+    upstream: str,
+    known: int,
+    events: Iterable[CacheEvent],
+) -> int:
+    """Take events newer than number ``known``; returns the newest number.
+
+    After a gap, evictions may have been missed: the index of the upstream
+    starts anew.  An engine that counts from the start again has restarted.
+    """
+    for event in events:
+        if event.number <= known:
+            continue
+        if event.number > known + 1:
+            forget_upstream(index, upstream)
+        learn(index, upstream, event.stored)
+        forget_blocks(index, upstream, event.evicted)
+        known = event.number
+    return known
--- a/bluebellhub/routing/tests/test_routing.py
+++ b/bluebellhub/routing/tests/test_routing.py
@@ -13,6 +13,7 @@
     make_prefix_index,
     policies,
 )
+from bluebellhub.routing.events import CacheEvent, take_events
 from bluebellhub.routing.length import (
     expected_tokens,
     make_lengths,
@@ -82,6 +83,23 @@
     assert cached_blocks(index, 'u', (5, 6)) == 2
 
 
+@pytest.mark.parametrize(
+    ('events', 'newest', 'expected'),
+    [
+        ([], 0, 2),
+        ([CacheEvent(1, (3,), ())], 1, 3),
+        ([CacheEvent(1, (), (2,))], 1, 1),
+        ([CacheEvent(5, (1,), ())], 5, 1),
+        ([CacheEvent(1, (3,), ()), CacheEvent(1, (), (1,))], 1, 3),
+    ],
+)
+def test_cache_events_move_the_index(events, newest, expected):
+    index = make_prefix_index()
+    learn(index, 'u', (1, 2))
+    assert take_events(index, 'u', 0, events) == newest
+    assert cached_blocks(index, 'u', (1, 2, 3)) == expected
+
+
 def test_the_index_is_bounded():
     index = make_prefix_index(blocks_max=3)
     learn(index, 'u', (1, 2, 3, 4, 5))
--- a/bluebellhub/scheduler/candidate.py
+++ b/bluebellhub/scheduler/candidate.py
@@ -3,10 +3,10 @@
 from bluebellhub.request import Life
 from bluebellhub.routing import Candidate, cached_blocks
 from bluebellhub.routing.prefix import BLOCK_TOKENS
-from bluebellhub.scheduler.state import Scheduler
+from bluebellhub.scheduler.state import Scheduler, upstreams_for
 from bluebellhub.upstream import Upstream, predict_first_token_s
 
-__all__ = ['make_candidate']
+__all__ = ['idle_first_token_s', 'make_candidate']
 
 
 def make_candidate(
@@ -25,3 +25,19 @@
         uncached,
         resumed=life.first_token_at_s is not None,
     )
+
+
+def idle_first_token_s(scheduler: Scheduler, life: Life) -> float:
+    """Predict the first-token time on the best upstream if it were idle."""
+    ask = life.ask
+    if ask.prompt_tokens == 0:
+        return 0.0
+    predictions = []
+    for upstream in upstreams_for(scheduler, ask.target):
+        cached = cached_blocks(
+            scheduler.prefixes, upstream.spec.name, ask.prefix_blocks
+        )
+        uncached = max(0, ask.prompt_tokens - cached * BLOCK_TOKENS)
+        prefill_s = uncached / upstream.speed.prefill_max_tokens_per_s
+        predictions.append(prefill_s)
+    return min(predictions, default=0.0)
--- a/bluebellhub/scheduler/shedding.py
+++ b/bluebellhub/scheduler/shedding.py
@@ -11,7 +11,6 @@
 from bluebellhub.invariants import check_invariant
 from bluebellhub.request import Life
 from bluebellhub.request.refusal import (
-    DeadlineError,
     NoUpstreamError,
     ShedError,
 )
@@ -175,14 +174,3 @@
         'capacity is needed for a higher tier', retry_after_s=RETRY_AFTER_S
     )
     refuse(scheduler, events, life, error)
-
-
-def refuse_impossible(
-    scheduler: Scheduler, events: list[Event], life: Life, best_s: float
-) -> None:
-    """Refuse a request that even an idle upstream answers too late."""
-    error = DeadlineError(
-        f'the first token takes {best_s:.2f} s on an idle upstream, '
-        f'the tier allows {life.ask.tier.first_token_s:g} s'
-    )
-    refuse(scheduler, events, life, error)
--- a/bluebellhub/scheduler/submit.py
+++ b/bluebellhub/scheduler/submit.py
@@ -10,11 +10,13 @@
 )
 from bluebellhub.request import Ask, Life, RefusalError, make_life
 from bluebellhub.request.refusal import (
+    DeadlineError,
     DrainingError,
     IsolatedError,
     ShedError,
     UnknownTargetError,
 )
+from bluebellhub.scheduler.candidate import idle_first_token_s
 from bluebellhub.scheduler.dispatch import pump
 from bluebellhub.scheduler.entry import make_waiting
 from bluebellhub.scheduler.events import Event
@@ -82,6 +84,11 @@
 def _enqueue(
     scheduler: Scheduler, events: list[Event], life: Life, now_s: float
 ) -> None:
+    if scheduler.plan.discipline == 'tiered':
+        best_s = idle_first_token_s(scheduler, life)
+        if best_s > life.ask.tier.first_token_s:
+            refuse(scheduler, events, life, _impossible(life, best_s))
+            return
     entry = make_waiting(scheduler, life)
     queue = queue_of(scheduler, life.ask.target)
     if _comes_too_late(scheduler, life, entry):
@@ -91,6 +98,13 @@
     put(queue, entry)
 
 
+def _impossible(life: Life, best_s: float) -> DeadlineError:
+    return DeadlineError(
+        f'the first token takes {best_s:.2f} s on an idle upstream, '
+        f'the tier allows {life.ask.tier.first_token_s:g} s'
+    )
+
+
 def _comes_too_late(scheduler: Scheduler, life: Life, entry: Waiting) -> bool:
     """Compare the slot time queued ahead with the time to the deadline."""
     ask = life.ask
--- a/bluebellhub/scheduler/tests/test_scheduler.py
+++ b/bluebellhub/scheduler/tests/test_scheduler.py
@@ -89,6 +89,19 @@
     assert _reasons(_submit(scheduler, 'a')) == {'a': reason}
 
 
+@pytest.mark.parametrize(
+    ('tier', 'tokens', 'expected'),
+    [
+        ('check', 5_000, {}),
+        ('check', 9_000, {'a': 'deadline'}),
+        ('plan', 9_000, {}),
+    ],
+)
+def test_a_prompt_too_long_for_its_tier_is_refused(tier, tokens, expected):
+    events = _submit(_scheduler(), 'a', tier, prompt_tokens=tokens)
+    assert _reasons(events) == expected
+
+
 def test_an_unknown_target_is_refused():
     scheduler = make_scheduler(Plan(), whole_window)
     assert _reasons(_submit(scheduler, 'a')) == {'a': 'unknown_target'}
--- a/bluebellhub/standins/engine_model.py
+++ b/bluebellhub/standins/engine_model.py
@@ -9,6 +9,7 @@
 from typing import Final, NamedTuple, TypedDict
 
 from bluebellhub.errors import HubError
+from bluebellhub.routing.events import CacheEvent
 from bluebellhub.routing.prefix import BLOCK_TOKENS
 from bluebellhub.standins.faults import Fault, fault_kinds
 from bluebellhub.upstream import LoadReport
@@ -30,6 +31,7 @@
 ]
 
 COLD_SPEED: Final = 0.3
+EVENTS_KEPT: Final = 64
 
 
 class EngineDownError(HubError):
@@ -108,7 +110,8 @@
     """The root: the jobs by phase, the prefix cache and active faults.
 
     ``spent`` holds the prefill tokens computed for each job that ended or
-    runs, until the caller takes them out.
+    runs, until the caller takes them out.  ``events`` keeps the newest cache
+    events only, so that a reader who comes late finds a gap.
     """
 
     profile: EngineProfile
@@ -118,6 +121,7 @@
     cache: OrderedDict[int, None]
     faults: list[Fault]
     spent: dict[str, int]
+    events: deque[CacheEvent]
 
 
 def make_engine(
@@ -131,7 +135,16 @@
         'down_until_s': 0.0,
         'prefill_tokens_done': 0,
     }
-    return Engine(profile, state, deque(), {}, OrderedDict(), [], {})
+    return Engine(
+        profile,
+        state,
+        deque(),
+        {},
+        OrderedDict(),
+        [],
+        {},
+        deque(maxlen=EVENTS_KEPT),
+    )
 
 
 def warmth(engine: Engine, now_s: float) -> float:
@@ -271,11 +284,15 @@
 
 
 def _remember(engine: Engine, job: Job) -> None:
+    stored = [block for block in job.prefix_blocks if block not in engine.cache]
     for block in job.prefix_blocks:
         engine.cache[block] = None
         engine.cache.move_to_end(block)
+    evicted = []
     while len(engine.cache) > engine.profile.cache_blocks:
-        engine.cache.popitem(last=False)
+        evicted.append(engine.cache.popitem(last=False)[0])
+    number = engine.events[-1].number + 1 if engine.events else 1
+    engine.events.append(CacheEvent(number, tuple(stored), tuple(evicted)))
 
 
 def _decode(engine: Engine, progress: Progress, now_s: float) -> Emission:
--- a/bluebellhub/standins/engine_server.py
+++ b/bluebellhub/standins/engine_server.py
@@ -215,6 +215,14 @@
         age_s = now_s - report.taken_at_s
         return _json({**report._asdict(), 'age_s': age_s})
 
+    @app.get('/v1/cache-events')
+    async def cache_events() -> Response:
+        since = int(request.args.get('since', '0'))
+        events = [
+            event for event in server.engine.events if event.number > since
+        ]
+        return _json(events)
+
     @app.post('/v1/orders')
     async def order() -> Response:
         fence = int(request.headers.get('X-Fence', '0'))
--- a/features/callers.feature
+++ b/features/callers.feature
@@ -35,6 +35,9 @@
     Then the booking is refused with reason "ledger_unavailable" and run "no"
     And the booking "ladder 9" ran 0 times
 
+  Scenario: Every hub reads the engines' load reports
+    Then every hub has read reports of every upstream and refused none
+
   Scenario Outline: A failing engine does not show
     Given the next answer of every engine is <fault>
     When account "yard" asks hub 0 in tier "plan" for 12 tokens streamed
--- a/features/steps/caller_steps.py
+++ b/features/steps/caller_steps.py
@@ -1,6 +1,7 @@
 """Steps of callers."""
 
 from concurrent.futures import ThreadPoolExecutor
+from functools import partial
 
 import httpx
 from behave import given, then, when
@@ -10,6 +11,7 @@
 
 PATH = '/v1/chat/completions'
 LARGE_BYTES = 2_000_000
+UPSTREAMS = 4
 MESSAGES = [{'role': 'user', 'content': 'hi'}]
 
 REQUESTS = {
@@ -124,3 +126,16 @@
 def break_engines(context, fault):
     for address in context.site.engines:
         httpx.post(f'http://{address}/control', json=FAULTS[fault])
+
+
+@then('every hub has read reports of every upstream and refused none')
+def check_reports(context):
+    for hub in context.site.hubs:
+        wait_until(partial(_reads_reports, hub))
+        text = httpx.get(f'http://{hub}/metrics').text
+        assert 'bluebellhub_refused_reports_total{' not in text, text
+
+
+def _reads_reports(hub):
+    text = httpx.get(f'http://{hub}/metrics').text
+    return text.count('bluebellhub_reports_total{') == UPSTREAMS
