--- a/bluebellhub/adapters/connections.py
+++ b/bluebellhub/adapters/connections.py
@@ -10,7 +10,6 @@
 __all__ = [
     'Connections',
     'Pool',
-    'close_all',
     'make_connections',
     'pool_for',
     'replace_silent',
@@ -116,10 +115,3 @@
     pool.state['retired'] = True
     if not pool.state['users']:
         await pool.client.aclose()
-
-
-async def close_all(connections: Connections) -> None:
-    """Close all pools."""
-    for pool in connections.pools.values():
-        await pool.client.aclose()
-    connections.pools.clear()
--- a/bluebellhub/adapters/peer_link.py
+++ b/bluebellhub/adapters/peer_link.py
@@ -113,11 +113,3 @@
     except (HubError, UnicodeDecodeError) as error:
         link.counters['peer_messages', 'refused'] += 1
         log.warning('message from {!r}: {}', sender, error)
-
-
-def close_link(link: PeerLink) -> None:
-    """Close all sockets."""
-    for outbox in link.outboxes.values():
-        outbox.close(linger=0)
-    link.inbox.close(linger=0)
-    link.context.term()
--- a/bluebellhub/configuration/addresses.py
+++ b/bluebellhub/configuration/addresses.py
@@ -5,17 +5,11 @@
 
 from bluebellhub.errors import SettingsError
 
-__all__ = ['check_address', 'split_address']
+__all__ = ['check_address']
 
 PORT_MAX: Final = 65_535
 
 
-def split_address(address: str) -> tuple[str, int]:
-    """Split ``host:port``; the address has been checked before."""
-    host, _, port = address.rpartition(':')
-    return host.strip('[]'), int(port)
-
-
 def check_address(address: str, field: str) -> None:
     """Raise `SettingsError` unless the address is an IP number and port."""
     expected = 'an IP number and a port, such as 10.0.0.7:8100'
--- a/bluebellhub/records.py
+++ b/bluebellhub/records.py
@@ -13,7 +13,7 @@
 
 from bluebellhub.errors import SettingsError
 
-__all__ = ['read_record', 'write_record']
+__all__ = ['read_record']
 
 Record = TypeVar('Record')
 
@@ -70,8 +70,3 @@
 
 def _is_record(hint: Any) -> bool:
     return isinstance(hint, type) and hasattr(hint, '_field_defaults')
-
-
-def write_record(record: Any) -> dict[str, Any]:
-    """Return a record's fields as a mapping of built-in types."""
-    return msgspec.to_builtins(record._asdict())
--- a/bluebellhub/request/retry.py
+++ b/bluebellhub/request/retry.py
@@ -68,12 +68,6 @@
     return life.ask.idempotent
 
 
-@retry_rules.register('lease_lapsed')
-def retry_lapsed(life: Life) -> bool:
-    """The lease on a cold upstream lapsed while the request ran there."""
-    return life.ask.idempotent
-
-
 def may_retry(life: Life, failure: AttemptFailure, now_s: float) -> bool:
     """Tell whether the rules allow another attempt at ``now_s``.
 
