Close connections whose request was not read; name senders in messages

A dump of the hung daemon's tasks showed a connection without an application task and without an idle timer. The HTTP server reports the end of an answer and the loss of a caller by the same message, and the framework cancels the request's task at that message: the task was cancelled inside the server's own code after an answer, before it closed the connection (request body not read, as with a wrong key) or started the idle timer. The next request on that connection waited for ever, and idle connections were never closed. Ruled out: the scheduler (nothing queued), leases and peers (status was answered on new connections), keep-alive reuse as such (5,200 pairs of requests on a loaded machine without a hang). The log beside it showed a second fault: when a connection between VMs is replaced, the router socket renames the old one, and messages that still come over it were refused for their unreadable sender.

Change: HttpConnection cancels only when the answer is not complete; answers to requests with an unread body say Connection: close. Messages between VMs carry the sender in a frame of their own over push and pull sockets. A broken invariant in a handler is no longer counted as a bad message. Too large headers get a typed refusal. The daemon closes its sockets and pools. The HTTP server's settings left the stand-ins' package.

--- a/benchmarks/data_plane.py
+++ b/benchmarks/data_plane.py
@@ -21,7 +21,7 @@
 from bluebellhub.adapters.node import run_ticks
 from bluebellhub.contract import hash_key
 from bluebellhub.settings import parse_settings
-from bluebellhub.standins.serve import serve_app
+from bluebellhub.adapters.http_server import serve_app
 
 __all__ = ['main']
 
--- a/bluebellhub/adapters/connections.py
+++ b/bluebellhub/adapters/connections.py
@@ -10,6 +10,7 @@
 __all__ = [
     'Connections',
     'Pool',
+    'close_pools',
     'make_connections',
     'pool_for',
     'replace_silent',
@@ -55,6 +56,12 @@
     return Pool(client, {'users': 0, 'retired': False})
 
 
+async def close_pools(connections: Connections) -> None:
+    """Close the connections to all upstreams."""
+    for pool in connections.pools.values():
+        await pool.client.aclose()
+
+
 def pool_for(connections: Connections, spec: UpstreamSpec) -> Pool:
     """Return the upstream's pool; makes one at first use."""
     pool = connections.pools.get(spec.name)
--- a/bluebellhub/adapters/front_end.py
+++ b/bluebellhub/adapters/front_end.py
@@ -7,9 +7,12 @@
 
 import msgspec
 from quart import Response, request
-from quart_trio import QuartTrio
 
-from bluebellhub.adapters.bodies import read_body
+from bluebellhub.adapters.http_server import (
+    HttpApp,
+    make_http_app,
+    read_body,
+)
 from bluebellhub.adapters.chat import (
     DEFAULT_OUTPUT_TOKENS,
     engine_body,
@@ -38,6 +41,7 @@
 from bluebellhub.request import Ask, RefusalError, make_ask
 from bluebellhub.request.refusal import (
     BodyTooLargeError,
+    HeaderTooLargeError,
     UnauthenticatedError,
 )
 
@@ -63,9 +67,9 @@
     fleet: Fleet | None = None
 
 
-def make_app(front: FrontEnd) -> QuartTrio:
+def make_app(front: FrontEnd) -> HttpApp:
     """Create the application with its routes."""
-    app = QuartTrio('bluebellhub')
+    app = make_http_app('bluebellhub')
     limits = front.node.settings.limits
     app.config['MAX_CONTENT_LENGTH'] = limits.body_max_bytes
     app.config['BODY_TIMEOUT'] = None
@@ -75,7 +79,7 @@
     return app
 
 
-def _add_routes(app: QuartTrio, front: FrontEnd) -> None:
+def _add_routes(app: HttpApp, front: FrontEnd) -> None:
     @app.errorhandler(RefusalError)
     async def refuse(error: RefusalError) -> Response:
         return _refusal_response(front, error)
@@ -86,6 +90,15 @@
         refusal = BodyTooLargeError(f'expected at most {limit} bytes')
         return _refusal_response(front, refusal)
 
+    @app.before_request
+    async def check_header() -> None:
+        limit = front.node.settings.limits.header_max_bytes
+        size = sum(len(name) + len(text) for name, text in request.headers)
+        if size > limit:
+            raise HeaderTooLargeError(
+                f'got {size} bytes, expected at most {limit}'
+            )
+
     @app.post('/v1/chat/completions')
     async def chat() -> Response:
         return await _serve_chat(front)
@@ -98,7 +111,7 @@
         return await _serve_service(front, name, path)
 
 
-def _add_operations(app: QuartTrio, front: FrontEnd) -> None:
+def _add_operations(app: HttpApp, front: FrontEnd) -> None:
     flags = front.node.scheduler.flags
 
     @app.get('/health')
--- /dev/null
+++ b/bluebellhub/adapters/http_server.py
@@ -0,0 +1,121 @@
+"""The HTTP server under the front end and the stand-ins.
+
+A connection is used again only after its request has been read to the end;
+otherwise the answer says ``Connection: close`` and the server closes it.
+"""
+
+from typing import Any, Final
+
+import trio
+from hypercorn.config import Config
+from hypercorn.trio import serve
+from hypercorn.typing import (
+    ASGIReceiveCallable,
+    ASGISendCallable,
+    ASGISendEvent,
+)
+from quart import Request, Response, request
+from quart import g as request_globals
+from quart.asgi import ASGIHTTPConnection
+from quart_trio import QuartTrio
+from quart_trio.asgi import TrioASGIHTTPConnection
+
+__all__ = [
+    'HttpApp',
+    'make_config',
+    'make_http_app',
+    'read_body',
+    'serve_app',
+]
+
+KEEP_ALIVE_S: Final = 75.0
+GRACE_S: Final = 1.0
+HEADER_MAX_BYTES: Final = 65_536
+
+
+class HttpConnection(TrioASGIHTTPConnection):
+    """One request of a connection.
+
+    The server reports the end of an answer and the loss of its caller by
+    the same message.  Only the loss cancels the work: the end must reach
+    the code that makes the connection ready for the next request, closes
+    it, or starts its idle time.
+    """
+
+    async def __call__(
+        self, receive: ASGIReceiveCallable, send: ASGISendCallable
+    ) -> None:
+        """Serve the request and note when its answer is complete."""
+        self.is_answered = False
+
+        async def note(message: ASGISendEvent) -> None:
+            if message['type'] == 'http.response.body':
+                self.is_answered = not message['more_body']
+            await send(message)
+
+        await super().__call__(receive, note)
+
+    async def handle_messages(  # type: ignore[override]
+        self,
+        nursery: trio.Nursery,
+        request: Request,
+        receive: ASGIReceiveCallable,
+    ) -> None:
+        """Read the body; cancel the work if the caller goes away."""
+        await ASGIHTTPConnection.handle_messages(self, request, receive)
+        if not self.is_answered:
+            nursery.cancel_scope.cancel()
+
+
+class HttpApp(QuartTrio):
+    """An application whose connections survive their answers."""
+
+    asgi_http_class = HttpConnection
+
+
+def make_http_app(name: str) -> HttpApp:
+    """Create an application without routes."""
+    app = HttpApp(name)
+
+    @app.after_request
+    async def close_unread(response: Response) -> Response:
+        if _has_body() and not request_globals.get('is_body_read', False):
+            response.headers['Connection'] = 'close'
+        return response
+
+    return app
+
+
+def _has_body() -> bool:
+    chunked = 'Transfer-Encoding' in request.headers
+    return chunked or bool(request.content_length)
+
+
+async def read_body() -> bytes:
+    """Return the body of the request that is being served."""
+    raw = await request.get_data()
+    request_globals.is_body_read = True
+    return raw.encode() if isinstance(raw, str) else raw
+
+
+def make_config(address: str, keep_alive_s: float = KEEP_ALIVE_S) -> Config:
+    """Return a server configuration that logs nothing of its own."""
+    config = Config()
+    config.bind = [address]
+    config.h11_max_incomplete_size = HEADER_MAX_BYTES
+    config.accesslog = None
+    config.errorlog = None
+    config.graceful_timeout = GRACE_S
+    config.keep_alive_timeout = keep_alive_s
+    return config
+
+
+async def serve_app(
+    app: Any,
+    address: str,
+    keep_alive_s: float = KEEP_ALIVE_S,
+    **options: Any,
+) -> None:
+    """Serve ``app`` on an IP number and port until cancelled."""
+    config = make_config(address, keep_alive_s)
+    await serve(app, config, mode='asgi', **options)
--- a/bluebellhub/adapters/peer_link.py
+++ b/bluebellhub/adapters/peer_link.py
@@ -2,7 +2,8 @@
 
 Each VM receives on one socket and sends on one socket per peer.  A peer that
 stays silent gets a fresh connection, since the old one may be lost without
-either end knowing.
+either end knowing.  A message is two frames, the sender's name and the
+encoded message.
 """
 
 from collections import Counter
@@ -13,15 +14,23 @@
 import trio
 import zmq
 
-from bluebellhub.errors import HubError
+from bluebellhub.errors import HubError, InvariantError, PeerMessageError
 from bluebellhub.fleet import decode_message, encode_message
 
-__all__ = ['PeerLink', 'make_peer_link', 'receive_all', 'send', 'set_peer']
+__all__ = [
+    'PeerLink',
+    'close_link',
+    'make_peer_link',
+    'receive_all',
+    'send',
+    'set_peer',
+]
 
 QUEUED_MAX: Final = 1000
 HEARTBEAT_MS: Final = 1000
 HEARTBEAT_TIMEOUT_MS: Final = 3000
 MESSAGE_MAX_BYTES: Final = 4_194_304
+FRAME_COUNT: Final = 2
 
 log = logbook.Logger('bluebellhub.peers')
 Receiver = Callable[[str, object], None]
@@ -43,8 +52,7 @@
 ) -> PeerLink:
     """Listen on an IP number and port; the link knows no peer yet."""
     context = zmq.Context(io_threads=1)
-    inbox = context.socket(zmq.ROUTER)
-    inbox.setsockopt(zmq.ROUTER_HANDOVER, 1)
+    inbox = context.socket(zmq.PULL)
     inbox.setsockopt(zmq.MAXMSGSIZE, MESSAGE_MAX_BYTES)
     inbox.setsockopt(zmq.RCVHWM, QUEUED_MAX)
     inbox.setsockopt(zmq.LINGER, 0)
@@ -65,8 +73,7 @@
     old = link.outboxes.pop(name, None)
     if old is not None:
         old.close(linger=0)
-    outbox = link.context.socket(zmq.DEALER)
-    outbox.setsockopt(zmq.IDENTITY, link.name.encode())
+    outbox = link.context.socket(zmq.PUSH)
     outbox.setsockopt(zmq.SNDHWM, QUEUED_MAX)
     outbox.setsockopt(zmq.LINGER, 0)
     outbox.setsockopt(zmq.HEARTBEAT_IVL, HEARTBEAT_MS)
@@ -75,6 +82,11 @@
     link.outboxes[name] = outbox
 
 
+def close_link(link: PeerLink) -> None:
+    """Close all sockets; what has not been sent is dropped."""
+    link.context.destroy(linger=0)
+
+
 def send(link: PeerLink, to: str, message: object) -> None:
     """Send without waiting; a message that finds no room is dropped."""
     outbox = link.outboxes.get(to)
@@ -82,12 +94,12 @@
         return
     encoded = encode_message(message)
     try:
-        outbox.send(encoded, zmq.NOBLOCK)
+        outbox.send_multipart([link.name.encode(), encoded], zmq.NOBLOCK)
     except zmq.Again:
         link.counters['peer_messages', 'dropped'] += 1
         return
     link.counters['peer_messages', 'sent'] += 1
-    link.counters['peer_bytes', 'sent'] += len(encoded)
+    link.counters['peer_bytes', 'sent'] += len(encoded) + len(link.name)
 
 
 async def receive_all(link: PeerLink, receive: Receiver) -> None:
@@ -105,11 +117,23 @@
 
 
 def _receive_one(link: PeerLink, receive: Receiver) -> None:
-    sender, encoded = link.inbox.recv_multipart(zmq.NOBLOCK)
+    frames = link.inbox.recv_multipart(zmq.NOBLOCK)
     link.counters['peer_messages', 'received'] += 1
-    link.counters['peer_bytes', 'received'] += len(encoded)
+    link.counters['peer_bytes', 'received'] += sum(map(len, frames))
     try:
-        receive(sender.decode(), decode_message(encoded))
+        receive(*_open(frames))
+    except InvariantError:
+        raise
     except (HubError, UnicodeDecodeError) as error:
         link.counters['peer_messages', 'refused'] += 1
-        log.warning('message from {!r}: {}', sender, error)
+        log.warning('message of {} frames: {}', len(frames), error)
+
+
+def _open(frames: list[bytes]) -> tuple[str, object]:
+    """Return the sender and the message; raises `PeerMessageError`."""
+    if len(frames) != FRAME_COUNT:
+        raise PeerMessageError(
+            f'got {len(frames)} frames, expected {FRAME_COUNT}'
+        )
+    sender, encoded = frames
+    return sender.decode(), decode_message(encoded)
--- a/bluebellhub/daemon.py
+++ b/bluebellhub/daemon.py
@@ -11,15 +11,17 @@
 from hypercorn.trio import serve
 
 from bluebellhub.adapters.assembly import Assembly, assemble
+from bluebellhub.adapters.connections import close_pools
 from bluebellhub.adapters.fleet_runner import run_fleet
 from bluebellhub.adapters.front_end import make_app
 from bluebellhub.adapters.loads import poll_loads
 from bluebellhub.adapters.node import run_ticks
+from bluebellhub.adapters.peer_link import close_link
 from bluebellhub.errors import HubError
 from bluebellhub.invariants import make_fatal
 from bluebellhub.logs import set_up_logs
 from bluebellhub.settings import Settings, load_settings
-from bluebellhub.standins.serve import make_config
+from bluebellhub.adapters.http_server import make_config
 
 __all__ = ['main', 'run_daemon']
 
@@ -41,12 +43,21 @@
         nursery.start_soon(_await_signal, assembly, shutdown)
         await _serve(assembly, shutdown)
         nursery.cancel_scope.cancel()
+    await _close(assembly)
     log.info('{} stopped', settings.vm)
 
 
+async def _close(assembly: Assembly) -> None:
+    """Close the connections to upstreams, the platform and other VMs."""
+    await close_pools(assembly.node.connections)
+    if assembly.runner is not None:
+        await assembly.runner.platform.client.aclose()
+        close_link(assembly.runner.link)
+
+
 async def _serve(assembly: Assembly, shutdown: trio.Event) -> None:
     settings = assembly.node.settings
-    config = make_config(settings.listen, settings.limits.header_max_bytes)
+    config = make_config(settings.listen)
     config.graceful_timeout = settings.limits.drain_s
     log.info('{} listens on {}', settings.vm, settings.listen)
     await serve(
--- a/bluebellhub/request/refusal.py
+++ b/bluebellhub/request/refusal.py
@@ -17,6 +17,7 @@
     'ConcurrencyLimitError',
     'DeadlineError',
     'DrainingError',
+    'HeaderTooLargeError',
     'IsolatedError',
     'KeyReuseError',
     'LedgerUnavailableError',
@@ -83,6 +84,11 @@
     """The body is larger than the limit in the settings."""
 
 
+@_reason('header_too_large', 431)
+class HeaderTooLargeError(RefusalError):
+    """The header is larger than the limit in the settings."""
+
+
 @_reason('unauthenticated', 401)
 class UnauthenticatedError(RefusalError):
     """The key belongs to no client account."""
--- a/bluebellhub/standins/engine_server.py
+++ b/bluebellhub/standins/engine_server.py
@@ -12,9 +12,8 @@
 import msgspec
 import trio
 from quart import Response, request
-from quart_trio import QuartTrio
 
-from bluebellhub.adapters.bodies import read_body
+from bluebellhub.adapters.http_server import HttpApp, make_http_app, read_body
 from bluebellhub.adapters.chat import parse_chat, prompt_size
 from bluebellhub.standins.engine_model import (
     Emission,
@@ -96,9 +95,9 @@
         cancel(server.engine, emission.job_id)
 
 
-def make_engine_app(server: EngineServer) -> QuartTrio:
+def make_engine_app(server: EngineServer) -> HttpApp:
     """Create the application around a server."""
-    app = QuartTrio('engine')
+    app = make_http_app('engine')
     app.config['RESPONSE_TIMEOUT'] = None
     _add_answers(app, server)
     _add_state(app, server)
@@ -112,7 +111,7 @@
     return Job(job_id, 'default', tokens, output, blocks, offset)
 
 
-def _add_answers(app: QuartTrio, server: EngineServer) -> None:
+def _add_answers(app: HttpApp, server: EngineServer) -> None:
     @app.post('/v1/chat/completions')
     async def answer() -> Response:
         job_id = request.headers['X-Request-Id']
@@ -201,7 +200,7 @@
     return b'%s%s\n\n%s[DONE]\n\n' % (end, usage, end)
 
 
-def _add_state(app: QuartTrio, server: EngineServer) -> None:
+def _add_state(app: HttpApp, server: EngineServer) -> None:
     @app.get('/v1/load')
     async def load() -> Response:
         now_s = trio.current_time()
--- a/bluebellhub/standins/main.py
+++ b/bluebellhub/standins/main.py
@@ -15,7 +15,7 @@
 )
 from bluebellhub.standins.platform_model import make_platform_model
 from bluebellhub.standins.platform_server import make_platform_app
-from bluebellhub.standins.serve import serve_app
+from bluebellhub.adapters.http_server import serve_app
 from bluebellhub.standins.service_server import make_service_app
 
 __all__ = ['main', 'standins']
--- a/bluebellhub/standins/platform_server.py
+++ b/bluebellhub/standins/platform_server.py
@@ -6,9 +6,8 @@
 import msgspec
 import trio
 from quart import Response, request
-from quart_trio import QuartTrio
 
-from bluebellhub.adapters.bodies import read_body
+from bluebellhub.adapters.http_server import HttpApp, make_http_app, read_body
 from bluebellhub.adapters.platform import VmEntry
 from bluebellhub.configuration import StoredObject
 from bluebellhub.errors import ConflictError, ObjectError
@@ -31,16 +30,16 @@
     return Response(encoded, status, content_type='application/json')
 
 
-def make_platform_app(model: PlatformModel) -> QuartTrio:
+def make_platform_app(model: PlatformModel) -> HttpApp:
     """Create the application around a model."""
-    app = QuartTrio('platform')
+    app = make_http_app('platform')
     _add_faults(app, model)
     _add_objects(app, model)
     _add_lists(app, model)
     return app
 
 
-def _add_faults(app: QuartTrio, model: PlatformModel) -> None:
+def _add_faults(app: HttpApp, model: PlatformModel) -> None:
     @app.before_request
     async def delay() -> Response | None:
         if request.path == '/control':
@@ -78,7 +77,7 @@
     return _json(stored)
 
 
-def _add_objects(app: QuartTrio, model: PlatformModel) -> None:
+def _add_objects(app: HttpApp, model: PlatformModel) -> None:
     @app.get('/v1/objects/<kind>/<name>')
     async def get(kind: str, name: str) -> Response:
         stored = read_object(model, kind, name)
@@ -94,7 +93,7 @@
         return _write(model, kind, name, None)
 
 
-def _add_lists(app: QuartTrio, model: PlatformModel) -> None:
+def _add_lists(app: HttpApp, model: PlatformModel) -> None:
     @app.get('/v1/objects/<kind>')
     async def list_kind(kind: str) -> Response:
         found: list[StoredObject] = [
--- a/bluebellhub/standins/service_server.py
+++ b/bluebellhub/standins/service_server.py
@@ -5,16 +5,15 @@
 import msgspec
 import trio
 from quart import Response
-from quart_trio import QuartTrio
 
-from bluebellhub.adapters.bodies import read_body
+from bluebellhub.adapters.http_server import HttpApp, make_http_app, read_body
 
 __all__ = ['make_service_app']
 
 
-def make_service_app(runs: Counter[str], delay_s: float = 0.0) -> QuartTrio:
+def make_service_app(runs: Counter[str], delay_s: float = 0.0) -> HttpApp:
     """Create the service; ``runs`` counts the bookings by their body."""
-    app = QuartTrio('bookings')
+    app = make_http_app('bookings')
 
     @app.post('/bookings')
     async def book() -> Response:
--- a/features/callers.feature
+++ b/features/callers.feature
@@ -19,10 +19,19 @@
       | a wrong key                | 401    | unauthenticated |
       | a body that is not JSON    | 400    | bad_request     |
       | a body that is too large   | 413    | body_too_large  |
+      | a header that is too large | 431    | header_too_large |
       | an unknown model           | 403    | not_allowed     |
       | a tier of another contract | 403    | not_allowed     |
       | a prompt that is too long  | 400    | too_many_tokens |
 
+  Scenario: A connection serves again after a refusal
+    When one connection carries a wrong key and then a question
+    Then the answer has all 12 tokens in order
+
+  Scenario: A caller that goes away frees its place
+    When a caller leaves hub 1 in the middle of a long answer
+    Then no hub and no engine has work in progress
+
   Scenario: A booking with one key at two hubs
     When account "yard" books "ladder 7" with key "k1" at hubs 0, 1 and 2 at once
     Then the booking "ladder 7" ran once
@@ -47,3 +56,4 @@
       | fault          |
       | cut            |
       | crossed        |
+      | stalled        |
--- a/features/steps/caller_steps.py
+++ b/features/steps/caller_steps.py
@@ -7,10 +7,20 @@
 from behave import given, then, when
 
 from features.processes import wait_until
-from features.steps.calls import MODEL, book, chat, post, tokens_of
+from features.steps.calls import (
+    MODEL,
+    book,
+    chat,
+    chat_body,
+    post,
+    retry,
+    tokens_of,
+)
 
 PATH = '/v1/chat/completions'
 LARGE_BYTES = 2_000_000
+LARGE_HEADER_BYTES = 20_000
+LONG_TOKENS = 400
 UPSTREAMS = 4
 MESSAGES = [{'role': 'user', 'content': 'hi'}]
 
@@ -18,6 +28,10 @@
     'a wrong key': {'account': 'nobody', 'json': {}},
     'a body that is not JSON': {'content': b'{'},
     'a body that is too large': {'content': b'x' * LARGE_BYTES},
+    'a header that is too large': {
+        'json': {},
+        'headers': {'X-Note': 'x' * LARGE_HEADER_BYTES},
+    },
     'an unknown model': {'json': {'model': 'x', 'messages': MESSAGES}},
     'a tier of another contract': {
         'account': 'small',
@@ -32,7 +46,11 @@
         },
     },
 }
-FAULTS = {'cut': {'cut_after': 4}, 'crossed': {'crossed': True}}
+FAULTS = {
+    'cut': {'cut_after': 4},
+    'crossed': {'crossed': True},
+    'stalled': {'stall_after': 4},
+}
 
 
 @when(
@@ -58,6 +76,47 @@
     context.answer = post(context.site.hubs[0], PATH, account, **options)
 
 
+@when('one connection carries a wrong key and then a question')
+def send_after_refusal(context):
+    hub = context.site.hubs[0]
+    with httpx.Client(base_url=f'http://{hub}', timeout=30.0) as client:
+        refused = client.post(PATH, json=chat_body(12))
+        assert refused.status_code == 401, refused.text
+        key = {'Authorization': 'Bearer yard.orchard'}
+        context.answer = retry(
+            lambda: client.post(PATH, json=chat_body(12), headers=key)
+        )
+
+
+@when('a caller leaves hub {hub:d} in the middle of a long answer')
+def leave_hub(context, hub):
+    url = f'http://{context.site.hubs[hub]}{PATH}'
+    options = {
+        'json': chat_body(LONG_TOKENS, stream=True),
+        'headers': {'Authorization': 'Bearer yard.orchard'},
+    }
+    with httpx.stream('POST', url, **options) as answer:
+        assert answer.status_code == 200
+        assert 'tok' in next(answer.iter_text())
+
+
+@then('no hub and no engine has work in progress')
+def check_idle(context):
+    for hub in context.site.hubs:
+        wait_until(partial(_is_idle, hub))
+    for engine in context.site.engines:
+        wait_until(partial(_is_engine_idle, engine))
+
+
+def _is_idle(hub):
+    return httpx.get(f'http://{hub}/status').json()['in_progress'] == 0
+
+
+def _is_engine_idle(engine):
+    load = httpx.get(f'http://{engine}/v1/load').json()
+    return load['running'] == 0
+
+
 @then('the refusal has status {status:d}, reason "{reason}" and run "{run}"')
 def check_refusal(context, status, reason, run):
     error = context.answer.json()['error']
--- a/features/steps/calls.py
+++ b/features/steps/calls.py
@@ -6,7 +6,7 @@
 
 import httpx
 
-__all__ = ['book', 'chat', 'post', 'retry', 'tokens_of']
+__all__ = ['book', 'chat', 'chat_body', 'post', 'retry', 'tokens_of']
 
 TIMEOUT_S = 30.0
 UNAVAILABLE = 503
@@ -35,16 +35,21 @@
     return answer
 
 
-def chat(hub: str, tokens: int, account: str = 'yard', **fields: Any):
-    """Ask for a completion of so many tokens."""
-    tier = fields.pop('tier', 'check')
-    text = fields.pop('text', 'Is a ladder free?')
-    body = {
+def chat_body(tokens: int, text: str = 'Is a ladder free?', **fields: Any):
+    """Return the body of a request for so many tokens."""
+    message = {'role': 'user', 'content': text}
+    return {
         'model': MODEL,
-        'messages': [{'role': 'user', 'content': text}],
+        'messages': [message],
         'max_tokens': tokens,
         **fields,
     }
+
+
+def chat(hub: str, tokens: int, account: str = 'yard', **fields: Any):
+    """Ask for a completion of so many tokens."""
+    tier = fields.pop('tier', 'check')
+    body = chat_body(tokens, **fields)
     path = '/v1/chat/completions'
     headers = {'X-Tier': tier}
     return retry(lambda: post(hub, path, account, json=body, headers=headers))
