Withdraw work from cold upstreams when the window's owner is not heard

Cause: a lease stops new work only. The owner of a cold window counted a VM's running work for 3 s after it last heard that VM, at the amount last reported, and then lent the slots to others while the streams went on. A VM that was cut off could also have started work after its last report, which the owner forgot when the lease expired. A test in virtual time saw 3 requests in a window of 2. Ruled out: lengthening the lease term (the 3 s bound on new work), counting until the VM is known to be gone (blocks a cold window during a cut).

Change: a holder whose renewals got no answer for 2.7 s cancels idempotent work at cold upstreams and queues it again (retry reason lease_lapsed). For strict budgets the owner counts a grant for 3.0 s, and a new owner stays silent until work under the former owner's leases has ended.

Before: 2 of 3 faults of the new test fail without the withdrawal, 1 of 3 without the longer count.

--- a/bluebellhub/budget/__init__.py
+++ b/bluebellhub/budget/__init__.py
@@ -9,11 +9,13 @@
     Holder,
     amount_held,
     begin_renewal,
+    last_heard_s,
     make_holder,
     revoke,
     take_grant,
 )
 from bluebellhub.budget.lease import (
+    IN_USE_KEPT_S,
     RENEW_S,
     TERM_S,
     Grant,
@@ -32,6 +34,7 @@
 )
 
 __all__ = [
+    'IN_USE_KEPT_S',
     'RENEW_S',
     'TERM_S',
     'Budget',
@@ -47,6 +50,7 @@
     'divisions',
     'grant',
     'holders_above_share',
+    'last_heard_s',
     'make_budget',
     'make_holder',
     'outstanding',
--- a/bluebellhub/budget/holder.py
+++ b/bluebellhub/budget/holder.py
@@ -9,6 +9,7 @@
     'Holder',
     'amount_held',
     'begin_renewal',
+    'last_heard_s',
     'make_holder',
     'revoke',
     'take_grant',
@@ -101,5 +102,13 @@
 
 
 def revoke(holder: Holder, key: str) -> None:
-    """Give up a lease at once."""
-    holder.leases.pop(key, None)
+    """Give up a lease at once; keeps when its owner was last heard."""
+    lease = holder.leases.get(key)
+    if lease is not None:
+        holder.leases[key] = lease._replace(amount=0.0)
+
+
+def last_heard_s(holder: Holder, key: str) -> float:
+    """Return when the last answered renewal was sent; 0 before the first."""
+    lease = holder.leases.get(key)
+    return lease.asked_at_s if lease else 0.0
--- a/bluebellhub/budget/lease.py
+++ b/bluebellhub/budget/lease.py
@@ -3,6 +3,7 @@
 from typing import Final, NamedTuple
 
 __all__ = [
+    'IN_USE_KEPT_S',
     'RENEW_S',
     'TERM_S',
     'Grant',
@@ -13,6 +14,7 @@
 
 RENEW_S: Final = 0.5
 TERM_S: Final = 1.6
+IN_USE_KEPT_S: Final = 3.0
 CLOCK_DRIFT_RATIO: Final = 1.01
 
 
--- a/bluebellhub/budget/owner.py
+++ b/bluebellhub/budget/owner.py
@@ -5,6 +5,7 @@
 from bluebellhub.budget.division import Demand, divide
 from bluebellhub.budget.lease import (
     CLOCK_DRIFT_RATIO,
+    IN_USE_KEPT_S,
     TERM_S,
     Grant,
     Renewal,
@@ -21,7 +22,6 @@
     'stay_silent',
 ]
 
-DEMAND_KEPT_S: Final = 3.0
 EPSILON: Final = 1e-6
 FOREIGN_NUMBER: Final = 2**62
 
@@ -47,7 +47,8 @@
 
     ``lent`` holds by holder every grant that it may still use.  While the
     owner is silent, until ``silent_until_s``, it grants nothing: a former
-    owner's leases may still be in use.
+    owner's leases may still be in use.  A grant counts as in use for
+    ``kept_s`` seconds unless its holder tells otherwise.
     """
 
     key: str
@@ -56,6 +57,7 @@
     lent: dict[str, tuple[Lent, ...]]
     asked: dict[str, Asked]
     silent_until_s: float = 0.0
+    kept_s: float = TERM_S
 
 
 def make_budget(key: str, division: str, limit: float) -> Budget:
@@ -63,9 +65,16 @@
     return Budget(key, division, limit, {}, {})
 
 
-def set_limit(budget: Budget, limit: float) -> Budget:
-    """Change the limit; leases above a smaller one run out by themselves."""
-    return budget._replace(limit=limit)
+def set_limit(
+    budget: Budget, limit: float, *, is_strict: bool = False
+) -> Budget:
+    """Change the limit; leases above a smaller one run out by themselves.
+
+    A strict budget also counts the work that was started under a lease and
+    goes on after its end, until the holder has withdrawn it.
+    """
+    kept_s = IN_USE_KEPT_S if is_strict else TERM_S
+    return budget._replace(limit=limit, kept_s=kept_s)
 
 
 def stay_silent(budget: Budget, until_s: float) -> Budget:
@@ -86,7 +95,7 @@
     lent = budget.lent.get(holder, ())
     amounts = [entry.amount for entry in lent if now_s < entry.until_s]
     asked = budget.asked.get(holder)
-    if asked is not None and now_s - asked.at_s < DEMAND_KEPT_S:
+    if asked is not None and now_s - asked.at_s < IN_USE_KEPT_S:
         amounts.append(asked.demand.in_use)
     return max(amounts, default=0.0)
 
@@ -126,7 +135,7 @@
         note_held(budget, holder, renewal, now_s)
         return None
     amount = _affordable(budget, holder, now_s)
-    until_s = now_s + TERM_S * CLOCK_DRIFT_RATIO
+    until_s = now_s + budget.kept_s * CLOCK_DRIFT_RATIO
     entries = budget.lent.get(holder, ())
     budget.lent[holder] = (*entries, Lent(number, amount, until_s))
     others_tokens = sum(
@@ -200,7 +209,7 @@
 
 def _shares(budget: Budget, now_s: float) -> dict[str, float]:
     for name, asked in list(budget.asked.items()):
-        if now_s - asked.at_s > DEMAND_KEPT_S:
+        if now_s - asked.at_s > IN_USE_KEPT_S:
             budget.asked.pop(name)
     demands = {name: asked.demand for name, asked in budget.asked.items()}
     return divide(budget.division, budget.key, budget.limit, demands)
--- a/bluebellhub/fleet/budget_kinds.py
+++ b/bluebellhub/fleet/budget_kinds.py
@@ -9,7 +9,7 @@
     set_limit,
     stay_silent,
 )
-from bluebellhub.budget.lease import CLOCK_DRIFT_RATIO, TERM_S
+from bluebellhub.budget.lease import CLOCK_DRIFT_RATIO, IN_USE_KEPT_S, TERM_S
 from bluebellhub.failure_domain import ramp_share
 from bluebellhub.fleet.state import Fleet
 from bluebellhub.membership import successors_settled
@@ -27,7 +27,7 @@
     """How a kind of budget is divided and limited.
 
     A strict budget is not granted by a new owner before the former owner's
-    leases have expired.
+    leases have expired and the work under them has been withdrawn.
     """
 
     division: str
@@ -118,7 +118,9 @@
         budget = _take_over(fleet, kind, key, name, now_s)
         if budget is None:
             return None
-    budget = set_limit(budget, limit_of(fleet, key, now_s))
+    limit = limit_of(fleet, key, now_s)
+    is_strict = kind.strict(fleet, name)
+    budget = set_limit(budget, limit, is_strict=is_strict)
     fleet.budgets[key] = budget
     return budget
 
@@ -132,7 +134,9 @@
     if stopped_s is None:
         return None if strict else stay_silent(budget, now_s + LISTEN_S)
     started_s = fleet.members.state['started_at_s']
-    lapsed_s = max(stopped_s, started_s) + TERM_S * CLOCK_DRIFT_RATIO
+    unheard_s = max(stopped_s, started_s)
     if strict:
-        return stay_silent(budget, lapsed_s)
+        ended_s = unheard_s + IN_USE_KEPT_S * CLOCK_DRIFT_RATIO
+        return stay_silent(budget, ended_s)
+    lapsed_s = unheard_s + TERM_S * CLOCK_DRIFT_RATIO
     return stay_silent(budget, min(lapsed_s, now_s + LISTEN_S))
--- a/bluebellhub/fleet/duties.py
+++ b/bluebellhub/fleet/duties.py
@@ -3,7 +3,7 @@
 from collections.abc import Callable
 from typing import Final, NamedTuple
 
-from bluebellhub.budget import RENEW_S
+from bluebellhub.budget import RENEW_S, last_heard_s
 from bluebellhub.fleet.floors import apply_floors, wanted_floors
 from bluebellhub.fleet.leases import renew
 from bluebellhub.fleet.messages import Outgoing, StoreRead, StoreWrite
@@ -24,6 +24,7 @@
 
 HEARTBEAT_S: Final = 0.4
 CHECK_S: Final = 0.2
+WITHDRAW_S: Final = 2.7
 STARVED_S: Final = 0.1
 STORE_CHECK_S: Final = 0.8
 SLOW_CHECK_S: Final = 5.0
@@ -109,6 +110,17 @@
     apply_floors(fleet, now_s)
 
 
+@_every('withdrawal', CHECK_S)
+def mark_lapsed(fleet: Fleet, now_s: float) -> None:
+    """Mark cold upstreams whose owner has not answered for too long."""
+    scheduler = fleet.scheduler
+    for name, upstream in scheduler.upstreams.items():
+        heard_s = last_heard_s(fleet.holder, f'window:{name}')
+        is_unheard = now_s - heard_s > WITHDRAW_S
+        if upstream.work and is_unheard and upstream.window.phase == 'cold':
+            scheduler.lapsed.add(name)
+
+
 @_every('renewal', RENEW_S)
 def renew_leases(fleet: Fleet, now_s: float) -> None:
     """Renew the leases; report evidence on moves."""
--- a/bluebellhub/fleet/tests/test_fleet.py
+++ b/bluebellhub/fleet/tests/test_fleet.py
@@ -2,6 +2,7 @@
 
 import pytest
 
+from bluebellhub.contract import AccountLimits, find_tier
 from bluebellhub.errors import ConflictError
 from bluebellhub.fleet.tests.small_fleet import (
     cut_off,
@@ -12,6 +13,8 @@
     total_leased,
 )
 from bluebellhub.membership import owner_of
+from bluebellhub.request import make_ask
+from bluebellhub.scheduler import submit, tick
 from bluebellhub.standins.platform_model import read_object, write_object
 from bluebellhub.standins.virtual_fleet import kill_vm, operate, pause_vm
 
@@ -176,6 +179,59 @@
     assert sum(alive.values()) == 2
 
 
+@pytest.mark.parametrize(
+    ('kills_owner', 'cuts'),
+    [
+        (False, ['owner']),
+        (False, ['holder']),
+        (False, ['owner', 'holder']),
+        (True, []),
+        (True, ['holder']),
+    ],
+)
+def test_a_cold_upstream_bears_the_work_of_vms_that_lost_touch(
+    kills_owner, cuts
+):
+    """Running work counts too, also that of a VM that nobody hears."""
+    virtual = start_fleet(upstreams=1)
+    owner = _owner(virtual, 'window:u0')
+    _ask_everywhere(virtual, 0)
+    assert _running(virtual, 'u0') == 2
+    holder = next(
+        name
+        for name, fleet in virtual.fleets.items()
+        if fleet.scheduler.upstreams['u0'].work and name != owner
+    )
+    if kills_owner:
+        kill_vm(virtual, owner)
+    for role in cuts:
+        cut_off(virtual, owner if role == 'owner' else holder)
+    for step in range(200):
+        _ask_everywhere(virtual, step + 1)
+        assert _running(virtual, 'u0') <= 2
+    assert _running(virtual, 'u0') == 2
+
+
+def _ask_everywhere(virtual, step):
+    """Submit a request at every VM, and let 0.1 s pass."""
+    later(virtual, 0.1)
+    now_s = virtual.clock.state['now_s']
+    for name, fleet in virtual.fleets.items():
+        if virtual.states[name]['alive']:
+            fields = {'prompt_tokens': 10, 'arrived_at_s': now_s}
+            ask = make_ask(f'{name}-{step}', find_tier('plan'), 'm', **fields)
+            submit(fleet.scheduler, ask, AccountLimits(1e6, 10**6), now_s)
+            tick(fleet.scheduler, now_s)
+
+
+def _running(virtual, upstream):
+    return sum(
+        len(fleet.scheduler.upstreams[upstream].work)
+        for name, fleet in virtual.fleets.items()
+        if virtual.states[name]['alive']
+    )
+
+
 def test_a_vm_that_hears_nobody_refuses_new_work():
     virtual = start_fleet()
     cut_off(virtual, 'hub-3')
--- a/bluebellhub/scheduler/dispatch.py
+++ b/bluebellhub/scheduler/dispatch.py
@@ -7,9 +7,8 @@
 from bluebellhub.routing import Candidate, learn, policies
 from bluebellhub.scheduler.candidate import make_candidate
 from bluebellhub.scheduler.events import Dispatch, Event
-from bluebellhub.scheduler.finish import leave_upstream
 from bluebellhub.scheduler.gates import is_eligible
-from bluebellhub.scheduler.preemption import find_victim, lacks_slots, requeue
+from bluebellhub.scheduler.preemption import find_victim, lacks_slots
 from bluebellhub.scheduler.room import has_room, prefer_clear
 from bluebellhub.scheduler.state import (
     Scheduler,
@@ -17,6 +16,7 @@
     signals_of,
     upstreams_for,
 )
+from bluebellhub.scheduler.withdrawal import move_back
 from bluebellhub.upstream import add_work
 from bluebellhub.version_move.gate import count_dispatch
 
@@ -122,8 +122,7 @@
     if victim is None:
         return False
     freed = victim.attempt
-    requeue(scheduler, events, victim)
-    leave_upstream(scheduler, victim)
+    move_back(scheduler, events, victim)
     scheduler.counters['preemptions', victim.ask.tier.name] += 1
     upstream = scheduler.upstreams[freed.upstream] if freed else None
     if upstream is None:
--- a/bluebellhub/scheduler/preemption.py
+++ b/bluebellhub/scheduler/preemption.py
@@ -3,16 +3,13 @@
 from collections.abc import Iterator
 from typing import NamedTuple
 
-from bluebellhub.admission import put
 from bluebellhub.request import Ask, Life
-from bluebellhub.scheduler.entry import make_waiting
-from bluebellhub.scheduler.events import Cancel, Event
 from bluebellhub.scheduler.gates import is_eligible
 from bluebellhub.scheduler.room import usable_slots
-from bluebellhub.scheduler.state import Scheduler, queue_of, upstreams_for
+from bluebellhub.scheduler.state import Scheduler, upstreams_for
 from bluebellhub.upstream import Upstream, Work
 
-__all__ = ['find_victim', 'lacks_slots', 'requeue']
+__all__ = ['find_victim', 'lacks_slots']
 
 
 class Victim(NamedTuple):
@@ -68,15 +65,3 @@
 def _loss_order(victim: Victim) -> tuple[int, bool, float]:
     work = victim.work
     return work.rank, not work.prefilled, work.sent_at_s
-
-
-def requeue(scheduler: Scheduler, events: list[Event], victim: Life) -> None:
-    """Cancel the victim's attempt and put the request back in the queue."""
-    attempt = victim.attempt
-    if attempt is None:
-        return
-    events.append(
-        Cancel(victim.ask.request_id, attempt.upstream, victim.attempts)
-    )
-    queue = queue_of(scheduler, victim.ask.target)
-    put(queue, make_waiting(scheduler, victim))
--- a/bluebellhub/scheduler/shedding.py
+++ b/bluebellhub/scheduler/shedding.py
@@ -21,6 +21,7 @@
 from bluebellhub.scheduler.gates import is_eligible
 from bluebellhub.scheduler.room import usable_slots
 from bluebellhub.scheduler.state import Scheduler, queue_of, upstreams_for
+from bluebellhub.scheduler.withdrawal import withdraw_lapsed
 
 __all__ = ['may_shed', 'shed', 'tick', 'total_slots']
 
@@ -90,8 +91,9 @@
 
 
 def tick(scheduler: Scheduler, now_s: float) -> list[Event]:
-    """Refuse requests that cannot be answered in time; then dispatch."""
+    """Withdraw and refuse what cannot go on here; then dispatch."""
     events: list[Event] = []
+    withdraw_lapsed(scheduler, events)
     for target, queue in scheduler.queues.items():
         _apply_floor(scheduler, events, target)
         for rank in ranks(queue):
--- a/bluebellhub/scheduler/state.py
+++ b/bluebellhub/scheduler/state.py
@@ -75,7 +75,8 @@
     ``floors`` holds, by target, the lowest tier rank that is admitted now;
     ``floors_wanted`` the ranks that this VM needs to shed and until when,
     and ``floors_agreed`` the ranks that all live VMs have agreed to;
-    ``clear_shares`` the ratio of upstreams kept free of long prefill.
+    ``clear_shares`` the ratio of upstreams kept free of long prefill, and
+    ``lapsed`` the cold upstreams at which running work must end.
     """
 
     plan: Plan
@@ -99,6 +100,7 @@
     floors_wanted: dict[str, tuple[int, float]]
     floors_agreed: dict[str, int]
     clear_shares: dict[str, float]
+    lapsed: set[str]
     counters: Counter[tuple[str, str]]
 
 
@@ -134,6 +136,7 @@
         floors_wanted={},
         floors_agreed={},
         clear_shares={},
+        lapsed=set(),
         counters=Counter(),
     )
 
--- a/bluebellhub/scheduler/tests/test_scheduler.py
+++ b/bluebellhub/scheduler/tests/test_scheduler.py
@@ -282,3 +282,23 @@
     for number in range(24):
         _submit(scheduler, f'r{number}')
     assert len(scheduler.upstreams['u0'].work) <= 1
+
+
+@pytest.mark.parametrize(
+    ('idempotent', 'kinds', 'left'),
+    [(True, [Cancel, Dispatch], []), (False, [], ['a'])],
+)
+def test_work_leaves_an_upstream_whose_lease_has_lapsed(
+    idempotent, kinds, left
+):
+    scheduler = _scheduler(upstreams=2)
+    first = _submit(scheduler, 'a', idempotent=idempotent)[0].upstream
+    request_sent(scheduler, 'a')
+    scheduler.domains_out.add(scheduler.upstreams[first].spec.failure_domain)
+    scheduler.lapsed.add(first)
+    events = tick(scheduler, 0.1)
+    assert _kinds(events) == kinds
+    assert list(scheduler.upstreams[first].work) == left
+    assert not scheduler.lapsed
+    counted = scheduler.counters['retries', 'lease_lapsed']
+    assert counted == len(kinds) / 2
