Add watch to the tool's nouns

Cause: an operator could wait for one change but not follow changes.

Weighed: the store's own watch, which carries configuration only, not the standing of moves and changes.

Before: no such verbs.

--- a/bluebellhub/cli/commands.py
+++ b/bluebellhub/cli/commands.py
@@ -11,10 +11,14 @@
 
 
 class Table(NamedTuple):
-    """A command's result: rows of named cells, and an exit status."""
+    """A command's result: rows of named cells, and an exit status.
+
+    ``is_printed`` tells that the command printed its rows as they came.
+    """
 
     rows: list[dict[str, Any]]
     status: int = 0
+    is_printed: bool = False
 
 
 Run = Callable[[Platform, argparse.Namespace], Awaitable[Table]]
--- a/bluebellhub/cli/main.py
+++ b/bluebellhub/cli/main.py
@@ -4,6 +4,7 @@
 import json
 import os
 import sys
+from functools import partial
 from pathlib import Path
 from typing import Any
 
@@ -21,6 +22,7 @@
 
 COMMAND_MODULES = (moves, objects, status)
 FLAG_PREFIX = 'opt_'
+EXIT_INTERRUPTED = 130
 
 
 def make_parser() -> argparse.ArgumentParser:
@@ -82,15 +84,25 @@
         print('none')
 
 
+def _emit(row: dict[str, Any], *, as_json: bool) -> None:
+    """Print one row at once, on a line of its own."""
+    cells = (f'{name}={cell}' for name, cell in row.items())
+    print(json.dumps(row) if as_json else ' '.join(cells), flush=True)
+
+
 def main(argv: list[str] | None = None) -> None:
     """Run one command and exit with its status."""
     args = make_parser().parse_args(argv)
+    args.emit = partial(_emit, as_json=args.json)
     try:
         table = trio.run(_run, args)
+    except KeyboardInterrupt:
+        sys.exit(EXIT_INTERRUPTED)
     except HubError as error:
         print(f'bluebellhub: {error}', file=sys.stderr)
         sys.exit(exit_status(error))
-    _print(table, as_json=args.json)
+    if not table.is_printed:
+        _print(table, as_json=args.json)
     sys.exit(table.status)
 
 
--- a/bluebellhub/cli/moves.py
+++ b/bluebellhub/cli/moves.py
@@ -11,6 +11,7 @@
 from bluebellhub.cli.errors import EXIT_FAILED, WaitTimeoutError
 from bluebellhub.cli.objects import row_of
 from bluebellhub.cli.storing import POLL_S, save, show, update
+from bluebellhub.cli.watching import add_watch
 
 __all__ = ['show_moves']
 
@@ -75,10 +76,19 @@
 @command('move show', 'show moves', model={'nargs': '?', 'help': 'one model'})
 async def show_moves(platform: Platform, args: argparse.Namespace) -> Table:
     """Show the standing of one move or of all."""
-    if args.model:
-        return Table([await _standing(platform, args.model)])
+    return Table(await _standings(platform, args.model))
+
+
+async def _standings(
+    platform: Platform, model: str | None
+) -> list[dict[str, Any]]:
+    if model:
+        return [await _standing(platform, model)]
     moves = await show(platform, 'version_move', None)
-    return Table([await _standing(platform, move.name) for move in moves])
+    return [await _standing(platform, move.name) for move in moves]
+
+
+add_watch('move', _standings)
 
 
 @command(
--- a/bluebellhub/cli/objects.py
+++ b/bluebellhub/cli/objects.py
@@ -1,6 +1,7 @@
 """Commands on contracts, upstreams and failure domains."""
 
 import argparse
+from functools import partial
 from typing import Any, Final
 
 from bluebellhub.adapters.platform import Platform
@@ -13,6 +14,7 @@
     update,
     wait_in_force,
 )
+from bluebellhub.cli.watching import add_watch
 from bluebellhub.configuration import StoredObject
 
 __all__ = ['row_of']
@@ -58,15 +60,21 @@
     return Table(rows)
 
 
+async def _rows(
+    kind: str, platform: Platform, name: str | None
+) -> list[dict[str, Any]]:
+    found = await show(platform, kind, name)
+    return [row_of(stored) for stored in found]
+
+
 async def _show(
     platform: Platform, kind: str, args: argparse.Namespace
 ) -> Table:
-    found = await show(platform, kind, args.name)
-    return Table([row_of(stored) for stored in found])
+    return Table(await _rows(kind, platform, args.name))
 
 
 def _add_kind(noun: str, kind: str) -> None:
-    """Register apply, show and delete for a kind of object."""
+    """Register apply, show, watch and delete for a kind of object."""
 
     @command(
         f'{noun} apply',
@@ -87,6 +95,8 @@
     ) -> Table:
         return await _show(platform, kind, args)
 
+    add_watch(noun, partial(_rows, kind))
+
     @command(f'{noun} delete', f'delete a {noun}', name=NAME)
     async def delete_one(platform: Platform, args: argparse.Namespace) -> Table:
         stored = await remove(platform, kind, args.name)
@@ -183,3 +193,7 @@
 async def show_changes(platform: Platform, args: argparse.Namespace) -> Table:
     """Show the changes that every VM has put in force."""
     return await _show(platform, 'change_status', args)
+
+
+add_watch('domain', partial(_rows, 'failure_domain'))
+add_watch('change', partial(_rows, 'change_status'))
--- a/features/operators.feature
+++ b/features/operators.feature
@@ -9,6 +9,12 @@
     Then the command exits with 0 and prints "in force everywhere"
     And every hub names "" as out
 
+  Scenario: A watch prints changes as they come
+    Given an operator watches "domain watch vannes --for-s 8"
+    When the operator runs "domain out vannes --wait"
+    And the operator runs "domain in vannes --wait"
+    Then the watch prints "state=out" and after it "state=in"
+
   Scenario Outline: Clear errors
     When the operator runs "<command>"
     Then the command exits with <status> and prints "<text>"
--- a/features/steps/operator_steps.py
+++ b/features/steps/operator_steps.py
@@ -10,17 +10,20 @@
 from features.steps.calls import chat
 
 
-def _run(context, *words):
-    command = [
+def _command(context, words):
+    module = ('-m', 'bluebellhub.cli.main')
+    return [
         sys.executable,
-        '-m',
-        'bluebellhub.cli.main',
+        *module,
         '--platform',
         context.site.platform,
         *words,
     ]
+
+
+def _run(context, *words):
     context.result = subprocess.run(
-        command, capture_output=True, text=True, check=False
+        _command(context, words), capture_output=True, text=True, check=False
     )
 
 
@@ -29,6 +32,20 @@
     _run(context, *words.split())
 
 
+@given('an operator watches "{words}"')
+def start_watch(context, words):
+    context.watch = subprocess.Popen(
+        _command(context, words.split()), stdout=subprocess.PIPE, text=True
+    )
+
+
+@then('the watch prints "{first}" and after it "{second}"')
+def check_watch(context, first, second):
+    printed, _ = context.watch.communicate(timeout=30.0)
+    assert context.watch.returncode == 0, printed
+    assert 0 <= printed.find(first) < printed.rfind(second), printed
+
+
 @then('the command exits with {status:d} and prints "{text}"')
 def check_command(context, status, text):
     printed = context.result.stdout + context.result.stderr
