Split the two longest stand-in modules

Change: the engine's records and the virtual fleet's state and faults are modules of their own; no behaviour changes.

--- a/benchmarks/data_plane.py
+++ b/benchmarks/data_plane.py
@@ -18,10 +18,10 @@
 
 from bluebellhub.adapters.assembly import assemble
 from bluebellhub.adapters.front_end import make_app
+from bluebellhub.adapters.http_server import serve_app
 from bluebellhub.adapters.node import run_ticks
 from bluebellhub.contract import hash_key
 from bluebellhub.settings import parse_settings
-from bluebellhub.adapters.http_server import serve_app
 
 __all__ = ['main']
 
--- a/benchmarks/fleet.py
+++ b/benchmarks/fleet.py
@@ -21,7 +21,7 @@
 from benchmarks.workloads import SITES, Site, make_arrivals
 from bluebellhub.registry import Registry, make_registry
 from bluebellhub.scheduler.state import Plan
-from bluebellhub.standins.virtual_fleet import operate
+from bluebellhub.standins.virtual_state import operate
 from bluebellhub.upstream import Upstream
 
 __all__ = ['VARIANTS', 'by_second', 'main', 'play_domain', 'studies']
--- a/benchmarks/harness.py
+++ b/benchmarks/harness.py
@@ -31,10 +31,8 @@
 )
 from bluebellhub.scheduler.state import Plan, SlotSource
 from bluebellhub.standins.engine_model import (
-    Emission,
     Engine,
     EngineDownError,
-    Job,
     accept,
     cancel,
     crash,
@@ -43,15 +41,16 @@
     report_load,
     run_step,
 )
+from bluebellhub.standins.engine_records import Emission, Job
 from bluebellhub.standins.virtual_clock import (
     VirtualClock,
     call_at,
     make_clock,
     run_until,
 )
-from bluebellhub.standins.virtual_fleet import (
+from bluebellhub.standins.virtual_fleet import add_vm
+from bluebellhub.standins.virtual_state import (
     VirtualFleet,
-    add_vm,
     kill_vm,
     make_virtual_fleet,
 )
--- a/benchmarks/moving.py
+++ b/benchmarks/moving.py
@@ -9,7 +9,7 @@
 from bluebellhub.scheduler.state import Plan
 from bluebellhub.standins.faults import Fault
 from bluebellhub.standins.platform_model import read_object
-from bluebellhub.standins.virtual_fleet import operate
+from bluebellhub.standins.virtual_state import operate
 
 __all__ = ['CASES', 'play_case']
 
--- a/benchmarks/workloads.py
+++ b/benchmarks/workloads.py
@@ -6,7 +6,7 @@
 from bluebellhub.contract import Contract, find_tier, make_contract
 from bluebellhub.request import Ask, make_ask
 from bluebellhub.routing.prefix import BLOCK_TOKENS
-from bluebellhub.standins.engine_model import EngineProfile
+from bluebellhub.standins.engine_records import EngineProfile
 
 __all__ = ['SITES', 'Arrival', 'Site', 'make_arrivals', 'make_contracts']
 
--- a/bluebellhub/adapters/front_end.py
+++ b/bluebellhub/adapters/front_end.py
@@ -8,11 +8,6 @@
 import msgspec
 from quart import Response, request
 
-from bluebellhub.adapters.http_server import (
-    HttpApp,
-    make_http_app,
-    read_body,
-)
 from bluebellhub.adapters.chat import (
     DEFAULT_OUTPUT_TOKENS,
     engine_body,
@@ -26,6 +21,11 @@
     Head,
     make_exchange,
 )
+from bluebellhub.adapters.http_server import (
+    HttpApp,
+    make_http_app,
+    read_body,
+)
 from bluebellhub.adapters.node import Node, answer_parts, start
 from bluebellhub.adapters.orders import OrderDesk, place_order
 from bluebellhub.adapters.status import describe
--- a/bluebellhub/daemon.py
+++ b/bluebellhub/daemon.py
@@ -14,6 +14,7 @@
 from bluebellhub.adapters.connections import close_pools
 from bluebellhub.adapters.fleet_runner import run_fleet
 from bluebellhub.adapters.front_end import make_app
+from bluebellhub.adapters.http_server import make_config
 from bluebellhub.adapters.loads import poll_loads
 from bluebellhub.adapters.node import run_ticks
 from bluebellhub.adapters.peer_link import close_link
@@ -21,7 +22,6 @@
 from bluebellhub.invariants import make_fatal
 from bluebellhub.logs import set_up_logs
 from bluebellhub.settings import Settings, load_settings
-from bluebellhub.adapters.http_server import make_config
 
 __all__ = ['main', 'run_daemon']
 
--- a/bluebellhub/fleet/tests/small_fleet.py
+++ b/bluebellhub/fleet/tests/small_fleet.py
@@ -5,11 +5,8 @@
 from bluebellhub.scheduler import make_scheduler
 from bluebellhub.scheduler.state import Plan
 from bluebellhub.standins.virtual_clock import run_until
-from bluebellhub.standins.virtual_fleet import (
-    add_vm,
-    make_virtual_fleet,
-    operate,
-)
+from bluebellhub.standins.virtual_fleet import add_vm
+from bluebellhub.standins.virtual_state import make_virtual_fleet, operate
 
 DOMAINS = ('rennes', 'vannes', 'brest')
 
--- a/bluebellhub/fleet/tests/test_fleet.py
+++ b/bluebellhub/fleet/tests/test_fleet.py
@@ -16,7 +16,7 @@
 from bluebellhub.request import make_ask
 from bluebellhub.scheduler import submit, tick
 from bluebellhub.standins.platform_model import read_object, write_object
-from bluebellhub.standins.virtual_fleet import kill_vm, operate, pause_vm
+from bluebellhub.standins.virtual_state import kill_vm, operate, pause_vm
 
 IN_FORCE_S = 6.0
 OUT_S = 3.0
--- a/bluebellhub/fleet/tests/test_moves.py
+++ b/bluebellhub/fleet/tests/test_moves.py
@@ -10,7 +10,7 @@
 from bluebellhub.membership import owner_of
 from bluebellhub.scheduler.evidence import Trials
 from bluebellhub.standins.platform_model import read_object
-from bluebellhub.standins.virtual_fleet import kill_vm, operate, pause_vm
+from bluebellhub.standins.virtual_state import kill_vm, operate, pause_vm
 from bluebellhub.version_move import allows_new
 
 STOPPED_S = 2.0
--- a/bluebellhub/fleet/tests/test_soak.py
+++ b/bluebellhub/fleet/tests/test_soak.py
@@ -20,7 +20,7 @@
 )
 from bluebellhub.scheduler.state import signals_of
 from bluebellhub.standins.platform_model import read_object
-from bluebellhub.standins.virtual_fleet import kill_vm, operate, pause_vm
+from bluebellhub.standins.virtual_state import kill_vm, operate, pause_vm
 
 COLD_WINDOW = 2
 VMS = 4
--- a/bluebellhub/standins/engine_model.py
+++ b/bluebellhub/standins/engine_model.py
@@ -11,16 +11,19 @@
 from bluebellhub.errors import HubError
 from bluebellhub.routing.events import CacheEvent
 from bluebellhub.routing.prefix import BLOCK_TOKENS
+from bluebellhub.standins.engine_records import (
+    Emission,
+    EngineProfile,
+    Job,
+    Progress,
+    StepResult,
+)
 from bluebellhub.standins.faults import Fault, fault_kinds
 from bluebellhub.upstream import LoadReport
 
 __all__ = [
-    'Emission',
     'Engine',
     'EngineDownError',
-    'EngineProfile',
-    'Job',
-    'StepResult',
     'accept',
     'cancel',
     'crash',
@@ -38,65 +41,6 @@
     """The engine does not run and takes no connection."""
 
 
-class EngineProfile(NamedTuple):
-    """Speed and limits of one engine.
-
-    ``cold_s`` is the time after a start until full speed, during which it
-    bears ``cold_bearable`` requests at first; more make it fall over for
-    ``boot_s`` seconds.
-    """
-
-    name: str
-    prefill_tokens_per_s: float = 8000.0
-    step_base_s: float = 0.02
-    step_per_request_s: float = 0.0005
-    chunk_tokens: int = 512
-    batch_max: int = 64
-    cache_blocks: int = 2000
-    cold_s: float = 20.0
-    cold_bearable: int = 4
-    boot_s: float = 5.0
-    version: str = '1'
-
-
-class Job(NamedTuple):
-    """One attempt of a request, as the engine sees it."""
-
-    job_id: str
-    route: str
-    prompt_tokens: int
-    output_tokens: int
-    prefix_blocks: tuple[int, ...] = ()
-    offset: int = 0
-
-
-class Progress(TypedDict):
-    """How far a job has come."""
-
-    job: Job
-    prefill_left: int
-    prefilled: int
-    cached_tokens: int
-    produced: int
-
-
-class Emission(NamedTuple):
-    """A token of one job, at ``offset`` in its answer."""
-
-    job_id: str
-    offset: int
-    finished: bool
-    cached_tokens: int
-    failed: bool = False
-
-
-class StepResult(NamedTuple):
-    """One step: its length in seconds and the tokens at its end."""
-
-    elapsed_s: float
-    emissions: list[Emission]
-
-
 class EngineState(TypedDict):
     """The engine's scalar state; ``down_until_s`` is 0 while it runs."""
 
--- /dev/null
+++ b/bluebellhub/standins/engine_records.py
@@ -0,0 +1,64 @@
+"""What an engine is given and what it gives: profile, jobs and tokens."""
+
+from typing import NamedTuple, TypedDict
+
+__all__ = ['Emission', 'EngineProfile', 'Job', 'Progress', 'StepResult']
+
+
+class EngineProfile(NamedTuple):
+    """Speed and limits of one engine.
+
+    ``cold_s`` is the time after a start until full speed, during which it
+    bears ``cold_bearable`` requests at first; more make it fall over for
+    ``boot_s`` seconds.
+    """
+
+    name: str
+    prefill_tokens_per_s: float = 8000.0
+    step_base_s: float = 0.02
+    step_per_request_s: float = 0.0005
+    chunk_tokens: int = 512
+    batch_max: int = 64
+    cache_blocks: int = 2000
+    cold_s: float = 20.0
+    cold_bearable: int = 4
+    boot_s: float = 5.0
+    version: str = '1'
+
+
+class Job(NamedTuple):
+    """One attempt of a request, as the engine sees it."""
+
+    job_id: str
+    route: str
+    prompt_tokens: int
+    output_tokens: int
+    prefix_blocks: tuple[int, ...] = ()
+    offset: int = 0
+
+
+class Progress(TypedDict):
+    """How far a job has come."""
+
+    job: Job
+    prefill_left: int
+    prefilled: int
+    cached_tokens: int
+    produced: int
+
+
+class Emission(NamedTuple):
+    """A token of one job, at ``offset`` in its answer."""
+
+    job_id: str
+    offset: int
+    finished: bool
+    cached_tokens: int
+    failed: bool = False
+
+
+class StepResult(NamedTuple):
+    """One step: its length in seconds and the tokens at its end."""
+
+    elapsed_s: float
+    emissions: list[Emission]
--- a/bluebellhub/standins/engine_server.py
+++ b/bluebellhub/standins/engine_server.py
@@ -13,13 +13,11 @@
 import trio
 from quart import Response, request
 
-from bluebellhub.adapters.http_server import HttpApp, make_http_app, read_body
 from bluebellhub.adapters.chat import parse_chat, prompt_size
+from bluebellhub.adapters.http_server import HttpApp, make_http_app, read_body
 from bluebellhub.standins.engine_model import (
-    Emission,
     Engine,
     EngineDownError,
-    Job,
     accept,
     cancel,
     crash,
@@ -27,6 +25,7 @@
     report_load,
     run_step,
 )
+from bluebellhub.standins.engine_records import Emission, Job
 from bluebellhub.standins.faults import make_fault
 from bluebellhub.upstream import LoadReport
 
--- a/bluebellhub/standins/main.py
+++ b/bluebellhub/standins/main.py
@@ -6,8 +6,10 @@
 
 import trio
 
+from bluebellhub.adapters.http_server import serve_app
 from bluebellhub.registry import Registry, make_registry
-from bluebellhub.standins.engine_model import EngineProfile, make_engine
+from bluebellhub.standins.engine_model import make_engine
+from bluebellhub.standins.engine_records import EngineProfile
 from bluebellhub.standins.engine_server import (
     make_engine_app,
     make_engine_server,
@@ -15,7 +17,6 @@
 )
 from bluebellhub.standins.platform_model import make_platform_model
 from bluebellhub.standins.platform_server import make_platform_app
-from bluebellhub.adapters.http_server import serve_app
 from bluebellhub.standins.service_server import make_service_app
 
 __all__ = ['main', 'standins']
--- a/bluebellhub/standins/virtual_fleet.py
+++ b/bluebellhub/standins/virtual_fleet.py
@@ -4,9 +4,7 @@
 messages and store calls with delays, losses, doubles, cuts and pauses.
 """
 
-from collections import Counter
-from random import Random
-from typing import Any, Final, NamedTuple, TypedDict
+from typing import Any, Final
 
 from bluebellhub.errors import ConflictError, ObjectError
 from bluebellhub.fleet import (
@@ -28,93 +26,27 @@
 from bluebellhub.fleet.moving import take_order_answer
 from bluebellhub.scheduler import Scheduler
 from bluebellhub.standins.platform_model import (
-    PlatformModel,
     changes_since,
     config_revision,
-    make_platform_model,
     read_object,
     write_object,
 )
-from bluebellhub.standins.virtual_clock import (
-    VirtualClock,
-    call_at,
-    make_clock,
+from bluebellhub.standins.virtual_clock import call_at
+from bluebellhub.standins.virtual_state import (
+    VirtualFleet,
+    acts_at,
+    reaches_store,
 )
 
-__all__ = [
-    'LinkFaults',
-    'VirtualFleet',
-    'add_vm',
-    'kill_vm',
-    'make_virtual_fleet',
-    'operate',
-    'pause_vm',
-]
+__all__ = ['add_vm', 'flush']
 
 STEP_S: Final = 0.05
 WATCH_S: Final = 0.2
 SLOW_WATCH_S: Final = 5.0
-DELAY_S: Final = 0.0015
 STORE_DELAY_S: Final = 0.005
 VM_LIST_S: Final = 2.0
 
 
-class LinkFaults(TypedDict):
-    """Faults of the link; ratios of messages lost and doubled."""
-
-    loss: float
-    doubled: float
-    delay_max_s: float
-
-
-class VmState(TypedDict):
-    """Whether a VM lives, and until when it is paused."""
-
-    alive: bool
-    paused_until_s: float
-
-
-class VirtualFleet(NamedTuple):
-    """The root.
-
-    ``cuts`` holds unordered pairs of VMs that do not hear each other and
-    ``store_cuts`` VMs that do not reach the store.  ``traffic`` counts
-    messages and bytes sent by VM.
-    """
-
-    clock: VirtualClock
-    platform: PlatformModel
-    fleets: dict[str, Fleet]
-    states: dict[str, VmState]
-    cuts: set[frozenset[str]]
-    store_cuts: set[str]
-    faults: LinkFaults
-    random: Random
-    traffic: Counter[tuple[str, str]]
-
-
-def make_virtual_fleet(
-    clock: VirtualClock | None = None, seed: int = 0
-) -> VirtualFleet:
-    """Create a fleet without VMs and without faults."""
-    faults: LinkFaults = {
-        'loss': 0.0,
-        'doubled': 0.0,
-        'delay_max_s': DELAY_S,
-    }
-    return VirtualFleet(
-        clock or make_clock(),
-        make_platform_model(),
-        {},
-        {},
-        set(),
-        set(),
-        faults,
-        Random(seed),
-        Counter(),
-    )
-
-
 def add_vm(
     virtual: VirtualFleet, name: str, domain: str, scheduler: Scheduler
 ) -> Fleet:
@@ -130,36 +62,8 @@
     return fleet
 
 
-def kill_vm(virtual: VirtualFleet, name: str) -> None:
-    """Stop a VM without notice."""
-    virtual.states[name]['alive'] = False
-
-
-def pause_vm(virtual: VirtualFleet, name: str, until_s: float) -> None:
-    """Suspend a VM: it keeps its memory and acts on nothing."""
-    virtual.states[name]['paused_until_s'] = until_s
-
-
-def operate(
-    virtual: VirtualFleet, kind: str, name: str, spec: dict[str, Any]
-) -> None:
-    """Write a configuration object as an operator would."""
-    version = read_object(virtual.platform, kind, name).version
-    write_object(virtual.platform, kind, name, spec, version)
-
-
-def _later(virtual: VirtualFleet, fleet: Fleet, now_s: float) -> float | None:
-    """Return when the VM acts: now, after its pause, or never."""
-    name = fleet.identity.name
-    current = virtual.fleets.get(name) is fleet
-    state = virtual.states[name]
-    if not current or not state['alive']:
-        return None
-    return max(now_s, state['paused_until_s'])
-
-
 def _step(now_s: float, virtual: VirtualFleet, fleet: Fleet) -> None:
-    when_s = _later(virtual, fleet, now_s)
+    when_s = acts_at(virtual, fleet, now_s)
     if when_s is None:
         return
     if when_s > now_s:
@@ -225,7 +129,7 @@
     fleet = virtual.fleets.get(receiver)
     if fleet is None or frozenset((sender, receiver)) in virtual.cuts:
         return
-    when_s = _later(virtual, fleet, now_s)
+    when_s = acts_at(virtual, fleet, now_s)
     if when_s is None:
         return
     if when_s > now_s:
@@ -237,11 +141,6 @@
     flush(virtual, fleet, now_s)
 
 
-def _reaches_store(virtual: VirtualFleet, fleet: Fleet) -> bool:
-    cut = fleet.identity.name in virtual.store_cuts
-    return not cut and not virtual.platform.state['down']
-
-
 def _write(
     now_s: float,
     virtual: VirtualFleet,
@@ -249,9 +148,9 @@
     wanted: StoreWrite,
     asked_at_s: float,
 ) -> None:
-    if _later(virtual, fleet, now_s) is None:
+    if acts_at(virtual, fleet, now_s) is None:
         return
-    if not _reaches_store(virtual, fleet):
+    if not reaches_store(virtual, fleet):
         return
     virtual.platform.calls['put'] += 1
     state = virtual.platform.state
@@ -285,8 +184,8 @@
     wanted: StoreRead,
     asked_at_s: float,
 ) -> None:
-    when_s = _later(virtual, fleet, now_s)
-    if when_s is None or not _reaches_store(virtual, fleet):
+    when_s = acts_at(virtual, fleet, now_s)
+    if when_s is None or not reaches_store(virtual, fleet):
         return
     virtual.platform.calls['get'] += 1
     stored = read_object(virtual.platform, wanted.kind, wanted.name)
@@ -310,13 +209,13 @@
 
 
 def _watch(now_s: float, virtual: VirtualFleet, fleet: Fleet) -> None:
-    when_s = _later(virtual, fleet, now_s)
+    when_s = acts_at(virtual, fleet, now_s)
     if when_s is None:
         return
     if when_s > now_s:
         call_at(virtual.clock, when_s, _watch, virtual, fleet)
         return
-    if _reaches_store(virtual, fleet):
+    if reaches_store(virtual, fleet):
         _take_changes(virtual, fleet, now_s)
     period_s = WATCH_S if is_watcher(fleet, now_s) else SLOW_WATCH_S
     call_at(virtual.clock, now_s + period_s, _watch, virtual, fleet)
@@ -332,10 +231,10 @@
 
 
 def _read_vms(now_s: float, virtual: VirtualFleet, fleet: Fleet) -> None:
-    when_s = _later(virtual, fleet, now_s)
+    when_s = acts_at(virtual, fleet, now_s)
     if when_s is None:
         return
-    if _reaches_store(virtual, fleet) and when_s <= now_s:
+    if reaches_store(virtual, fleet) and when_s <= now_s:
         names = {
             name for name, state in virtual.states.items() if state['alive']
         }
