Count only answers to the present wish as consent to a shed floor

Cause: a VM that wants to shed a tier waits until every live VM says in its heartbeat that it refuses lower tiers. The newest heartbeat heard counted, whenever it was sent: if a VM lifted a floor and its heartbeats were then lost, its old word agreed to the next wish, and the higher tier was shed while that VM admitted lower ones. Found by a test that cuts two VMs one direction after the other; the first form of the test, one direction only, did not fail, as the wish still arrived. Ruled out: delays alone (the answer to a wish comes within one heartbeat).

Change: a wish is noted with the time of the first heartbeat that carries it, and a peer consents by a heartbeat that echoes that one or a later one. Consent is to one's own wish, no longer to another VM's of the same rank; a new wish is told at once.

A pair of VMs that do not hear each other for more than 3 s but hear all others is listed as a known limit.

--- a/bluebellhub/fleet/duties.py
+++ b/bluebellhub/fleet/duties.py
@@ -4,7 +4,7 @@
 from typing import Final, NamedTuple
 
 from bluebellhub.budget import RENEW_S, last_heard_s
-from bluebellhub.fleet.floors import apply_floors, wanted_floors
+from bluebellhub.fleet.floors import apply_floors, tell_floors
 from bluebellhub.fleet.leases import renew
 from bluebellhub.fleet.messages import Outgoing, StoreRead, StoreWrite
 from bluebellhub.fleet.moving import lead_moves, report_evidence
@@ -69,7 +69,7 @@
 def send_heartbeats(fleet: Fleet, now_s: float) -> None:
     """Tell every other VM this VM's state."""
     number = number_heartbeat(fleet.members, now_s)
-    wanted = wanted_floors(fleet, now_s)
+    wanted = tell_floors(fleet, now_s)
     for name in _addressees(fleet):
         heartbeat = Heartbeat(
             vm=fleet.identity.name,
--- a/bluebellhub/fleet/floors.py
+++ b/bluebellhub/fleet/floors.py
@@ -2,13 +2,14 @@
 
 A VM that has to shed a tier wants a floor at that tier.  All VMs that hear
 of it refuse lower tiers and say so in their heartbeats; then the tier may
-be shed.
+be shed.  Only a heartbeat that echoes one with the wish counts: an older one
+may tell of a floor that was lifted since.
 """
 
-from bluebellhub.fleet.state import Fleet, map_members
-from bluebellhub.membership import live_peers
+from bluebellhub.fleet.state import Fleet, Told, map_members
+from bluebellhub.membership import Peer, live_peers
 
-__all__ = ['apply_floors', 'wanted_floors']
+__all__ = ['apply_floors', 'tell_floors', 'wanted_floors']
 
 LAPSED_S = 3.0
 
@@ -22,6 +23,17 @@
     return {target: rank for target, (rank, _) in wanted.items()}
 
 
+def tell_floors(fleet: Fleet, now_s: float) -> dict[str, int]:
+    """Return the floors for a heartbeat; notes when each is first told."""
+    wanted = wanted_floors(fleet, now_s)
+    for target in list(fleet.told):
+        if wanted.get(target) != fleet.told[target].rank:
+            fleet.told.pop(target)
+    for target, rank in wanted.items():
+        fleet.told.setdefault(target, Told(rank, now_s))
+    return wanted
+
+
 def apply_floors(fleet: Fleet, now_s: float) -> None:
     """Put the lowest floor that any VM wants in force, and count consent.
 
@@ -34,7 +46,8 @@
         for target, rank in peer.heartbeat.wanted.items():
             floors[target] = min(rank, floors.get(target, rank))
     scheduler = fleet.scheduler
-    if floors != scheduler.floors:
+    untold = wanted_floors(fleet, now_s).keys() - fleet.told.keys()
+    if untold or floors != scheduler.floors:
         scheduler.floors.clear()
         scheduler.floors.update(floors)
         fleet.due['heartbeat'] = now_s
@@ -42,12 +55,20 @@
 
 
 def _count_consent(fleet: Fleet, now_s: float) -> None:
-    """A floor is agreed on when every live member applies it."""
+    """A wish is agreed on when every live member answers that it applies."""
     peers = live_peers(fleet.members, now_s, LAPSED_S)
-    members = [name for name in map_members(fleet) if name in peers]
+    members = [peers[name] for name in map_members(fleet) if name in peers]
+    wanted = wanted_floors(fleet, now_s)
     agreed = fleet.scheduler.floors_agreed
     agreed.clear()
-    for target, rank in fleet.scheduler.floors.items():
-        applied = [peers[name].heartbeat.floors.get(target) for name in members]
-        if all(floor is not None and floor <= rank for floor in applied):
-            agreed[target] = rank
+    for target, told in fleet.told.items():
+        if wanted.get(target) != told.rank:
+            continue
+        if all(_consents(peer, target, told) for peer in members):
+            agreed[target] = told.rank
+
+
+def _consents(peer: Peer, target: str, told: Told) -> bool:
+    floor = peer.heartbeat.floors.get(target)
+    heard = peer.confirmed_at_s >= told.at_s
+    return heard and floor is not None and floor <= told.rank
--- a/bluebellhub/fleet/state.py
+++ b/bluebellhub/fleet/state.py
@@ -21,6 +21,7 @@
     'Fleet',
     'Identity',
     'Outbox',
+    'Told',
     'is_owner',
     'make_fleet',
     'map_members',
@@ -52,6 +53,13 @@
     map_asked_at_s: float
 
 
+class Told(NamedTuple):
+    """A wanted floor, and when the first heartbeat with it was sent."""
+
+    rank: int
+    at_s: float
+
+
 class Fleet(NamedTuple):
     """The root.
 
@@ -60,8 +68,9 @@
     known to be bad as ``model/version``, ``stored`` the versions of change
     statuses in the store and ``statuses`` the object versions that are
     known to be in force everywhere.  ``due`` holds the next time of each
-    duty and ``highs`` the recent demand for each budget.  The last entry
-    of ``time_of_day`` returns seconds since the epoch.
+    duty, ``highs`` the recent demand for each budget and ``told`` the floors
+    that this VM has asked for, by model or service.  The last entry of
+    ``time_of_day`` returns seconds since the epoch.
     """
 
     identity: Identity
@@ -78,6 +87,7 @@
     statuses: dict[tuple[str, str], int]
     due: dict[str, float]
     highs: dict[str, float]
+    told: dict[str, Told]
     clocks: Clocks
     outbox: Outbox
     time_of_day: list[Callable[[], float]]
@@ -105,6 +115,7 @@
         statuses={},
         due={},
         highs={},
+        told={},
         clocks=clocks,
         outbox=Outbox([], [], [], []),
         time_of_day=[time.time],
--- a/bluebellhub/fleet/tests/test_fleet.py
+++ b/bluebellhub/fleet/tests/test_fleet.py
@@ -257,3 +257,42 @@
     assert floors == {'m': 1}
     later(virtual, 4.0)
     assert scheduler.floors_agreed.get('m') == 1
+
+
+@pytest.mark.parametrize('pause_s', [0.7, 1.0, 1.5, 2.5])
+@pytest.mark.parametrize('also_wants', [False, True])
+def test_consent_to_an_earlier_floor_does_not_count(pause_s, also_wants):
+    """A VM lifts a floor, its heartbeats are lost, the floor is wanted again.
+
+    ``also_wants`` is another VM that wanted the same floor meanwhile.
+    """
+    virtual = start_fleet()
+    first, second = virtual.fleets['hub-0'], virtual.fleets['hub-1']
+    for fleet in (first, virtual.fleets['hub-2'] if also_wants else first):
+        _want(virtual, fleet, 1.0)
+    later(virtual, 0.9)
+    assert first.scheduler.floors_agreed == {'m': 1}
+    _cut_one_after_the_other(virtual, pause_s)
+    _want(virtual, first, 10.0)
+    for _ in range(40):
+        later(virtual, 0.05)
+        agreed = first.scheduler.floors_agreed.get('m') == 1
+        heard_s = first.members.peers['hub-1'].heard_at_s
+        lives = virtual.clock.state['now_s'] - heard_s < OUT_S
+        assert not (agreed and lives and not second.scheduler.floors)
+    virtual.cuts.clear()
+    later(virtual, 1.0)
+    assert second.scheduler.floors == {'m': 1}
+    assert first.scheduler.floors_agreed == {'m': 1}
+
+
+def _cut_one_after_the_other(virtual, pause_s):
+    """Hub 1 still hears hub 0 while its floor ends, and then no more."""
+    virtual.cuts.add(('hub-1', 'hub-0'))
+    later(virtual, pause_s)
+    virtual.cuts.add(('hub-0', 'hub-1'))
+
+
+def _want(virtual, fleet, seconds):
+    until_s = virtual.clock.state['now_s'] + seconds
+    fleet.scheduler.floors_wanted['m'] = (1, until_s)
--- a/bluebellhub/standins/virtual_fleet.py
+++ b/bluebellhub/standins/virtual_fleet.py
@@ -127,7 +127,8 @@
     encoded: bytes,
 ) -> None:
     fleet = virtual.fleets.get(receiver)
-    if fleet is None or frozenset((sender, receiver)) in virtual.cuts:
+    pair = (sender, receiver)
+    if fleet is None or not virtual.cuts.isdisjoint((pair, frozenset(pair))):
         return
     when_s = acts_at(virtual, fleet, now_s)
     if when_s is None:
--- a/bluebellhub/standins/virtual_state.py
+++ b/bluebellhub/standins/virtual_state.py
@@ -46,7 +46,8 @@
 class VirtualFleet(NamedTuple):
     """The root.
 
-    ``cuts`` holds unordered pairs of VMs that do not hear each other and
+    ``cuts`` holds unordered pairs of VMs that do not hear each other, and
+    ordered ones of a sender and a receiver that does not hear it, and
     ``store_cuts`` VMs that do not reach the store.  ``traffic`` counts
     messages and bytes sent by VM.
     """
@@ -55,7 +56,7 @@
     platform: PlatformModel
     fleets: dict[str, Fleet]
     states: dict[str, VmState]
-    cuts: set[frozenset[str]]
+    cuts: set[frozenset[str] | tuple[str, str]]
     store_cuts: set[str]
     faults: LinkFaults
     random: Random
