Send heartbeats in a fixed order

The addressees of a heartbeat were a set of names, whose order depends on the process's hash seed, and the virtual link draws a delay per message in that order.

Change: addressees are sorted.

--- a/bluebellhub/fleet/duties.py
+++ b/bluebellhub/fleet/duties.py
@@ -86,11 +86,12 @@
         fleet.outbox.messages.append(Outgoing(name, heartbeat))
 
 
-def _addressees(fleet: Fleet) -> set[str]:
+def _addressees(fleet: Fleet) -> list[str]:
+    """Return the other VMs in a fixed order."""
     known = set(fleet.members.peers) | fleet.members.listed
     known.update(fleet.members.state['shard_map'].members)
     known.discard(fleet.identity.name)
-    return known
+    return sorted(known)
 
 
 @_every('starved', STARVED_S)
