Give admission disciplines one argument; name the clear upstreams once

Cause: four functions of scheduler/room.py repeated the same six parameters, one of them with eight exits, and the clear upstreams were sorted again for every candidate.

--- a/bluebellhub/scheduler/dispatch.py
+++ b/bluebellhub/scheduler/dispatch.py
@@ -9,7 +9,12 @@
 from bluebellhub.scheduler.events import Dispatch, Event
 from bluebellhub.scheduler.gates import is_eligible
 from bluebellhub.scheduler.preemption import find_victim, lacks_slots
-from bluebellhub.scheduler.room import has_room, prefer_clear
+from bluebellhub.scheduler.room import (
+    Placement,
+    clear_names,
+    has_room,
+    prefer_clear,
+)
 from bluebellhub.scheduler.state import (
     Scheduler,
     queue_of,
@@ -69,11 +74,15 @@
     ask = life.ask
     found = []
     peers = upstreams_for(scheduler, ask.target)
+    clear = clear_names(scheduler, ask.target, peers)
     for upstream in peers:
         if not is_eligible(scheduler, ask, upstream, now_s):
             continue
         candidate = make_candidate(scheduler, life, upstream, now_s)
-        if has_room(scheduler, upstream, peers, ask, candidate, now_s):
+        placement = Placement(
+            scheduler, upstream, peers, clear, ask, candidate, now_s
+        )
+        if has_room(placement):
             found.append(candidate)
     return found
 
--- a/bluebellhub/scheduler/room.py
+++ b/bluebellhub/scheduler/room.py
@@ -5,7 +5,7 @@
 """
 
 from collections.abc import Callable, Sequence
-from typing import Final
+from typing import Final, NamedTuple
 
 from bluebellhub.failure_domain import ramp_share
 from bluebellhub.registry import Registry, make_registry
@@ -19,6 +19,8 @@
 )
 
 __all__ = [
+    'Placement',
+    'clear_names',
     'disciplines',
     'has_room',
     'prefer_clear',
@@ -39,9 +41,23 @@
 RHYTHM_SHARE: Final = 0.95
 URGENT_SHARE: Final = 0.5
 
-Discipline = Callable[
-    [Scheduler, Upstream, Sequence[Upstream], Ask, Candidate, float], bool
-]
+
+class Placement(NamedTuple):
+    """A request at one candidate; ``peers`` serve the same target.
+
+    ``clear`` names the peers that take no long prefill.
+    """
+
+    scheduler: Scheduler
+    upstream: Upstream
+    peers: Sequence[Upstream]
+    clear: frozenset[str]
+    ask: Ask
+    candidate: Candidate
+    now_s: float
+
+
+Discipline = Callable[[Placement], bool]
 
 disciplines: Registry[Discipline] = make_registry('admission discipline')
 
@@ -62,92 +78,79 @@
     return min(slots, max(1, int(upstream.window.slots * share)))
 
 
-def has_room(
-    scheduler: Scheduler,
-    upstream: Upstream,
-    peers: Sequence[Upstream],
-    ask: Ask,
-    candidate: Candidate,
-    now_s: float,
-) -> bool:
+def has_room(placement: Placement) -> bool:
     """Ask the scheduler's admission discipline."""
-    discipline = disciplines.find(scheduler.plan.discipline)
-    return discipline(scheduler, upstream, peers, ask, candidate, now_s)
+    return disciplines.find(placement.scheduler.plan.discipline)(placement)
 
 
 @disciplines.register('immediate')
-def admit_all(
-    scheduler: Scheduler,
-    upstream: Upstream,
-    peers: Sequence[Upstream],
-    ask: Ask,
-    candidate: Candidate,
-    now_s: float,
-) -> bool:
+def admit_all(placement: Placement) -> bool:
     """Send everything at once, as a hub without queues would."""
+    upstream = placement.upstream
     if upstream.window.phase == 'cold':
         return len(upstream.work) < upstream.window.slots
     return True
 
 
 @disciplines.register('tiered')
-def admit_by_tier(
-    scheduler: Scheduler,
-    upstream: Upstream,
-    peers: Sequence[Upstream],
-    ask: Ask,
-    candidate: Candidate,
-    now_s: float,
-) -> bool:
+def admit_by_tier(placement: Placement) -> bool:
     """Keep within the window and leave headroom for higher tiers."""
-    slots = usable_slots(scheduler, upstream, now_s)
-    if is_straggler(upstream, peers):
+    if not _has_slot(placement):
+        return False
+    if placement.ask.prompt_tokens == 0:
+        return True
+    return (
+        _is_in_time(placement)
+        and _keeps_rhythm(placement)
+        and _is_backlog_short(placement)
+    )
+
+
+def _has_slot(placement: Placement) -> bool:
+    """Leave slots to higher tiers; notes when a lease was too small."""
+    upstream = placement.upstream
+    slots = usable_slots(placement.scheduler, upstream, placement.now_s)
+    if is_straggler(upstream, placement.peers):
         slots = min(slots, PROBE_SLOTS)
-    rank = ask.tier.rank
+    rank = placement.ask.tier.rank
     headroom = int(slots * HEADROOM_SHARE_PER_RANK * rank + 0.5)
-    if len(upstream.work) >= slots - headroom:
-        if slots < upstream.window.slots:
-            scheduler.flags['starved'] = True
-        return False
-    if ask.prompt_tokens == 0:
+    if len(upstream.work) < slots - headroom:
         return True
-    if now_s + candidate.predicted_s > ask.deadline_s and not candidate.resumed:
-        return False
-    if not _keeps_rhythm(upstream, peers, ask):
-        return False
-    return _is_backlog_short(scheduler, upstream, peers, ask, candidate, now_s)
+    if slots < upstream.window.slots:
+        placement.scheduler.flags['starved'] = True
+    return False
 
 
-def _keeps_rhythm(
-    upstream: Upstream, peers: Sequence[Upstream], ask: Ask
-) -> bool:
+def _is_in_time(placement: Placement) -> bool:
+    """Tell whether the first token is due in time, or came already."""
+    candidate = placement.candidate
+    first_at_s = placement.now_s + candidate.predicted_s
+    return candidate.resumed or first_at_s <= placement.ask.deadline_s
+
+
+def _keeps_rhythm(placement: Placement) -> bool:
     """Avoid upstreams that decode too slowly for the tier.
 
     When all of them are too slow, the tier takes what there is.
     """
-    limit_s = ask.tier.between_tokens_s * RHYTHM_SHARE
-    if upstream.speed.step_s <= limit_s:
+    limit_s = placement.ask.tier.between_tokens_s * RHYTHM_SHARE
+    if placement.upstream.speed.step_s <= limit_s:
         return True
-    return all(peer.speed.step_s > limit_s for peer in peers)
+    return all(peer.speed.step_s > limit_s for peer in placement.peers)
 
 
-def _is_backlog_short(
-    scheduler: Scheduler,
-    upstream: Upstream,
-    peers: Sequence[Upstream],
-    ask: Ask,
-    candidate: Candidate,
-    now_s: float,
-) -> bool:
+def _is_backlog_short(placement: Placement) -> bool:
     """Bound the prefill backlog by seconds, more tightly on clear ones."""
-    rate = upstream.speed.prefill_tokens_per_s
-    backlog_s = backlog_tokens(upstream, now_s) / rate
+    ask = placement.ask
     if ask.tier.rank == 0:
         return True
-    if upstream.spec.name in _clear_names(scheduler, ask.target, peers):
-        after_s = backlog_s + candidate.uncached_tokens / rate
+    upstream = placement.upstream
+    rate = upstream.speed.prefill_tokens_per_s
+    backlog_s = backlog_tokens(upstream, placement.now_s) / rate
+    if upstream.spec.name in placement.clear:
+        after_s = backlog_s + placement.candidate.uncached_tokens / rate
         return after_s <= CLEAR_BACKLOG_S
-    return backlog_s <= BULK_BACKLOG_S or _is_urgent(ask, now_s)
+    return backlog_s <= BULK_BACKLOG_S or _is_urgent(ask, placement.now_s)
 
 
 def _is_urgent(ask: Ask, now_s: float) -> bool:
@@ -156,19 +159,19 @@
     return waited_s > URGENT_SHARE * ask.tier.first_token_s
 
 
-def _clear_names(
+def clear_names(
     scheduler: Scheduler, target: str, peers: Sequence[Upstream]
-) -> list[str]:
+) -> frozenset[str]:
     """The fastest upstreams by their settings take no long prefill.
 
     VMs choose them in the same order, without a message.
     """
     if len(peers) < CLEAR_MIN_UPSTREAMS:
-        return []
+        return frozenset()
     share = scheduler.clear_shares.get(target, CLEAR_SHARE_MIN)
     clear = max(1, round(len(peers) * share))
     fastest = sorted(peers, key=_speed_order)
-    return [peer.spec.name for peer in fastest[:clear]]
+    return frozenset(peer.spec.name for peer in fastest[:clear])
 
 
 def _speed_order(upstream: Upstream) -> tuple[float, str]:
@@ -185,7 +188,7 @@
     """
     if ask.tier.rank > 0 or scheduler.plan.discipline != 'tiered':
         return candidates
-    names = _clear_names(
+    names = clear_names(
         scheduler, ask.target, upstreams_for(scheduler, ask.target)
     )
     bound_s = ask.tier.first_token_s * CLEAR_QUICK_SHARE
