--- a/bluebellhub/adapters/platform.py
+++ b/bluebellhub/adapters/platform.py
@@ -7,7 +7,7 @@
 
 from collections import Counter
 from collections.abc import Awaitable, Callable
-from typing import Any, Final, NamedTuple
+from typing import Any, Final, NamedTuple, TypedDict, TypeVar
 
 import httpx
 import msgspec
@@ -31,6 +31,8 @@
     'watch',
 ]
 
+Decoded = TypeVar('Decoded')
+
 CALL_TIMEOUT_S: Final = 2.0
 CONFLICT: Final = 409
 NOT_FOUND: Final = 404
@@ -53,6 +55,18 @@
     objects: list[StoredObject]
 
 
+class Conflict(TypedDict):
+    """Answer to a write that expected another version."""
+
+    version: int
+
+
+class Invalid(TypedDict):
+    """Answer to a write whose fields the platform refuses."""
+
+    reason: str
+
+
 class Platform(NamedTuple):
     """The client; ``calls`` counts the calls by name."""
 
@@ -86,6 +100,15 @@
     return response
 
 
+def _decode(response: httpx.Response, kind: type[Decoded]) -> Decoded:
+    """Decode an answer; one that cannot be read counts as none."""
+    try:
+        return msgspec.json.decode(response.content, type=kind)
+    except msgspec.MsgspecError as error:
+        cause = f'status {response.status_code}, {error}'
+        raise StoreUnavailableError('decode', cause) from None
+
+
 async def list_objects(platform: Platform, kind: str) -> Listing:
     """Read all objects of a kind; raises `StoreUnavailableError`."""
     response = await _call(
@@ -93,7 +116,7 @@
         'list',
         lambda: platform.client.get(f'/v1/objects/{kind}'),
     )
-    return _decode_listing(response)
+    return _decode(response, Listing)
 
 
 async def get_object(platform: Platform, kind: str, name: str) -> StoredObject:
@@ -108,7 +131,7 @@
     )
     if response.status_code == NOT_FOUND:
         return StoredObject(kind, name, 0, 0, None)
-    return msgspec.convert(response.json(), StoredObject)
+    return _decode(response, StoredObject)
 
 
 async def put_object(
@@ -155,11 +178,11 @@
     response: httpx.Response, kind: str, name: str, version: int
 ) -> StoredObject:
     if response.status_code == CONFLICT:
-        found = response.json()['version']
-        raise ConflictError(f'{kind} {name!r}', version, found)
+        conflict = _decode(response, Conflict)
+        raise ConflictError(f'{kind} {name!r}', version, conflict['version'])
     if response.status_code == INVALID:
-        raise ObjectError(kind, name, response.json()['reason'])
-    return msgspec.convert(response.json(), StoredObject)
+        raise ObjectError(kind, name, _decode(response, Invalid)['reason'])
+    return _decode(response, StoredObject)
 
 
 async def watch(platform: Platform, since: int, wait_s: float) -> Listing:
@@ -176,11 +199,7 @@
             timeout=wait_s + CALL_TIMEOUT_S,
         ),
     )
-    return _decode_listing(response)
-
-
-def _decode_listing(response: httpx.Response) -> Listing:
-    return msgspec.convert(response.json(), Listing)
+    return _decode(response, Listing)
 
 
 async def list_vms(platform: Platform) -> list[VmEntry]:
@@ -188,4 +207,4 @@
     response = await _call(
         platform, 'list_vms', lambda: platform.client.get('/v1/vms')
     )
-    return msgspec.convert(response.json(), list[VmEntry])
+    return _decode(response, list[VmEntry])
