Split the benchmarks' harness

Change: bench.py holds the schedulers, engines and their making; harness.py carries out events. No behaviour changes.

--- a/benchmarks/fleet.py
+++ b/benchmarks/fleet.py
@@ -13,8 +13,9 @@
 
 from tabulate import tabulate
 
-from benchmarks.harness import Bench, at, kill, make_bench, run
-from benchmarks.harness import make_fleet_bench as make_leased
+from benchmarks.bench import Bench, kill, make_bench
+from benchmarks.bench import make_fleet_bench as make_leased
+from benchmarks.harness import at, run
 from benchmarks.moving import CASES, play_case
 from benchmarks.outcome import is_good
 from benchmarks.protocol import measure_protocol
--- a/benchmarks/harness.py
+++ b/benchmarks/harness.py
@@ -6,65 +6,45 @@
 """
 
 from collections.abc import Callable
-from typing import Any, Final, NamedTuple
+from typing import Any, Final
 
-from benchmarks.outcome import Outcome, Outcomes, make_outcomes
-from benchmarks.workloads import Arrival, Site, make_contracts
+from benchmarks.bench import Bench
+from benchmarks.outcome import Outcome, Outcomes
+from benchmarks.workloads import Arrival
 from bluebellhub.contract import AccountLimits
-from bluebellhub.fleet import Fleet, leased_slots
 from bluebellhub.request import AttemptFailure
 from bluebellhub.scheduler import (
     Cancel,
     Dispatch,
     Event,
     Refuse,
-    Scheduler,
-    add_upstream,
     answer_ended,
     attempt_failed,
     hear_load,
-    make_scheduler,
     request_sent,
     submit,
     tick,
     tokens_arrived,
 )
-from bluebellhub.scheduler.state import Plan, SlotSource
 from bluebellhub.standins.engine_model import (
-    Engine,
     EngineDownError,
     accept,
     cancel,
     crash,
     is_idle,
-    make_engine,
     report_load,
     run_step,
 )
 from bluebellhub.standins.engine_records import Emission, Job
 from bluebellhub.standins.virtual_clock import (
-    VirtualClock,
     call_at,
-    make_clock,
     run_until,
 )
-from bluebellhub.standins.virtual_fleet import add_vm
-from bluebellhub.standins.virtual_state import (
-    VirtualFleet,
-    kill_vm,
-    make_virtual_fleet,
-)
-from bluebellhub.upstream import Upstream, UpstreamSpec, make_upstream
 
 __all__ = [
-    'Bench',
     'at',
     'crash_engine',
-    'kill',
-    'make_bench',
-    'make_fleet_bench',
     'run',
-    'spec_of',
 ]
 
 DELAY_S: Final = 0.0015
@@ -72,96 +52,6 @@
 REPORT_INTERVAL_S: Final = 1.0
 REPORT_LAG_S: Final = 1.0
 NO_LIMITS: Final = AccountLimits(1e9, 10**9)
-STEP_TARGET_S: Final = 0.06
-
-
-class Bench(NamedTuple):
-    """The root: a clock with its heap, the schedulers and the engines."""
-
-    clock: VirtualClock
-    vms: list[Scheduler]
-    engines: dict[str, Engine]
-    stepping: set[str]
-    dead_vms: set[int]
-    outcomes: Outcomes
-    owners: dict[str, int]
-    dispatches: list[tuple[float, str]]
-    virtual: VirtualFleet | None = None
-
-
-def spec_of(site: Site, number: int) -> UpstreamSpec:
-    """Return the settings an operator would write for an engine.
-
-    The window keeps the time between tokens below its limit.
-    """
-    profile = site.profiles[number]
-    chunk_s = profile.chunk_tokens / profile.prefill_tokens_per_s
-    spare_s = STEP_TARGET_S - profile.step_base_s - chunk_s
-    slots = int(spare_s / profile.step_per_request_s)
-    return UpstreamSpec(
-        name=profile.name,
-        address='127.0.0.1:1',
-        targets=(site.model,),
-        failure_domain=site.domains[number % len(site.domains)],
-        version=profile.version,
-        hardware=f'{profile.prefill_tokens_per_s:.0f}',
-        window=min(profile.batch_max, max(8, slots)),
-        cold_window=profile.cold_bearable,
-        prefill_tokens_per_s=profile.prefill_tokens_per_s,
-        step_s=profile.step_base_s + profile.step_per_request_s * 16,
-    )
-
-
-def make_bench(
-    site: Site, plan: Plan, slots: list[SlotSource], seed: int
-) -> Bench:
-    """Create one scheduler for each slot source, in front of the engines."""
-    vms = []
-    for number, source in enumerate(slots):
-        scheduler = make_scheduler(plan, source, seed + number)
-        scheduler.contracts.update(make_contracts(site))
-        for place in range(len(site.profiles)):
-            spec = spec_of(site, place)
-            add_upstream(scheduler, make_upstream(spec, warm=True))
-        vms.append(scheduler)
-    engines = {
-        profile.name: make_engine(profile, 0.0, warm=True)
-        for profile in site.profiles
-    }
-    return Bench(
-        make_clock(), vms, engines, set(), set(), make_outcomes(), {}, []
-    )
-
-
-def make_fleet_bench(site: Site, plan: Plan, vms: int, seed: int) -> Bench:
-    """Create VMs that lease their windows from each other."""
-    cells: list[list[Fleet]] = [[] for _ in range(vms)]
-    sources = [_leased_source(cell) for cell in cells]
-    bench = make_bench(site, plan, sources, seed)
-    virtual = make_virtual_fleet(bench.clock, seed)
-    for number, scheduler in enumerate(bench.vms):
-        domain = site.domains[number % len(site.domains)]
-        name = f'hub-{number}'
-        cells[number].append(add_vm(virtual, name, domain, scheduler))
-    return bench._replace(virtual=virtual)
-
-
-def _leased_source(cell: list[Fleet]) -> SlotSource:
-    def slots(upstream: Upstream, now_s: float) -> int:
-        return leased_slots(cell[0])(upstream, now_s)
-
-    return slots
-
-
-def kill(bench: Bench, now_s: float, vm: int) -> None:
-    """Kill a VM with its requests; engines notice closed connections."""
-    bench.dead_vms.add(vm)
-    if bench.virtual is not None:
-        kill_vm(bench.virtual, f'hub-{vm}')
-    for life in bench.vms[vm].lives.values():
-        if life.attempt is not None:
-            job_id = f'{life.ask.request_id}/{life.attempts}'
-            cancel(bench.engines[life.attempt.upstream], job_id)
 
 
 def at(
--- a/benchmarks/moving.py
+++ b/benchmarks/moving.py
@@ -4,7 +4,8 @@
 from random import Random
 from typing import Any, Final, NamedTuple
 
-from benchmarks.harness import Bench, at, make_fleet_bench, run
+from benchmarks.bench import Bench, make_fleet_bench
+from benchmarks.harness import at, run
 from benchmarks.workloads import SITES, Site, make_arrivals
 from bluebellhub.scheduler.state import Plan
 from bluebellhub.standins.faults import Fault
--- a/benchmarks/policies.py
+++ b/benchmarks/policies.py
@@ -10,7 +10,8 @@
 
 from tabulate import tabulate
 
-from benchmarks.harness import Bench, make_bench, make_fleet_bench, run
+from benchmarks.bench import Bench, make_bench, make_fleet_bench
+from benchmarks.harness import run
 from benchmarks.outcome import Summary, summarise
 from benchmarks.workloads import SITES, Site, make_arrivals
 from bluebellhub.scheduler.room import whole_window
