Split the demonstration into scenes, calls and site

Change: calls.py sends requests, site.py writes the objects and waits for the fleet, callers.py plays the scenes.

--- a/demo/callers.py
+++ b/demo/callers.py
@@ -3,37 +3,26 @@
 import argparse
 import sys
 from collections.abc import Awaitable, Callable
-from typing import Any, Final, NamedTuple
+from typing import Final
 
 import httpx
 import trio
 
 from bluebellhub.adapters.platform import make_platform, put_object
-from bluebellhub.contract import hash_key
-from bluebellhub.errors import HubError, StoreUnavailableError
+from bluebellhub.errors import HubError
 from bluebellhub.registry import Registry, make_registry
+from demo.calls import HUBS, call, chat
+from demo.site import PLATFORM, set_up
 
 __all__ = ['main', 'scenes']
 
-PLATFORM: Final = '127.0.0.1:18000'
-HUBS: Final = ('127.0.0.1:18101', '127.0.0.1:18102', '127.0.0.1:18103')
 READY_TIMEOUT_S: Final = 60.0
-UNAVAILABLE: Final = 503
-TRIES: Final = 5
-DOMAINS: Final = ('rennes', 'vannes', 'brest')
 
 
 class SceneError(HubError):
     """A scene did not go as it should."""
 
 
-class Answer(NamedTuple):
-    """An HTTP answer's status and body."""
-
-    status: int
-    text: str
-
-
 Scene = Callable[[httpx.AsyncClient], Awaitable[str]]
 scenes: Registry[Scene] = make_registry('scene')
 
@@ -44,41 +33,6 @@
         raise SceneError(detail)
 
 
-async def call(
-    client: httpx.AsyncClient,
-    hub: int,
-    path: str,
-    body: dict[str, Any],
-    account: str = 'yard',
-    **headers: str,
-) -> Answer:
-    """Send a request; after a refusal for want of capacity, try again."""
-    names = {name.replace('_', '-'): text for name, text in headers.items()}
-    answer = Answer(UNAVAILABLE, '')
-    for _ in range(TRIES):
-        response = await client.post(
-            f'http://{HUBS[hub]}{path}',
-            json=body,
-            headers={'Authorization': f'Bearer {account}.orchard', **names},
-        )
-        answer = Answer(response.status_code, response.text)
-        if answer.status != UNAVAILABLE:
-            break
-        await trio.sleep(int(response.headers.get('Retry-After', '1')))
-    return answer
-
-
-def chat(text: str, tokens: int, **fields: Any) -> dict[str, Any]:
-    """Return the body of a completion request."""
-    message = {'role': 'user', 'content': text}
-    return {
-        'model': 'hire-assistant',
-        'messages': [message],
-        'max_tokens': tokens,
-        **fields,
-    }
-
-
 @scenes.register('1 a streamed plan through hub-1')
 async def stream_plan(client: httpx.AsyncClient) -> str:
     """A grower's long plan arrives token by token."""
@@ -193,97 +147,12 @@
     return response.json()['domains_out']
 
 
-def _objects() -> list[tuple[str, str, dict[str, Any]]]:
-    key = hash_key('orchard')
-    found: list[tuple[str, str, dict[str, Any]]] = [
-        (
-            'contract',
-            'yard',
-            {
-                'key_sha256': key,
-                'tiers': ['check', 'plan'],
-                'models': ['hire-assistant'],
-                'services': ['bookings'],
-            },
-        ),
-        (
-            'contract',
-            'orchardist',
-            {
-                'key_sha256': key,
-                'tiers': ['check'],
-                'models': ['hire-assistant'],
-            },
-        ),
-        (
-            'upstream',
-            'bookings-1',
-            {
-                'address': '127.0.0.1:18401',
-                'targets': ['bookings'],
-                'failure_domain': 'brest',
-                'kind': 'service',
-                'cold_window': 8,
-            },
-        ),
-    ]
-    for number, domain in enumerate(DOMAINS, start=1):
-        spec = {
-            'address': f'127.0.0.1:1830{number}',
-            'targets': ['hire-assistant'],
-            'failure_domain': domain,
-        }
-        found.append(('upstream', f'hire-{number}', spec))
-    return found
-
-
-async def _set_up(client: httpx.AsyncClient) -> None:
-    """Write the objects and wait until the fleet serves."""
-    platform = make_platform(PLATFORM)
-    async with platform.client:
-        for kind, name, spec in _objects():
-            await _put_patiently(platform, kind, name, spec)
-    vms = [
-        [f'hub-{number}', f'127.0.0.1:1820{number}', domain]
-        for number, domain in enumerate(DOMAINS, start=1)
-    ]
-    await client.post(f'http://{PLATFORM}/control', json={'vms': vms})
-    for hub in range(len(HUBS)):
-        await _wait_until_served(client, hub)
-
-
-async def _put_patiently(
-    platform: Any, kind: str, name: str, spec: dict[str, Any]
-) -> None:
-    while True:
-        try:
-            await put_object(platform, kind, name, spec, 0)
-        except StoreUnavailableError:
-            await trio.sleep(0.2)
-        else:
-            return
-
-
-async def _wait_until_served(client: httpx.AsyncClient, hub: int) -> None:
-    while True:
-        try:
-            answer = await call(
-                client, hub, '/v1/chat/completions', chat('hi', 1)
-            )
-        except httpx.HTTPError:
-            await trio.sleep(0.2)
-            continue
-        if answer.status == 200:
-            return
-        await trio.sleep(0.2)
-
-
 async def play() -> bool:
     """Play all scenes; returns whether all went well."""
     good = True
     async with httpx.AsyncClient(timeout=30.0) as client:
         with trio.fail_after(READY_TIMEOUT_S):
-            await _set_up(client)
+            await set_up(client)
         print('three hubs serve in rennes, vannes and brest')
         for name in scenes.names():
             try:
