Read wanted floors once a check; share one argument of the tool

Cause: a last reading of the change found the wanted floors and the live peers computed up to three times in one check of the floors, and ANY_NAME written twice in the tool.

Change: apply_floors passes both on to the count of consent; objects.py takes ANY_NAME from watching.py. Behaviour stays as it is.

Before: three calls of wanted_floors and two of live_peers a check; after, one of each.

Conclusion: left as found, and noted: for a request of the top tier the clear upstreams are still found twice in a decision.

--- a/bluebellhub/cli/objects.py
+++ b/bluebellhub/cli/objects.py
@@ -14,7 +14,7 @@
     update,
     wait_in_force,
 )
-from bluebellhub.cli.watching import add_watch
+from bluebellhub.cli.watching import ANY_NAME, add_watch
 from bluebellhub.configuration import StoredObject
 
 __all__ = ['row_of']
@@ -22,7 +22,6 @@
 HIDDEN_FIELDS: Final = frozenset(('key_sha256',))
 FILE: Final = {'help': 'a YAML file with one object a document'}
 NAME: Final = {'help': 'the name of the object'}
-ANY_NAME: Final = {'nargs': '?', 'help': 'one object; all without it'}
 WAIT: Final = {
     'action': 'store_true',
     'help': 'wait until it is in force on every VM',
--- a/bluebellhub/cli/watching.py
+++ b/bluebellhub/cli/watching.py
@@ -13,7 +13,7 @@
 from bluebellhub.cli.errors import MissingObjectError
 from bluebellhub.errors import StoreUnavailableError
 
-__all__ = ['Row', 'add_watch', 'changed_rows']
+__all__ = ['ANY_NAME', 'Row', 'add_watch', 'changed_rows']
 
 POLL_S: Final = 0.5
 FOR: Final = {
--- a/bluebellhub/fleet/floors.py
+++ b/bluebellhub/fleet/floors.py
@@ -41,24 +41,25 @@
     and admits nothing.
     """
     peers = live_peers(fleet.members, now_s, LAPSED_S)
-    floors = wanted_floors(fleet, now_s)
+    wanted = wanted_floors(fleet, now_s)
+    floors = dict(wanted)
     for peer in peers.values():
         for target, rank in peer.heartbeat.wanted.items():
             floors[target] = min(rank, floors.get(target, rank))
     scheduler = fleet.scheduler
-    untold = wanted_floors(fleet, now_s).keys() - fleet.told.keys()
+    untold = wanted.keys() - fleet.told.keys()
     if untold or floors != scheduler.floors:
         scheduler.floors.clear()
         scheduler.floors.update(floors)
         fleet.due['heartbeat'] = now_s
-    _count_consent(fleet, now_s)
+    _count_consent(fleet, wanted, peers)
 
 
-def _count_consent(fleet: Fleet, now_s: float) -> None:
+def _count_consent(
+    fleet: Fleet, wanted: dict[str, int], peers: dict[str, Peer]
+) -> None:
     """A wish is agreed on when every live member answers that it applies."""
-    peers = live_peers(fleet.members, now_s, LAPSED_S)
     members = [peers[name] for name in map_members(fleet) if name in peers]
-    wanted = wanted_floors(fleet, now_s)
     agreed = fleet.scheduler.floors_agreed
     agreed.clear()
     for target, told in fleet.told.items():
