--- a/bluebellhub/adapters/passing/answer_kinds.py
+++ b/bluebellhub/adapters/passing/answer_kinds.py
@@ -47,9 +47,7 @@
     await end_answer(job.link)
 
 
-async def pass_whole(
-    job: Job, link: UpstreamLink, answer: AnswerHead
-) -> None:
+async def pass_whole(job: Job, link: UpstreamLink, answer: AnswerHead) -> None:
     """Pass an answer on once it is complete, unless it is very large."""
     held = job.progress['held']
     if held is not None and held.status == answer.status:
--- a/bluebellhub/adapters/passing/attempt.py
+++ b/bluebellhub/adapters/passing/attempt.py
@@ -1,5 +1,7 @@
 """One attempt at one upstream, from the connection to the answer's end."""
 
+from collections.abc import Mapping
+from types import MappingProxyType
 from typing import Any, Final
 
 import h11
@@ -36,7 +38,19 @@
 CALLER_GONE: Final = 'caller_gone'
 # Part of the time limit that a repeatable request waits for one upstream.
 FIRST_BYTE_SHARE: Final = 0.35
+REDIRECT: Final = 300
 SERVER_ERROR: Final = 500
+FAILURE_KINDS: Final[Mapping[type[BaseException], str]] = MappingProxyType(
+    {
+        CallerGoneError: CALLER_GONE,
+        EventIdError: 'cut',
+        h11.RemoteProtocolError: 'cut',
+        trio.BrokenResourceError: 'cut',
+        trio.ClosedResourceError: 'cut',
+        trio.TooSlowError: 'silent',
+    }
+)
+FAILURES: Final = tuple(FAILURE_KINDS)
 # Without the upstream's promise these would say more than it did.
 PROMISES: Final = frozenset((408, 421, 429, 503))
 
@@ -102,14 +116,9 @@
         await _pass_answer(passing, job, link)
     except AttemptError as error:
         return error.failure
-    except trio.TooSlowError:
-        return AttemptFailure('silent', 'no answer in time')
-    except CallerGoneError:
-        return AttemptFailure(CALLER_GONE)
-    except (h11.RemoteProtocolError, EventIdError) as error:
-        return AttemptFailure('cut', str(error))
-    except (trio.BrokenResourceError, trio.ClosedResourceError) as error:
-        return AttemptFailure('cut', type(error).__name__)
+    except FAILURES as error:
+        kind = FAILURE_KINDS[type(error)]
+        return AttemptFailure(kind, f'{type(error).__name__} {error}')
     return None
 
 
@@ -163,7 +172,7 @@
         return AttemptFailure('refused', status)
     if answer.status >= SERVER_ERROR or answer.status in PROMISES:
         return AttemptFailure('answered_error', status)
-    if answer.is_encoded or (answer.status < 300 and not answer.is_proven):
+    if answer.is_encoded or (answer.status < REDIRECT and not answer.is_proven):
         return AttemptFailure('mismatch', 'not proven to be the answer')
     return None
 
--- a/bluebellhub/adapters/passing/caller_link.py
+++ b/bluebellhub/adapters/passing/caller_link.py
@@ -3,6 +3,7 @@
 from typing import Any, Final, NamedTuple, TypedDict
 
 import h11
+import logbook
 import trio
 
 from bluebellhub.errors import HubError
@@ -39,8 +40,13 @@
 LINGER_S: Final = 0.5
 TOO_LARGE_HEADER: Final = 431
 BODY_TIMEOUT_S: Final = 15.0
+# The colon, the space and the line break of a header.
+HEADER_LINE_BYTES: Final = 4
 CLOSE_HEADER: Final = (b'connection', b'close')
 GONE_ERRORS: Final = (trio.BrokenResourceError, trio.ClosedResourceError)
+LINGER_ERRORS: Final = (*GONE_ERRORS, trio.BusyResourceError, OSError)
+
+log = logbook.Logger('bluebellhub.callers')
 
 
 class CallerGoneError(HubError):
@@ -100,17 +106,20 @@
     Raises a refusal for a request that cannot be read or comes too slowly.
     """
     try:
-        request = await _read_head(link)
-        if request is None:
-            return None
-        _check_framing(request)
-        head = read_call_head(request.method, request.target, request.headers)
-        body = await _read_body(link, head.time_limit_s or BODY_TIMEOUT_S)
+        return await _read_call(link)
     except h11.RemoteProtocolError as error:
         raise _protocol_refusal(error) from None
-    if body is None:
+
+
+async def _read_call(link: CallerLink) -> Call | None:
+    request = await _read_head(link)
+    if request is None:
         return None
-    return Call(head, body)
+    _check_size(link, request)
+    _check_framing(request)
+    head = read_call_head(request.method, request.target, request.headers)
+    body = await _read_body(link, head.time_limit_s or BODY_TIMEOUT_S)
+    return None if body is None else Call(head, body)
 
 
 async def _read_head(link: CallerLink) -> h11.Request | None:
@@ -168,6 +177,18 @@
     return bytes(received)
 
 
+def _check_size(link: CallerLink, request: h11.Request) -> None:
+    """Bound a head that arrived at once; others are bounded on the way."""
+    size = len(request.target) + sum(
+        len(name) + len(field) + HEADER_LINE_BYTES
+        for name, field in request.headers
+    )
+    if size > link.limits.header_max_bytes:
+        raise HeaderTooLargeError(
+            f'got {size} bytes, expected {link.limits.header_max_bytes}'
+        )
+
+
 def _check_framing(request: h11.Request) -> None:
     """Refuse a request whose end could be understood in two ways."""
     names = [name for name, _ in request.headers]
@@ -256,7 +277,12 @@
     with trio.move_on_after(LINGER_S):
         try:
             await link.stream.send_eof()
-            while await link.stream.receive_some(READ_BYTES):
-                continue
-        except (*GONE_ERRORS, trio.BusyResourceError, OSError):
-            return
+            await _drain(link.stream)
+        except LINGER_ERRORS as error:
+            log.debug('caller did not wait: {}', type(error).__name__)
+
+
+async def _drain(stream: trio.SocketStream) -> None:
+    received = await stream.receive_some(READ_BYTES)
+    while received:
+        received = await stream.receive_some(READ_BYTES)
--- a/bluebellhub/adapters/passing/event_cutter.py
+++ b/bluebellhub/adapters/passing/event_cutter.py
@@ -22,11 +22,7 @@
 
 
 def cut_events(received: bytes) -> Cut:
-    """Split bytes into whole events.
-
-    >>> cut_events(b'id: 1\\n\\nid: 2')
-    Cut(events=[b'id: 1\\n\\n'], rest=b'id: 2')
-    """
+    """Split bytes into whole events and the start of the next one."""
     *whole, rest = received.split(SEPARATOR)
     return Cut([event + SEPARATOR for event in whole], rest)
 
--- a/bluebellhub/adapters/passing/relay.py
+++ b/bluebellhub/adapters/passing/relay.py
@@ -11,6 +11,7 @@
 from bluebellhub.adapters.passing.attempt import CALLER_GONE, run_attempt
 from bluebellhub.adapters.passing.caller_link import (
     Call,
+    CallerGoneError,
     CallerLink,
     abort,
     send_refusal,
@@ -61,7 +62,7 @@
     if job.progress['outcome']:
         return
     if job.link.state['is_gone']:
-        job.progress['outcome'] = CALLER_GONE
+        _set_outcome(job, CALLER_GONE)
         return
     await _time_out(passing, job)
 
@@ -70,10 +71,19 @@
     """Make attempts until one ends well or none may follow."""
     while not job.progress['outcome']:
         decision = await job.exchange.incoming.receive()
-        if isinstance(decision, RefusalError):
-            await _give_up(passing, job, decision)
-        else:
-            await _try_once(passing, job, decision)
+        try:
+            await _carry_decision(passing, job, decision)
+        except CallerGoneError:
+            _set_outcome(job, CALLER_GONE)
+
+
+async def _carry_decision(
+    passing: Passing, job: Job, decision: Dispatch | RefusalError
+) -> None:
+    if isinstance(decision, RefusalError):
+        await _give_up(passing, job, decision)
+    else:
+        await _try_once(passing, job, decision)
 
 
 async def _try_once(passing: Passing, job: Job, dispatch: Dispatch) -> None:
@@ -86,13 +96,17 @@
     if failure is None:
         events = answer_ended(scheduler, dispatch.request_id, now_s())
         carry_out(passing.node, events)
-        job.progress['outcome'] = 'answered'
+        _set_outcome(job, 'answered')
     elif failure.kind == CALLER_GONE:
-        job.progress['outcome'] = CALLER_GONE
+        _set_outcome(job, CALLER_GONE)
     else:
         _fail(passing, job, dispatch, failure)
 
 
+def _set_outcome(job: Job, outcome: str) -> None:
+    job.progress['outcome'] = outcome
+
+
 def _fail(
     passing: Passing, job: Job, dispatch: Dispatch, failure: AttemptFailure
 ) -> None:
@@ -114,26 +128,24 @@
 
 async def _give_up(passing: Passing, job: Job, error: RefusalError) -> None:
     """End the request with what is known of it."""
-    job.progress['outcome'] = error.reason
+    _set_outcome(job, error.reason)
+    held = job.progress['held']
     if error.run == 'no':
         give_back(passing.site, job.admission, now_s())
     if job.progress['has_begun']:
         abort(job.link)
-    elif job.progress['held'] is not None:
-        job.progress['outcome'] = 'failure_passed'
-        await pass_held(job, job.progress['held'])
+    elif held:
+        _set_outcome(job, 'failure_passed')
+        await pass_held(job, held)
     else:
         await send_refusal(job.link, error)
 
 
 async def _time_out(passing: Passing, job: Job) -> None:
     life = passing.node.scheduler.lives.get(job.admission.ask.request_id)
-    if life is not None and run_claim(life) == 'no':
-        error: RefusalError = ShedError(
-            'no place in time', retry_after_s=LATE_RETRY_S
-        )
-    else:
-        error = AnswerTimeoutError('no answer in time', run='unknown')
+    error: RefusalError = AnswerTimeoutError('no answer', run='unknown')
+    if life and run_claim(life) == 'no':
+        error = ShedError('no place in time', retry_after_s=LATE_RETRY_S)
     with trio.move_on_after(LATE_RETRY_S):
         await _give_up(passing, job, error)
 
--- a/bluebellhub/adapters/passing/run.py
+++ b/bluebellhub/adapters/passing/run.py
@@ -83,7 +83,7 @@
         nursery.start_soon(watch_store, watcher, kind)
     nursery.start_soon(drop_overdue_upstreams, watcher)
     nursery.start_soon(
-        announce_vm, watcher.store, settings.vm, settings.peer_listen
+        announce_vm, watcher.store, settings.vm, settings.peer_listen or ''
     )
     nursery.start_soon(hear_news, passing, watcher.link)
     nursery.start_soon(tell_news, passing, watcher.link)
--- a/bluebellhub/adapters/passing/server.py
+++ b/bluebellhub/adapters/passing/server.py
@@ -49,6 +49,10 @@
             link.protocol.start_next_cycle()
     except (CallerGoneError, OSError) as error:
         log.debug('caller lost: {}', type(error).__name__)
+    except Exception:
+        # A fault met by one connection must not end the others.
+        log.exception('connection given up')
+        link.state['is_aborted'] = True
     finally:
         passing.links.pop(id(link))
         await close_link(link)
@@ -59,7 +63,9 @@
     try:
         call = await next_call(link)
     except RefusalError as error:
-        log.info('refused', extra={'reason': error.reason, 'detail': str(error)})
+        log.info(
+            'refused', extra={'reason': error.reason, 'detail': str(error)}
+        )
         await _refuse_unread(link, error)
         return False
     if call is None:
--- /dev/null
+++ b/bluebellhub/adapters/passing/tests/scripted.py
@@ -0,0 +1,114 @@
+"""A VM on loopback in front of upstreams that follow a script."""
+
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from functools import partial
+from typing import NamedTuple
+
+import trio
+
+from bluebellhub.adapters.connections import make_connections
+from bluebellhub.adapters.node import make_node, run_ticks
+from bluebellhub.adapters.passing.server import serve_caller
+from bluebellhub.adapters.passing.state import Passing
+from bluebellhub.clock import now_s
+from bluebellhub.settings import Settings
+from bluebellhub.site.tests.small_site import make_entry, make_small_site
+from bluebellhub.site.upstreams import take_registration
+
+__all__ = ['Hub', 'ask', 'request', 'running_hub']
+
+LIMIT_S = 10.0
+PROOF = b'X-Bluebellhub-Response-Signature: p\r\n'
+
+
+class Hub(NamedTuple):
+    """The VM, its port and what the upstreams received."""
+
+    passing: Passing
+    port: int
+    received: list[bytes]
+
+
+def request(body=b'', path=b'/a/x', method=b'POST', headers=b''):
+    """Return a caller's request; ``headers`` end with a line break."""
+    return (
+        b'%s %s HTTP/1.1\r\nHost: a.example\r\n'
+        b'X-Bluebellhub-Request-Id: r1\r\n'
+        b'X-Bluebellhub-Deadline-Ms: 3000\r\n'
+        b'Authorization: Bearer k1\r\n%s'
+        b'Content-Length: %d\r\n\r\n%s'
+    ) % (method, path, headers, len(body), body)
+
+
+async def _follow(script, received, stream):
+    """Answer each connection by the next step of the script.
+
+    A step is bytes to write after the request's head, and how to end:
+    ``keep`` the connection, ``close`` it or ``reset`` it.
+    """
+    step, end = script.pop(0) if len(script) > 1 else script[0]
+    async with stream:
+        head = b''
+        while b'\r\n\r\n' not in head:
+            part = await stream.receive_some()
+            if not part:
+                return
+            head += part
+        received.append(head)
+        await stream.send_all(step)
+        if end == 'keep':
+            await _read_to_end(stream)
+        if end == 'reset':
+            stream.setsockopt(1, 13, b'\x01\0\0\0\0\0\0\0')
+
+
+async def _read_to_end(stream):
+    received = b'x'
+    while received:
+        received = await stream.receive_some()
+
+
+@asynccontextmanager
+async def running_hub(*scripts, **fields) -> AsyncIterator[Hub]:
+    """Run a VM whose upstreams, one for each script, follow them."""
+    received: list[bytes] = []
+    with trio.fail_after(LIMIT_S):
+        async with trio.open_nursery() as nursery:
+            site = make_small_site(**fields)
+            for number, script in enumerate(scripts):
+                port = await _listen(
+                    nursery, partial(_follow, list(script), received)
+                )
+                entry = make_entry(f'u{number}', address=f'127.0.0.1:{port}')
+                take_registration(site, entry, now_s())
+            settings = Settings('hub-1', 'd', '127.0.0.1:1')
+            connections = make_connections(1.0)
+            node = make_node(settings, site.scheduler, connections, nursery)
+            passing = Passing(node, site, {}, {})
+            nursery.start_soon(run_ticks, node)
+            port = await _listen(nursery, partial(serve_caller, passing))
+            yield Hub(passing, port, received)
+            nursery.cancel_scope.cancel()
+
+
+async def _listen(nursery, handler):
+    listeners = await nursery.start(
+        partial(trio.serve_tcp, handler, 0, host='127.0.0.1')
+    )
+    return listeners[0].socket.getsockname()[1]
+
+
+async def ask(hub, *sent, until=None):
+    """Write to the VM and read until it closes, or until ``until``."""
+    stream = await trio.open_tcp_stream('127.0.0.1', hub.port)
+    async with stream:
+        for part in sent:
+            await stream.send_all(part)
+        answer = b''
+        while until is None or until not in answer:
+            part = await stream.receive_some()
+            if not part:
+                break
+            answer += part
+        return answer
--- a/bluebellhub/adapters/passing/upstream_link.py
+++ b/bluebellhub/adapters/passing/upstream_link.py
@@ -78,9 +78,7 @@
         raise ConnectError(type(error).__name__) from None
 
 
-def _take_kept(
-    kept: KeptLinks, spec: UpstreamSpec
-) -> trio.SocketStream | None:
+def _take_kept(kept: KeptLinks, spec: UpstreamSpec) -> trio.SocketStream | None:
     """Return an idle connection on which nothing has arrived."""
     idle = kept.get((spec.name, spec.address), [])
     while idle:
--- a/bluebellhub/adapters/passing/watching.py
+++ b/bluebellhub/adapters/passing/watching.py
@@ -221,7 +221,9 @@
         return
     roster = watcher.passing.site.roster
     if note_outage(roster, now_s(), is_on=bool(cause)):
-        log.info('store lost' if cause else 'store back', extra={'cause': cause})
+        log.info(
+            'store lost' if cause else 'store back', extra={'cause': cause}
+        )
 
 
 async def drop_overdue_upstreams(watcher: Watcher) -> None:
--- a/bluebellhub/platform/store.py
+++ b/bluebellhub/platform/store.py
@@ -191,9 +191,7 @@
 ) -> Decoded:
     response = await _call(
         kind,
-        lambda: store.client.get(
-            f'/{kind}', params=query, timeout=timeout_s
-        ),
+        lambda: store.client.get(f'/{kind}', params=query, timeout=timeout_s),
         timeout_s,
     )
     _check(kind, response)
--- /dev/null
+++ b/bluebellhub/platform/tests/test_headers.py
@@ -0,0 +1,161 @@
+"""Heads of requests and answers on the wire."""
+
+import pytest
+
+from bluebellhub.platform.answers import refusal_answer
+from bluebellhub.platform.headers import (
+    attempt_headers,
+    read_answer_head,
+    read_call_head,
+)
+from bluebellhub.request.call import Load, Tokens
+from bluebellhub.request.refusal import (
+    AnswerTimeoutError,
+    BadRequestError,
+    NoUpstreamError,
+    RateLimitError,
+    ShedError,
+    UnauthenticatedError,
+    UnknownTargetError,
+    UpstreamFailedError,
+)
+
+ID = (b'x-bluebellhub-request-id', b'9c41')
+HOST = (b'host', b'a.example:80')
+
+
+def _head(*pairs, target=b'/a/b?q=1'):
+    return read_call_head(b'POST', target, [HOST, ID, *pairs])
+
+
+@pytest.mark.parametrize(
+    ('pair', 'field', 'expected'),
+    [
+        ((b'authorization', b'Bearer k1'), 'key', 'k1'),
+        ((b'authorization', b'bearer k1'), 'key', 'k1'),
+        ((b'authorization', b'Basic k1'), 'key', None),
+        ((b'x-bluebellhub-deadline-ms', b'1500'), 'time_limit_s', 1.5),
+        ((b'x-bluebellhub-deadline-ms', b'soon'), 'time_limit_s', None),
+        ((b'x-bluebellhub-deadline-ms', b'-5'), 'time_limit_s', None),
+        (
+            (b'x-bluebellhub-token-counts', b'1460,80'),
+            'tokens',
+            Tokens(1460, 80),
+        ),
+        ((b'x-bluebellhub-token-counts', b'1460'), 'tokens', None),
+        ((b'x-bluebellhub-token-counts', b'a,b'), 'tokens', None),
+        ((b'last-event-id', b'7'), 'resume_after', b'7'),
+    ],
+)
+def test_fields_of_a_request(pair, field, expected):
+    assert getattr(_head(pair), field) == expected
+
+
+def test_path_and_host_of_a_request():
+    head = _head()
+    assert (head.host, head.path) == ('a.example', '/a/b')
+    assert head.target == b'/a/b?q=1'
+
+
+@pytest.mark.parametrize('ids', [[], [ID, ID]])
+def test_a_request_has_one_id(ids):
+    with pytest.raises(BadRequestError):
+        read_call_head(b'GET', b'/', [HOST, *ids])
+
+
+@pytest.mark.parametrize(
+    ('name', 'goes_on'),
+    [
+        (b'x-own', True),
+        (b'x-bluebellhub-model', True),
+        (b'x-bluebellhub-token-counts', True),
+        (b'x-bluebellhub-prompt-prefix', True),
+        (b'x-bluebellhub-length-hint', True),
+        (b'content-type', True),
+        (b'authorization', False),
+        (b'x-bluebellhub-tenant', False),
+        (b'x-bluebellhub-expect-instance', False),
+        (b'x-bluebellhub-expect-version', False),
+        (b'x-bluebellhub-hold', False),
+        (b'x-bluebellhub-pin-ms', False),
+        (b'x-bluebellhub-kv-backup', False),
+        (b'kv-from', False),
+        (b'kv-fetch', False),
+        (b'x-bluebellhub-deadline-ms', False),
+        (b'connection', False),
+        (b'keep-alive', False),
+        (b'transfer-encoding', False),
+        (b'content-length', False),
+        (b'x-named-by-connection', False),
+    ],
+)
+def test_which_headers_go_on(name, goes_on):
+    pairs = [(name, b'7')]
+    if name == b'x-named-by-connection':
+        pairs.append((b'connection', b'close, X-Named-By-Connection'))
+    passed = dict(_head(*pairs).passed)
+    assert (name in passed) is goes_on
+    assert passed[ID[0]] == ID[1]
+
+
+@pytest.mark.parametrize(
+    ('account', 'resume', 'expected'),
+    [
+        ('yard', None, {b'x-bluebellhub-tenant': b'yard'}),
+        ('', b'4', {b'last-event-id': b'4'}),
+    ],
+)
+def test_headers_of_an_attempt(account, resume, expected):
+    forged = (b'x-bluebellhub-tenant', b'forged')
+    headers = attempt_headers(_head(forged), 'i-1', account, 0.25, resume)
+    found = dict(headers)
+    assert found[b'x-bluebellhub-expect-instance'] == b'i-1'
+    assert found[b'x-bluebellhub-deadline-ms'] == b'250'
+    assert expected.items() <= found.items()
+    assert (b'x-bluebellhub-tenant' in found) is bool(account)
+
+
+@pytest.mark.parametrize(
+    ('status', 'pair', 'field', 'expected'),
+    [
+        (200, (b'x-bluebellhub-response-signature', b'x'), 'is_proven', True),
+        (200, (b'x', b'y'), 'is_proven', False),
+        (503, (b'x-bluebellhub-not-executed', b'1'), 'is_unrun', True),
+        (503, (b'x', b'y'), 'is_unrun', False),
+        (421, (b'x', b'y'), 'is_misdirected', True),
+        (200, (b'content-encoding', b'gzip'), 'is_encoded', True),
+        (
+            200,
+            (b'content-type', b'text/event-stream; charset=utf-8'),
+            'is_event_stream',
+            True,
+        ),
+        (200, (b'x-bluebellhub-server-load', b'3,1,8'), 'load', Load(3, 1, 8)),
+        (200, (b'x-bluebellhub-server-load', b'3,1'), 'load', None),
+        (200, (b'keep-alive', b'timeout=5, max=3'), 'idle_s', 5.0),
+        (200, (b'connection', b'close'), 'idle_s', 0.0),
+        (200, (b'x-bluebellhub-request-id', b'77'), 'request_id', '77'),
+    ],
+)
+def test_fields_of_an_answer(status, pair, field, expected):
+    assert getattr(read_answer_head(status, [pair]), field) == expected
+
+
+@pytest.mark.parametrize(
+    ('error', 'status', 'retries'),
+    [
+        (ShedError('x', retry_after_s=2.0), 503, True),
+        (ShedError('x', run='unknown', retry_after_s=2.0), 502, False),
+        (UpstreamFailedError('x', run='unknown'), 502, False),
+        (UpstreamFailedError('x', run='no', retry_after_s=1.0), 503, True),
+        (NoUpstreamError('x', retry_after_s=1.0), 503, True),
+        (RateLimitError(5.0, retry_after_s=1.0), 429, True),
+        (AnswerTimeoutError('x', run='unknown'), 504, False),
+        (UnknownTargetError('x'), 404, False),
+        (UnauthenticatedError('x'), 401, False),
+    ],
+)
+def test_a_refusal_promises_only_what_is_known(error, status, retries):
+    answer = refusal_answer(error)
+    assert answer.status == status
+    assert (b'retry-after' in dict(answer.headers)) is retries
--- a/bluebellhub/rates/cold_rate.py
+++ b/bluebellhub/rates/cold_rate.py
@@ -45,7 +45,7 @@
     spare = cold_per_s * (bounds.overage - 1.0) + bounds.slack
     ordered = sorted(
         {vm, *vms},
-        key=lambda name: xxhash.xxh64_intdigest(f'{upstream}/{name}'),
+        key=lambda name: xxhash.xxh64_intdigest(f'{upstream}/{name}'.encode()),
     )
     chosen = ordered[: max(1, int(spare) - 1)]
     if vm not in chosen:
--- a/bluebellhub/rates/quota.py
+++ b/bluebellhub/rates/quota.py
@@ -81,15 +81,15 @@
 
 def take_back(quotas: Quotas, account: str, cost: float, now_s: float) -> None:
     """Return the cost of a request that has not run."""
-    if account in quotas.admitted:
-        add(quotas.admitted[account], -cost, now_s)
+    own = quotas.admitted.get(account)
+    if own is not None:
+        add(own, -cost, now_s)
 
 
 def quota_totals(quotas: Quotas, now_s: float) -> dict[str, float]:
     """Return what this VM admitted in the window, by account."""
     totals = {
-        name: total(sliding, now_s)
-        for name, sliding in quotas.admitted.items()
+        name: total(sliding, now_s) for name, sliding in quotas.admitted.items()
     }
     return {name: amount for name, amount in totals.items() if amount > 0}
 
--- /dev/null
+++ b/bluebellhub/rates/tests/test_rates.py
@@ -0,0 +1,153 @@
+"""Limits over the fleet: the sum over all VMs keeps the stated bound."""
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from bluebellhub.rates import (
+    ColdBounds,
+    ColdRate,
+    Group,
+    QuotaBounds,
+    RetryBounds,
+    cold_share_per_s,
+    make_quotas,
+    make_retry_budget,
+    note_request,
+    quota_totals,
+    spend,
+    take,
+    take_back,
+    take_repeat,
+    wait_s,
+)
+from bluebellhub.rates.sliding import add, make_sliding, total
+from bluebellhub.request.refusal import RateLimitError
+from bluebellhub.route import Account
+
+YARD = Account('yard', rate_per_s=100.0, burst=50.0, counts_tokens=True)
+BOUNDS = QuotaBounds(window_s=8.0, overage=0.1, slack=60.0)
+# 8 s x 100 + 50, a tenth more, and 60.
+FLEET_BOUND = 995.0
+
+
+@given(
+    st.lists(st.tuples(st.floats(0.0, 20.0), st.floats(0.0, 5.0)), max_size=40)
+)
+def test_a_sliding_window_forgets_nothing_early(added):
+    sliding = make_sliding(4.0)
+    ordered = sorted(added)
+    for at_s, amount in ordered:
+        add(sliding, amount, at_s)
+    now_s = ordered[-1][0] if ordered else 0.0
+    inside = sum(amount for at_s, amount in ordered if now_s - at_s < 4.0)
+    bucket_late = sum(amount for at_s, amount in ordered if now_s - at_s < 4.2)
+    assert inside - 1e-6 <= total(sliding, now_s) <= bucket_late + 1e-6
+
+
+def _fill(quotas, group, now_s=0.0, cost=10.0):
+    taken = 0.0
+    while True:
+        try:
+            take(quotas, YARD, cost, group, now_s)
+        except RateLimitError as error:
+            assert error.retry_after_s > 0
+            return taken
+        taken += cost
+
+
+@pytest.mark.parametrize('vms', [1, 2, 8, 85])
+@pytest.mark.parametrize('group', [1, 2, 8, 85])
+def test_groups_that_do_not_hear_each_other_keep_the_limit(vms, group):
+    group = min(group, vms)
+    used = 0.0
+    for _ in range(vms // group):
+        within = 0.0
+        for _ in range(group):
+            heard = Group(group, vms, {'yard': within})
+            within += _fill(make_quotas(BOUNDS), heard, cost=1.0)
+        used += within
+    assert used <= FLEET_BOUND
+
+
+def test_one_vm_may_use_all_that_others_leave():
+    heard = Group(8, 8, {'yard': 300.0})
+    assert _fill(make_quotas(BOUNDS), heard) >= 850.0 - 300.0
+
+
+@pytest.mark.parametrize(
+    ('later_s', 'again'), [(0.1, False), (4.0, False), (8.5, True)]
+)
+def test_the_limit_comes_back_with_the_window(later_s, again):
+    quotas = make_quotas(BOUNDS)
+    heard = Group(1, 1, {})
+    _fill(quotas, heard)
+    assert (_fill(quotas, heard, later_s) > 0) is again
+
+
+def test_what_has_not_run_is_given_back():
+    quotas = make_quotas(BOUNDS)
+    heard = Group(1, 1, {})
+    taken = _fill(quotas, heard)
+    take_back(quotas, 'yard', 100.0, 0.0)
+    assert quota_totals(quotas, 0.0) == {'yard': taken - 100.0}
+    assert _fill(quotas, heard) == 100.0
+
+
+@pytest.mark.parametrize('vms', [1, 3, 8, 85])
+@pytest.mark.parametrize('requests', [0, 10, 500])
+def test_repeats_of_all_vms_keep_the_budget(vms, requests):
+    bounds = RetryBounds(window_s=10.0, ratio=0.2, slack=56.0)
+    repeats = 0
+    for _ in range(vms):
+        budget = make_retry_budget(bounds)
+        for _ in range(requests):
+            note_request(budget, 's', 1.0)
+        while take_repeat(budget, 's', vms, 2.0):
+            repeats += 1
+    assert repeats <= 0.2 * requests * vms + 56.0
+
+
+@pytest.mark.parametrize(
+    ('service', 'at_s', 'expected'),
+    [('s', 2.0, True), ('s', 12.5, False), ('t', 2.0, False)],
+)
+def test_repeats_follow_the_service_and_the_window(service, at_s, expected):
+    budget = make_retry_budget(RetryBounds(10.0, 0.2, 0.0))
+    for _ in range(10):
+        note_request(budget, 's', 1.0)
+    assert take_repeat(budget, service, 1, at_s) is expected
+
+
+@pytest.mark.parametrize('vms', [1, 2, 8, 12, 85, 320])
+@pytest.mark.parametrize('upstream', ['u1', 'u2', 'u3'])
+@pytest.mark.parametrize(
+    ('cold_per_s', 'bounds'),
+    [
+        (16.0, ColdBounds(1.5, 5.0)),
+        (4.0, ColdBounds(1.5, 5.0)),
+        (2.0, ColdBounds(1.0, 2.0)),
+    ],
+)
+def test_a_cold_upstream_gets_no_more_than_it_bears(
+    vms, upstream, cold_per_s, bounds
+):
+    names = [f'vm-{number}' for number in range(vms)]
+    sent = 0
+    for name in names:
+        share = cold_share_per_s(bounds, cold_per_s, name, names, upstream)
+        cold = ColdRate(until_s=10.0)
+        now_s = 0.0
+        while share > 0 and now_s <= 1.0:
+            cold = spend(cold, share, now_s)
+            sent += 1
+            now_s += wait_s(cold, now_s)
+    assert 1 <= sent <= cold_per_s * bounds.overage + bounds.slack
+
+
+@pytest.mark.parametrize(
+    ('now_s', 'expected'), [(0.0, 0.5), (0.3, 0.2), (0.6, 0.0), (9.0, 0.0)]
+)
+def test_wait_for_a_cold_upstream(now_s, expected):
+    cold = spend(ColdRate(until_s=5.0), 2.0, 0.0)
+    assert wait_s(cold, now_s) == pytest.approx(expected)
--- a/bluebellhub/scheduler/gates.py
+++ b/bluebellhub/scheduler/gates.py
@@ -48,9 +48,7 @@
     cold = upstream.cold
     if cold is None or now_s >= cold.until_s:
         return True
-    return (
-        wait_s(cold, now_s) <= 0 and scheduler.cold_share(upstream) > 0
-    )
+    return wait_s(cold, now_s) <= 0 and scheduler.cold_share(upstream) > 0
 
 
 @gates.register('version')
--- a/bluebellhub/settings.py
+++ b/bluebellhub/settings.py
@@ -14,7 +14,14 @@
 from bluebellhub.errors import SettingsError
 from bluebellhub.records import read_record
 
-__all__ = ['Limits', 'Peer', 'Settings', 'SiteSettings', 'load_settings', 'parse_settings']
+__all__ = [
+    'Limits',
+    'Peer',
+    'Settings',
+    'SiteSettings',
+    'load_settings',
+    'parse_settings',
+]
 
 Positive = Annotated[float, msgspec.Meta(gt=0)]
 Count = Annotated[int, msgspec.Meta(ge=1)]
--- a/bluebellhub/site/sharing.py
+++ b/bluebellhub/site/sharing.py
@@ -46,9 +46,10 @@
 def group_of(site: Site, now_s: float) -> Group:
     """Return the VMs that hear each other, for the accounts' limits."""
     heard = heard_peers(site, now_s)
-    others: Counter[str] = Counter()
+    others: dict[str, float] = {}
     for peer in heard:
-        others.update(peer.news.admitted)
+        for name, amount in peer.news.admitted.items():
+            others[name] = others.get(name, 0.0) + amount
     known = max(len(site.vms), len(heard) + 1)
     return Group(len(heard) + 1, known, others)
 
--- /dev/null
+++ b/bluebellhub/site/tests/small_site.py
@@ -0,0 +1,63 @@
+"""A VM of a small site, for tests."""
+
+from bluebellhub.registration import Registration
+from bluebellhub.request.call import CallHead
+from bluebellhub.route import Account, Route, Service, Split, make_table
+from bluebellhub.site.state import Bounds, make_site, set_vms
+from bluebellhub.site.upstreams import put_in_force, take_registration
+
+__all__ = ['YARD', 'make_call', 'make_entry', 'make_small_site', 'make_version']
+
+YARD = Account('yard', rate_per_s=100.0, burst=100.0, counts_tokens=True)
+
+
+def make_version(version=1, services=None, **fields):
+    """Return a configuration with one route to service ``s``."""
+    given = {'timeout_s': 10.0, 'objective_s': 1.0, **fields}
+    route = Route('r', 'a.example', '/a/', (Split('s', 1.0),), **given)
+    return make_table(
+        version,
+        [route],
+        services or [Service('s', cold_per_s=16.0, cold_start_s=3.0)],
+        {'k1': YARD},
+    )
+
+
+def make_entry(name='u1', state='ready', **fields):
+    """Return the registration of an upstream with two slots."""
+    given = {
+        'service': 's',
+        'address': '10.0.0.1:1',
+        'failure_domain': 'd',
+        'version': 'v1',
+        'slots': 2,
+        **fields,
+    }
+    return Registration(name, state=state, **given)
+
+
+def make_small_site(*entries, vms=('hub-1',), **fields):
+    """Return a site with a configuration and these upstreams."""
+    site = make_site('hub-1', 'd', Bounds())
+    set_vms(site, dict.fromkeys(vms, '10.0.0.9:1'))
+    put_in_force(site, make_version(**fields))
+    for entry in entries:
+        take_registration(site, entry, 0.0)
+    return site
+
+
+def make_call(request_id='1', **fields):
+    """Return the head of a caller's request."""
+    given = {
+        'method': b'GET',
+        'target': b'/a/x',
+        'host': 'a.example',
+        'path': '/a/x',
+        'key': 'k1',
+        'time_limit_s': 5.0,
+        'tokens': None,
+        'resume_after': None,
+        'passed': (),
+        **fields,
+    }
+    return CallHead(request_id, **given)
