Import all modules before the message library's thread starts

Cause: a process in about 30 ended with code 139 while it started. Ruled out: shutdown (the process that had stopped was well gone). Change: the first call to the store is made before the peer link exists.

--- a/bluebellhub/adapters/passing/run.py
+++ b/bluebellhub/adapters/passing/run.py
@@ -8,7 +8,7 @@
 import trio
 
 from bluebellhub.adapters.connections import make_connections
-from bluebellhub.adapters.http_server import serve_app
+from bluebellhub.adapters.http_server import HttpApp, serve_app
 from bluebellhub.adapters.node import make_node, run_ticks
 from bluebellhub.adapters.passing.gossip import hear_news, tell_news
 from bluebellhub.adapters.passing.readiness import make_ready_app
@@ -18,6 +18,7 @@
     Watcher,
     announce_vm,
     drop_overdue_upstreams,
+    keep_announcing,
     takers,
     watch_store,
 )
@@ -44,13 +45,21 @@
     """Serve until SIGTERM, then finish what runs."""
     async with trio.open_nursery() as nursery:
         passing = _make_passing(settings, nursery)
+        store = make_store(settings.site.store)
+        app = make_ready_app(passing)
+        # HTTP libraries import modules at their first use.  That is over
+        # before the message library starts its thread: files read beside
+        # the start of a thread have crashed the process.
+        announced = await announce_vm(store, settings)
         link = make_peer_link(
             settings.vm,
             settings.peer_listen or '',
             passing.node.scheduler.counters,
         )
-        store = make_store(settings.site.store)
-        _start_tasks(settings, nursery, Watcher(passing, store, link, {}))
+        watcher = Watcher(passing, store, link, {})
+        _start_tasks(settings, nursery, watcher, app)
+        if not announced:
+            nursery.start_soon(keep_announcing, store, settings)
         log.info('started', extra={'vm': settings.vm})
         await _stop_at_signal(settings, passing)
         nursery.cancel_scope.cancel()
@@ -82,22 +91,17 @@
 
 
 def _start_tasks(
-    settings: Settings, nursery: trio.Nursery, watcher: Watcher
+    settings: Settings, nursery: trio.Nursery, watcher: Watcher, app: HttpApp
 ) -> None:
     passing = watcher.passing
     nursery.start_soon(run_ticks, passing.node)
     for kind in takers.names():
         nursery.start_soon(watch_store, watcher, kind)
     nursery.start_soon(drop_overdue_upstreams, watcher)
-    nursery.start_soon(
-        announce_vm, watcher.store, settings.vm, settings.peer_listen or ''
-    )
     nursery.start_soon(hear_news, passing, watcher.link)
     nursery.start_soon(tell_news, passing, watcher.link)
     nursery.start_soon(serve_callers, passing, settings.listen)
-    nursery.start_soon(
-        serve_app, make_ready_app(passing), settings.site.ready_listen
-    )
+    nursery.start_soon(serve_app, app, settings.site.ready_listen)
 
 
 async def _stop_at_signal(settings: Settings, passing: Passing) -> None:
--- a/bluebellhub/adapters/passing/watching.py
+++ b/bluebellhub/adapters/passing/watching.py
@@ -16,6 +16,7 @@
     EVACUATION_KIND,
     UPSTREAM_KIND,
     VM_KIND,
+    WireVm,
     read_registration,
     read_table,
     read_vm_address,
@@ -34,6 +35,7 @@
 )
 from bluebellhub.registration import note_outage
 from bluebellhub.registry import Registry, make_registry
+from bluebellhub.settings import Settings
 from bluebellhub.site.state import set_vms
 from bluebellhub.site.upstreams import (
     drop_missing,
@@ -44,7 +46,14 @@
     take_removal,
 )
 
-__all__ = ['Watcher', 'announce_vm', 'drop_overdue_upstreams', 'watch_store']
+__all__ = [
+    'Watcher',
+    'announce_vm',
+    'drop_overdue_upstreams',
+    'keep_announcing',
+    'takers',
+    'watch_store',
+]
 
 # A watch that ends without news shows that the store still answers.
 WATCH_WAIT_S: Final = 1.5
@@ -235,20 +244,24 @@
         await trio.sleep(OVERDUE_STEP_S)
 
 
-async def announce_vm(store: Store, vm: str, address: str) -> None:
-    """Write where this VM listens for the others."""
-    spec = vm_spec(address)
-    while True:
-        try:
-            await _write_vm(store, vm, spec)
-        except StoreError as error:
-            log.info('VM not announced', extra={'cause': str(error)})
-            await trio.sleep(RETRY_MAX_S)
-        else:
-            return
+async def keep_announcing(store: Store, settings: Settings) -> None:
+    """Announce this VM until the store has taken it."""
+    while not await announce_vm(store, settings):
+        await trio.sleep(RETRY_MAX_S)
+
+
+async def announce_vm(store: Store, settings: Settings) -> bool:
+    """Write where this VM listens for the others; tells whether it lasts."""
+    spec = vm_spec(settings.peer_listen or '')
+    try:
+        await _write_vm(store, settings.vm, spec)
+    except StoreError as error:
+        log.info('VM not announced', extra={'cause': str(error)})
+        return False
+    return True
 
 
-async def _write_vm(store: Store, vm: str, spec) -> None:
+async def _write_vm(store: Store, vm: str, spec: WireVm) -> None:
     try:
         await create_entry(store, VM_KIND, vm, spec)
     except ConflictError:
--- a/bluebellhub/platform/shapes.py
+++ b/bluebellhub/platform/shapes.py
@@ -23,6 +23,7 @@
     'EVACUATION_KIND',
     'UPSTREAM_KIND',
     'VM_KIND',
+    'WireVm',
     'read_registration',
     'read_table',
     'read_vm_address',
--- a/bluebellhub/tests/test_logs.py
+++ b/bluebellhub/tests/test_logs.py
@@ -79,8 +79,12 @@
     reader, writer = pipe
     with BoundedHandler(writer, logbook.INFO).applicationbound():
         try:
-            raise KeyError('odd')
+            _fail()
         except KeyError:
             log.exception('failed')
     lines = _lines(reader)
     assert 'KeyError' in json.loads(lines[0])['exception']
+
+
+def _fail():
+    raise KeyError('odd')
