Mend what a new user stumbled over

Change: names are checked against the registries; the library's words are cut to what was expected; counts are filled in; the list of models needs a key. Each has a case that failed before in test_settings and test_chat.

--- a/bluebellhub/adapters/chat.py
+++ b/bluebellhub/adapters/chat.py
@@ -1,5 +1,6 @@
 """The chat completions encoding: bodies in, whole answers and errors out."""
 
+from collections.abc import Sequence
 from typing import Annotated, Any, Final, NotRequired, TypedDict
 
 import msgspec
@@ -12,6 +13,7 @@
     'cached_tokens',
     'engine_body',
     'error_body',
+    'models_body',
     'parse_chat',
     'prompt_of',
     'whole_answer',
@@ -112,10 +114,16 @@
     return details.get('cached_tokens') if details else None
 
 
-def whole_answer(frames: bytes, request_id: str, model: str) -> bytes:
-    """Join the frames of a streamed answer into one completion."""
+def whole_answer(
+    frames: bytes, request_id: str, model: str, prompt_tokens: int
+) -> bytes:
+    """Join the frames of a streamed answer into one completion.
+
+    Where the engine does not tell its token counts, the estimate of the
+    prompt and the number of frames stand in.
+    """
     parts = []
-    usage: object = None
+    usage: dict[str, Any] = {}
     for frame in frames.split(b'\n\n'):
         _, _, payload = frame.partition(b'data: ')
         if not payload or payload == b'[DONE]':
@@ -132,11 +140,31 @@
             'object': 'chat.completion',
             'model': model,
             'choices': [choice],
-            'usage': usage,
+            'usage': _whole_usage(usage, prompt_tokens, len(parts)),
         }
     )
 
 
+def _whole_usage(
+    told: dict[str, Any], prompt_tokens: int, completion_tokens: int
+) -> dict[str, Any]:
+    counts = {
+        'prompt_tokens': prompt_tokens,
+        'completion_tokens': completion_tokens,
+        **told,
+    }
+    counts['total_tokens'] = (
+        counts['prompt_tokens'] + counts['completion_tokens']
+    )
+    return counts
+
+
+def models_body(models: Sequence[str]) -> bytes:
+    """Encode the models that a contract names."""
+    listed = [{'id': name, 'object': 'model'} for name in models]
+    return msgspec.json.encode({'object': 'list', 'data': listed})
+
+
 def error_body(error: RefusalError) -> bytes:
     """Encode a refusal."""
     body: ErrorBody = {
--- a/bluebellhub/adapters/front_end.py
+++ b/bluebellhub/adapters/front_end.py
@@ -12,6 +12,7 @@
     DEFAULT_OUTPUT_TOKENS,
     engine_body,
     error_body,
+    models_body,
     parse_chat,
     prompt_size,
     whole_answer,
@@ -103,6 +104,11 @@
     async def chat() -> Response:
         return await _serve_chat(front)
 
+    @app.get('/v1/models')
+    async def models() -> Response:
+        body = models_body(_account(front).models)
+        return Response(body, content_type=JSON_TYPE)
+
     methods = ['GET', 'HEAD', 'POST', 'PUT', 'PATCH', 'DELETE']
 
     @app.route('/services/<name>/', defaults={'path': ''}, methods=methods)
@@ -186,7 +192,7 @@
     start(front.node, ask, front.limits_of(contract), exchange)
     if body.get('stream', False):
         return await _stream(front, exchange)
-    return await _whole(front, exchange, body['model'])
+    return await _whole(front, exchange, ask)
 
 
 async def _stream(front: FrontEnd, exchange: Exchange) -> Response:
@@ -215,9 +221,9 @@
         return [part async for part in parts]
 
 
-async def _whole(front: FrontEnd, exchange: Exchange, model: str) -> Response:
+async def _whole(front: FrontEnd, exchange: Exchange, ask: Ask) -> Response:
     frames = b''.join(await _collect(front, exchange))
-    body = whole_answer(frames, exchange.request_id, model)
+    body = whole_answer(frames, ask.request_id, ask.target, ask.prompt_tokens)
     return Response(body, content_type=JSON_TYPE)
 
 
--- /dev/null
+++ b/bluebellhub/adapters/tests/test_chat.py
@@ -0,0 +1,49 @@
+"""Answers in the shape that chat clients read."""
+
+import json
+
+import pytest
+
+from bluebellhub.adapters.chat import models_body, whole_answer
+
+TOKEN = b'data: {"choices":[{"delta":{"content":"a"}}]}\n\n'
+DONE = b'data: [DONE]\n\n'
+
+
+def _usage(fields):
+    body = json.dumps({'choices': [], 'usage': fields}).encode()
+    return b'data: %s\n\n' % body
+
+
+@pytest.mark.parametrize(
+    ('frames', 'expected'),
+    [
+        (TOKEN + TOKEN + DONE, (7, 2, 9)),
+        (TOKEN + _usage({}) + DONE, (7, 1, 8)),
+        (
+            TOKEN
+            + _usage({'prompt_tokens_details': {'cached_tokens': 64}})
+            + DONE,
+            (7, 1, 8),
+        ),
+        (
+            TOKEN
+            + _usage({'prompt_tokens': 30, 'completion_tokens': 4})
+            + DONE,
+            (30, 4, 34),
+        ),
+    ],
+)
+def test_an_answer_tells_its_tokens(frames, expected):
+    usage = json.loads(whole_answer(frames, 'r', 'm', 7))['usage']
+    names = ('prompt_tokens', 'completion_tokens', 'total_tokens')
+    assert tuple(usage[name] for name in names) == expected
+
+
+@pytest.mark.parametrize(
+    ('models', 'ids'), [((), []), (('m', 'n'), ['m', 'n'])]
+)
+def test_the_list_of_models(models, ids):
+    body = json.loads(models_body(models))
+    assert body['object'] == 'list'
+    assert [model['id'] for model in body['data']] == ids
--- a/bluebellhub/records.py
+++ b/bluebellhub/records.py
@@ -56,7 +56,17 @@
     try:
         return msgspec.convert(found, hint)
     except msgspec.ValidationError as error:
-        raise SettingsError(path, found, str(error)) from None
+        raise SettingsError(path, found, _expected(error)) from None
+
+
+def _expected(error: msgspec.ValidationError) -> str:
+    """Return what the library expected, without what it got and where.
+
+    >>> _expected(msgspec.ValidationError('Expected `int`, got `str`'))
+    '`int`'
+    """
+    text = str(error).removeprefix('Expected ')
+    return text.partition(', got')[0].partition(' - at')[0]
 
 
 def _read_records(hint: Any, found: object, path: str) -> tuple[Any, ...]:
--- a/bluebellhub/settings.py
+++ b/bluebellhub/settings.py
@@ -5,7 +5,7 @@
 """
 
 from pathlib import Path
-from typing import Annotated, Any, NamedTuple
+from typing import Annotated, Any, Final, NamedTuple
 
 import msgspec
 import yaml
@@ -13,6 +13,7 @@
 from bluebellhub.configuration.addresses import check_address
 from bluebellhub.errors import SettingsError
 from bluebellhub.records import read_record
+from bluebellhub.routing import policies
 
 __all__ = [
     'Limits',
@@ -28,6 +29,9 @@
 Share = Annotated[float, msgspec.Meta(ge=0)]
 
 
+LOG_LEVELS: Final = ('DEBUG', 'INFO', 'WARNING', 'ERROR')
+
+
 class Peer(NamedTuple):
     """Another VM known from the start; the VM list brings the others."""
 
@@ -109,10 +113,25 @@
         problem = getattr(error, 'problem', None) or 'not YAML'
         raise SettingsError('file', problem, 'a YAML mapping') from None
     settings = read_record(Settings, fields, 'settings')
+    _check_names(settings)
     _check_addresses(settings)
     return settings
 
 
+def _check_names(settings: Settings) -> None:
+    """Check the names that registries and the log library know."""
+    if settings.policy not in policies.entries:
+        known = ', '.join(policies.names())
+        raise SettingsError(
+            'settings.policy', settings.policy, f'one of: {known}'
+        )
+    if settings.log_level not in LOG_LEVELS:
+        known = ', '.join(LOG_LEVELS)
+        raise SettingsError(
+            'settings.log_level', settings.log_level, f'one of: {known}'
+        )
+
+
 def _check_addresses(settings: Settings) -> None:
     check_address(settings.listen, 'settings.listen')
     for field in ('peer_listen', 'platform'):
--- a/bluebellhub/tests/test_settings.py
+++ b/bluebellhub/tests/test_settings.py
@@ -36,6 +36,11 @@
         (f'{GOOD}platform: 10.0.0.1:99999\n', 'settings.platform'),
         (f'{GOOD}limits: {{drain_s: soon}}\n', 'settings.limits.drain_s'),
         (f'{GOOD}limits: {{drain_s: -1}}\n', 'settings.limits.drain_s'),
+        (f'{GOOD}log_level: loud\n', 'expected one of: DEBUG, INFO'),
+        (f'{GOOD}policy: nosuch\n', 'expected one of: least_outstanding'),
+        (f'{GOOD}limits: {{drain_s: soon}}\n', "got 'soon', expected `float`"),
+        (f'{GOOD}site: {{store: nowhere}}\n', 'settings.site.store'),
+        (f'{GOOD}site: {{grace_s: 0}}\n', 'settings.site.grace_s'),
         (f'{GOOD}limits: {{drain_ms: 1}}\n', 'settings.limits.drain_ms'),
         (f'{GOOD}peers: [{{name: a}}]\n', 'settings.peers[0].address'),
         (
