Take an upstream as cold also before its rate is known

Ruled out: the share by hash and the VM list (the table of tests covers both). Test: test_a_cold_upstream_is_cold_whichever_is_read_first failed before.

--- a/bluebellhub/scheduler/dispatch.py
+++ b/bluebellhub/scheduler/dispatch.py
@@ -106,7 +106,7 @@
         chosen.uncached_tokens,
         now_s,
     )
-    if upstream.cold is not None:
+    if upstream.cold is not None and upstream.spec.cold_per_s:
         share_per_s = scheduler.cold_share(upstream)
         scheduler.upstreams[chosen.upstream] = upstream._replace(
             cold=spend(upstream.cold, share_per_s, now_s)
--- a/bluebellhub/scheduler/gates.py
+++ b/bluebellhub/scheduler/gates.py
@@ -46,7 +46,9 @@
 ) -> bool:
     """Keep the rate that a cold upstream bears."""
     cold = upstream.cold
-    if cold is None or now_s >= cold.until_s:
+    if cold is None or not upstream.spec.cold_per_s:
+        return True
+    if now_s >= cold.until_s:
         return True
     return wait_s(cold, now_s) <= 0 and scheduler.cold_share(upstream) > 0
 
--- a/bluebellhub/site/tests/test_site.py
+++ b/bluebellhub/site/tests/test_site.py
@@ -325,3 +325,21 @@
     site = make_small_site(make_entry(), vms=())
     with pytest.raises(NoUpstreamError):
         admit_call(site, make_call(), 0.0)
+
+
+@pytest.mark.parametrize('is_first', [True, False])
+def test_a_cold_upstream_is_cold_whichever_is_read_first(is_first):
+    """A VM that starts may read registrations before the configuration."""
+    site = make_site('hub-1', 'd', Bounds(), -60.0)
+    site.vms['hub-1'] = ''
+    cold = make_entry(cold_s=3.0, slots=50)
+    if is_first:
+        take_registration(site, cold, 0.0)
+    put_in_force(site, make_version())
+    if not is_first:
+        take_registration(site, cold, 0.0)
+    sent = 0
+    for number in range(60):
+        _, events = _send(site, f'{number}', now_s=number / 60)
+        sent += len(_chosen(events))
+    assert 1 <= sent <= 16 * 1.5 + 5
--- a/bluebellhub/upstream/upstream.py
+++ b/bluebellhub/upstream/upstream.py
@@ -236,12 +236,10 @@
 def chill(upstream: Upstream, now_s: float, cold_s: float) -> Upstream:
     """Take an upstream as cold from ``now_s`` on.
 
-    Without a known ``cold_s`` it counts as just started.
+    Without a known ``cold_s`` it counts as just started.  What rate it
+    bears may become known later.
     """
-    spec = upstream.spec
-    if spec.cold_per_s <= 0:
-        return upstream
-    until_s = now_s + (cold_s or spec.cold_start_s)
+    until_s = now_s + (cold_s or upstream.spec.cold_start_s)
     cold = upstream.cold or ColdRate(until_s)
     return upstream._replace(
         cold=cold._replace(until_s=max(cold.until_s, until_s))
