Refuse new requests from 2.8 s after SIGTERM; one bucket with its slack

What came within 3 s may be broken off then; the VM took requests for 3.2 s. Change: 2.8 s. Change: 0.6 of the slack is part of the bucket, so it starts empty too; a rank leaves a tenth of the bucket to each rank before it. Cause: calls to the store were the largest price. Change: two of the four watches wait 10 s and begin anew when the others fail.

--- a/bluebellhub/adapters/passing/run.py
+++ b/bluebellhub/adapters/passing/run.py
@@ -32,8 +32,9 @@
 __all__ = ['run_site']
 
 # Callers are sent elsewhere after two failed questions, a second apart.
-UNNOTICED_S: Final = 2.4
-ACCEPT_S: Final = 3.2
+UNNOTICED_S: Final = 2.3
+# Later requests could still run when the VM is killed.
+ACCEPT_S: Final = 2.8
 EXIT_MARGIN_S: Final = 0.8
 STEP_S: Final = 0.05
 SEED_BITS: Final = 32
@@ -56,7 +57,7 @@
             settings.peer_listen or '',
             passing.node.scheduler.counters,
         )
-        watcher = Watcher(passing, store, link, {})
+        watcher = Watcher(passing, store, link, {}, {})
         _start_tasks(settings, nursery, watcher, app)
         if not announced:
             nursery.start_soon(keep_announcing, store, settings)
--- a/bluebellhub/adapters/passing/watching.py
+++ b/bluebellhub/adapters/passing/watching.py
@@ -1,6 +1,7 @@
 """Watches of the platform's store: what this VM believes follows them."""
 
 from collections.abc import Callable
+from types import MappingProxyType
 from typing import Final, NamedTuple
 
 import logbook
@@ -55,8 +56,16 @@
     'watch_store',
 ]
 
-# A watch that ends without news shows that the store still answers.
-WATCH_WAIT_S: Final = 1.5
+# A watch that ends without news shows that the store still answers.  When
+# those of the first kinds fail, the others are begun anew.
+WATCH_WAITS_S: Final = MappingProxyType(
+    {
+        CONFIG_KIND: 1.5,
+        UPSTREAM_KIND: 1.5,
+        EVACUATION_KIND: 10.0,
+        VM_KIND: 10.0,
+    }
+)
 RETRY_MIN_S: Final = 0.1
 RETRY_MAX_S: Final = 0.5
 OVERDUE_STEP_S: Final = 0.25
@@ -65,12 +74,16 @@
 
 
 class Watcher(NamedTuple):
-    """What the watches feed; ``objects`` holds names by kind."""
+    """What the watches feed; ``objects`` holds names by kind.
+
+    ``waits`` holds the scope of each kind's present call.
+    """
 
     passing: Passing
     store: Store
     link: PeerLink
     objects: dict[str, dict[str, StoredEntry]]
+    waits: dict[str, trio.CancelScope]
 
 
 class Taker(NamedTuple):
@@ -196,7 +209,9 @@
     pause_s = RETRY_MIN_S
     while True:
         try:
-            since = await _follow(watcher, kind, since)
+            with trio.CancelScope() as scope:
+                watcher.waits[kind] = scope
+                since = await _follow(watcher, kind, since)
         except HistoryGoneError as error:
             log.info('listed again', extra={'kind': kind, 'cause': str(error)})
             since = None
@@ -217,7 +232,7 @@
         taker.take_all(watcher, listing.entries)
         return listing.revision
     changes, revision = await watch_kind(
-        watcher.store, kind, since, WATCH_WAIT_S
+        watcher.store, kind, since, WATCH_WAITS_S[kind]
     )
     for change in changes:
         taker.take_change(watcher, change)
@@ -230,6 +245,9 @@
         return
     roster = watcher.passing.site.roster
     if note_outage(roster, now_s(), is_on=bool(cause)):
+        for other, scope in watcher.waits.items():
+            if WATCH_WAITS_S[other] > WATCH_WAITS_S[kind]:
+                scope.cancel()
         log.info(
             'store lost' if cause else 'store back', extra={'cause': cause}
         )
--- a/bluebellhub/rates/__init__.py
+++ b/bluebellhub/rates/__init__.py
@@ -8,6 +8,7 @@
     wait_s,
 )
 from bluebellhub.rates.quota import (
+    Need,
     QuotaBounds,
     Quotas,
     hear_use,
@@ -26,6 +27,7 @@
 __all__ = [
     'ColdBounds',
     'ColdRate',
+    'Need',
     'QuotaBounds',
     'Quotas',
     'RetryBounds',
--- a/bluebellhub/rates/quota.py
+++ b/bluebellhub/rates/quota.py
@@ -16,6 +16,7 @@
 from bluebellhub.route import Account
 
 __all__ = [
+    'Need',
     'QuotaBounds',
     'Quotas',
     'hear_use',
@@ -24,8 +25,10 @@
     'take_back',
 ]
 
-# The rest covers what other VMs admit before it is heard, and restarts.
-USABLE_SLACK_SHARE: Final = 0.3
+# The rest covers what other VMs admit before it is heard.
+USABLE_SLACK_SHARE: Final = 0.6
+# Part of the bucket that each rank leaves to the ranks before it.
+LEFT_SHARE_PER_RANK: Final = 0.1
 RETRY_MIN_S: Final = 0.1
 
 
@@ -37,6 +40,13 @@
     slack: float = 0.0
 
 
+class Need(NamedTuple):
+    """What a request takes; a smaller rank goes first."""
+
+    cost: float
+    rank: int = 0
+
+
 class Bucket(NamedTuple):
     """What the fleet may admit at the time ``filled_at_s``."""
 
@@ -59,7 +69,11 @@
 
 
 def take(
-    quotas: Quotas, account: Account, cost: float, share: float, now_s: float
+    quotas: Quotas,
+    account: Account,
+    need: Need,
+    share: float,
+    now_s: float,
 ) -> None:
     """Take the cost of a request from the account's bucket.
 
@@ -67,7 +81,9 @@
     `RateLimitError` when the bucket holds too little.
     """
     bucket = _fill(quotas, account, share, now_s)
-    lacking = cost - bucket.level - share * _usable_slack(quotas, account)
+    cost = need.cost
+    left = _size(quotas, account) * share * LEFT_SHARE_PER_RANK * need.rank
+    lacking = cost + left - bucket.level
     if lacking > 0:
         wait_s = max(RETRY_MIN_S, lacking / (account.rate_per_s * share))
         raise RateLimitError(account.rate_per_s, retry_after_s=wait_s)
@@ -97,7 +113,7 @@
     empty = Bucket(0.0, quotas.started_at_s)
     bucket = quotas.buckets.get(account.name, empty)
     brought = (now_s - bucket.filled_at_s) * account.rate_per_s * share
-    level = min(account.burst * share, bucket.level + brought)
+    level = min(_size(quotas, account) * share, bucket.level + brought)
     filled = Bucket(level, now_s)
     quotas.buckets[account.name] = filled
     return filled
@@ -108,7 +124,9 @@
     quotas.buckets[account] = bucket._replace(level=bucket.level + amount)
 
 
-def _usable_slack(quotas: Quotas, account: Account) -> float:
+def _size(quotas: Quotas, account: Account) -> float:
+    """Return what the account's bucket for the whole fleet holds."""
     bounds = quotas.bounds
     limit = account.rate_per_s * bounds.window_s + account.burst
-    return USABLE_SLACK_SHARE * (limit * bounds.overage + bounds.slack)
+    slack = limit * bounds.overage + bounds.slack
+    return account.burst + USABLE_SLACK_SHARE * slack
--- a/bluebellhub/site/admission.py
+++ b/bluebellhub/site/admission.py
@@ -4,7 +4,7 @@
 
 from bluebellhub.contract import AccountLimits
 from bluebellhub.contract.tier import Tier
-from bluebellhub.rates import note_request, take, take_back
+from bluebellhub.rates import Need, note_request, take, take_back
 from bluebellhub.request import Ask, make_ask
 from bluebellhub.request.call import CallHead, Tokens
 from bluebellhub.request.refusal import DrainingError, NoUpstreamError
@@ -56,8 +56,8 @@
         raise NoUpstreamError(
             f'no upstream of {target}', retry_after_s=AWAY_RETRY_S
         )
-    cost = _take_cost(site, account, head.tokens, now_s)
     ask = _make_ask(site, head, route, account, target, now_s)
+    cost = _take_cost(site, account, head.tokens, ask)
     return Admission(ask, route, account, cost)
 
 
@@ -68,12 +68,14 @@
 
 
 def _take_cost(
-    site: Site, account: Account | None, tokens: Tokens | None, now_s: float
+    site: Site, account: Account | None, tokens: Tokens | None, ask: Ask
 ) -> float:
     if account is None or not is_limited(account):
         return 0.0
     cost = cost_of(account, sum(tokens) if tokens else None)
-    take(site.quotas, account, cost, heard_share(site, now_s), now_s)
+    now_s = ask.arrived_at_s
+    need = Need(cost, ask.tier.rank)
+    take(site.quotas, account, need, heard_share(site, now_s), now_s)
     return cost
 
 
