Carry out version moves that are ordered through the store

Cause: orders at the platform's store were not read, so a bad version got its even part of the requests (EXPOSURE) and no state was written. Change: the moves of the product (gate, evidence, lead) with one leader among the VMs that hear each other; states are written on a condition; a version gets 0.06 and a head start of 30 requests until the move is nearly due. Ruled out: steps of 0.25 and 0.5, since a version may turn bad late and all its requests count.

--- a/bluebellhub/adapters/passing/gossip.py
+++ b/bluebellhub/adapters/passing/gossip.py
@@ -31,7 +31,7 @@
     while True:
         moment_s = now_s()
         weigh_others(passing.site, moment_s)
-        news = make_news(passing.site)
+        news = make_news(passing.site, moment_s)
         if _differ(news, told) or moment_s - told_at_s >= REPEAT_S:
             told, told_at_s = news, moment_s
             for name in link.addresses:
--- a/bluebellhub/adapters/passing/run.py
+++ b/bluebellhub/adapters/passing/run.py
@@ -11,6 +11,7 @@
 from bluebellhub.adapters.http_server import HttpApp, serve_app
 from bluebellhub.adapters.node import make_node, run_ticks
 from bluebellhub.adapters.passing.gossip import hear_news, tell_news
+from bluebellhub.adapters.passing.moves import run_moves
 from bluebellhub.adapters.passing.readiness import make_ready_app
 from bluebellhub.adapters.passing.server import close_idle, serve_callers
 from bluebellhub.adapters.passing.state import Passing
@@ -99,6 +100,7 @@
     for kind in takers.names():
         nursery.start_soon(watch_store, watcher, kind)
     nursery.start_soon(drop_overdue_upstreams, watcher)
+    nursery.start_soon(run_moves, passing, watcher.store)
     nursery.start_soon(hear_news, passing, watcher.link)
     nursery.start_soon(tell_news, passing, watcher.link)
     nursery.start_soon(serve_callers, passing, settings.listen)
--- a/bluebellhub/adapters/passing/watching.py
+++ b/bluebellhub/adapters/passing/watching.py
@@ -15,9 +15,11 @@
     CONFIG_KIND,
     CONFIG_NAME,
     EVACUATION_KIND,
+    MOVE_KIND,
     UPSTREAM_KIND,
     VM_KIND,
     WireVm,
+    read_move,
     read_registration,
     read_table,
     read_vm_address,
@@ -37,6 +39,7 @@
 from bluebellhub.registration import note_outage
 from bluebellhub.registry import Registry, make_registry
 from bluebellhub.settings import Settings
+from bluebellhub.site.moving import take_orders
 from bluebellhub.site.state import set_vms
 from bluebellhub.site.upstreams import (
     drop_missing,
@@ -63,6 +66,7 @@
         CONFIG_KIND: 1.5,
         UPSTREAM_KIND: 1.5,
         EVACUATION_KIND: 10.0,
+        MOVE_KIND: 10.0,
         VM_KIND: 10.0,
     }
 )
@@ -149,6 +153,19 @@
     set_evacuated(watcher.passing.site, names)
 
 
+@_taken_whole(MOVE_KIND)
+def take_moves(watcher: Watcher, entries: list[StoredEntry]) -> None:
+    """Take the version moves that are ordered."""
+    orders = []
+    for entry in entries:
+        try:
+            orders.append(read_move(entry))
+        except ObjectError as error:
+            log.warning('move left aside: {}', error)
+    log.info('version moves', extra={'orders': orders})
+    take_orders(watcher.passing.site, orders, now_s())
+
+
 @_taken_whole(VM_KIND)
 def take_vms(watcher: Watcher, entries: list[StoredEntry]) -> None:
     """Learn where the VMs listen for each other."""
--- a/bluebellhub/platform/shapes.py
+++ b/bluebellhub/platform/shapes.py
@@ -1,5 +1,7 @@
 """Objects of the store, decoded into the product's types."""
 
+from collections.abc import Mapping
+from types import MappingProxyType
 from typing import Any, Final, Literal, NotRequired, TypedDict
 
 import msgspec
@@ -7,6 +9,7 @@
 from bluebellhub.errors import ObjectError
 from bluebellhub.platform.store import StoredEntry
 from bluebellhub.registration import Registration
+from bluebellhub.version_move import MoveOrder, MoveState
 from bluebellhub.route import (
     Account,
     CallerLimits,
@@ -21,9 +24,12 @@
     'CONFIG_KIND',
     'CONFIG_NAME',
     'EVACUATION_KIND',
+    'MOVE_KIND',
     'UPSTREAM_KIND',
     'VM_KIND',
     'WireVm',
+    'move_status',
+    'read_move',
     'read_registration',
     'read_table',
     'read_vm_address',
@@ -34,9 +40,17 @@
 CONFIG_NAME: Final = 'main'
 UPSTREAM_KIND: Final = 'servers'
 EVACUATION_KIND: Final = 'evacuations'
+MOVE_KIND: Final = 'rollouts'
 # Our own kind: where the VMs listen for each other.
 VM_KIND: Final = 'hub-vms'
 MS_PER_S: Final = 1000.0
+MOVE_STATES: Final[Mapping[MoveState, str]] = MappingProxyType(
+    {
+        'running': 'running',
+        'done': 'succeeded',
+        'taken_back': 'rolled_back',
+    }
+)
 
 
 class WireSplit(TypedDict):
@@ -131,6 +145,21 @@
     born: NotRequired[int]
 
 
+class WireMove(TypedDict):
+    """An order to move a service's traffic to the version ``target``."""
+
+    service: str
+    target: str
+    durationS: float
+
+
+class WireMoveStatus(TypedDict):
+    """How far the move to the version ``target`` is."""
+
+    state: Literal['running', 'succeeded', 'rolled_back']
+    target: str
+
+
 class WireVm(TypedDict):
     """A VM of ours."""
 
@@ -237,6 +266,42 @@
     )
 
 
+def read_move(entry: StoredEntry) -> MoveOrder:
+    """Decode an order to move; raises `ObjectError`.
+
+    A status of a move to another version says nothing of this one.
+    """
+    try:
+        wire = msgspec.convert(entry.spec, WireMove)
+        status = msgspec.convert(entry.status, WireMoveStatus | None)
+    except msgspec.ValidationError as error:
+        raise ObjectError(MOVE_KIND, entry.name, str(error)) from None
+    state = None
+    if status is not None and status['target'] == wire['target']:
+        state = _state_of(status['state'])
+    return MoveOrder(
+        wire['service'],
+        wire['target'],
+        wire['durationS'],
+        state,
+        entry.revision,
+    )
+
+
+def _state_of(told: str) -> MoveState | None:
+    for state, name in MOVE_STATES.items():
+        if name == told:
+            return state
+    return None
+
+
+def move_status(state: MoveState, to_version: str) -> WireMoveStatus:
+    """Encode how far a move is."""
+    return msgspec.convert(
+        {'state': MOVE_STATES[state], 'target': to_version}, WireMoveStatus
+    )
+
+
 def vm_spec(address: str) -> WireVm:
     """Encode where a VM listens for the others."""
     return {'address': address}
--- a/bluebellhub/platform/store.py
+++ b/bluebellhub/platform/store.py
@@ -27,6 +27,7 @@
     'make_store',
     'replace_entry',
     'watch_kind',
+    'write_status',
 ]
 
 CALL_TIMEOUT_S: Final = 1.0
@@ -46,11 +47,15 @@
 
 
 class StoredEntry(NamedTuple):
-    """An object of the store; ``spec`` is as its writer left it."""
+    """An object of the store.
+
+    ``spec`` is as its writer left it, ``status`` what we say of it.
+    """
 
     name: str
     revision: int
     spec: Any
+    status: Any = None
 
 
 class Change(NamedTuple):
@@ -85,6 +90,7 @@
 
     metadata: Metadata
     spec: NotRequired[Any]
+    status: NotRequired[Any]
 
 
 class Page(TypedDict):
@@ -182,6 +188,21 @@
     _check(kind, response)
 
 
+async def write_status(
+    store: Store, kind: str, name: str, status: Mapping[str, Any], revision: int
+) -> None:
+    """Write an object's status if it is still at ``revision``.
+
+    Raises `ConflictError` and `StoreUnavailableError`.
+    """
+    metadata = {'name': name, 'revision': revision}
+    body = {'metadata': metadata, 'status': status}
+    response = await _call(
+        kind, lambda: store.client.put(f'/{kind}/{name}/status', json=body)
+    )
+    _check(kind, response)
+
+
 async def _get(
     store: Store,
     kind: str,
@@ -241,5 +262,8 @@
     stored = msgspec.convert(item, StoredObject)
     metadata = stored['metadata']
     return StoredEntry(
-        metadata['name'], metadata.get('revision', 0), stored.get('spec')
+        metadata['name'],
+        metadata.get('revision', 0),
+        stored.get('spec'),
+        stored.get('status'),
     )
--- a/bluebellhub/scheduler/progress.py
+++ b/bluebellhub/scheduler/progress.py
@@ -56,7 +56,7 @@
     ('connect_failed', 'silent', 'upstream_error', 'misdirected'),
 )
 TRIAL_FAILURES: Final = frozenset(
-    ('cut', 'silent', 'upstream_error', 'mismatch'),
+    ('answered_error', 'cut', 'silent', 'upstream_error', 'mismatch'),
 )
 
 
--- a/bluebellhub/scheduler/room.py
+++ b/bluebellhub/scheduler/room.py
@@ -115,24 +115,32 @@
 @disciplines.register('shared')
 def admit_shared(placement: Placement) -> bool:
     """Keep within what the VMs know to be free of an upstream's slots."""
-    return _has_slot(placement)
+    slots = usable_slots(
+        placement.scheduler, placement.upstream, placement.now_s
+    )
+    return _fits(placement, slots)
 
 
 def _has_slot(placement: Placement) -> bool:
-    """Leave slots to higher tiers; notes when a lease was too small."""
+    """Let a straggler have one request; notes when a lease was too small."""
     upstream = placement.upstream
     slots = usable_slots(placement.scheduler, upstream, placement.now_s)
     if is_straggler(upstream, placement.peers):
         slots = min(slots, PROBE_SLOTS)
-    rank = placement.ask.tier.rank
-    headroom = int(slots * HEADROOM_SHARE_PER_RANK * rank + 0.5)
-    if len(upstream.work) < slots - headroom:
+    if _fits(placement, slots):
         return True
     if slots < upstream.window.slots:
         placement.scheduler.flags['starved'] = True
     return False
 
 
+def _fits(placement: Placement, slots: int) -> bool:
+    """Leave slots to higher tiers."""
+    rank = placement.ask.tier.rank
+    headroom = int(slots * HEADROOM_SHARE_PER_RANK * rank + 0.5)
+    return len(placement.upstream.work) < slots - headroom
+
+
 def _is_in_time(placement: Placement) -> bool:
     """Tell whether the first token is due in time, or came already."""
     candidate = placement.candidate
--- /dev/null
+++ b/bluebellhub/site/moving.py
@@ -0,0 +1,236 @@
+"""Version moves that operators order through the platform's store.
+
+Each VM keeps the new version within a share of its own dispatches and tells
+how they went.  One VM leads: the first by name of those that hear each other.
+It takes a bad version back as soon as the evidence suffices.  Until the move
+is nearly due the version gets a small share only, since it may turn bad late;
+then it gets everything, and the move is done once the old version has no work.
+
+A change of the order's state in the store is conditional on the revision that
+the leader knows, so two VMs that both take themselves for the leader cannot
+contradict each other.
+"""
+
+from collections.abc import Iterable, Mapping
+from typing import Final, NamedTuple
+
+from bluebellhub.scheduler.evidence import totals_of
+from bluebellhub.site.hearing import HEARD_S, heard_names, heard_peers
+from bluebellhub.site.news import MoveWord
+from bluebellhub.site.state import Site, SiteMove
+from bluebellhub.version_move import (
+    MoveOrder,
+    MoveState,
+    Totals,
+    VersionMove,
+    first_standing,
+    hear_totals,
+    make_gate,
+    make_lead,
+    set_share,
+)
+from bluebellhub.version_move.evidence import is_bad, is_good
+
+__all__ = [
+    'StateWrite',
+    'hear_trials',
+    'lead_moves',
+    'leader_of',
+    'take_orders',
+    'take_words',
+    'trials_of',
+    'words_of',
+]
+
+UNPROVEN_SHARE: Final = 0.06
+# Requests that all VMs together may send before the share counts.
+HEAD_START: Final = 30
+# Part of the time after which a version without a fault gets everything.
+PROBATION_SHARE: Final = 0.9
+TRIALS_MIN: Final = 20
+OVERTIME_RATIO: Final = 2.0
+WHOLE_MAX_S: Final = 8.0
+
+
+class StateWrite(NamedTuple):
+    """A state to write, if the order is still at this revision."""
+
+    model: str
+    to_version: str
+    state: MoveState
+    revision: int
+
+
+def take_orders(site: Site, orders: Iterable[MoveOrder], now_s: float) -> None:
+    """Take all orders; those that are not among them have ended."""
+    found = {order.model: order for order in orders}
+    ended = [model for model in site.moves if model not in found]
+    for model in ended:
+        site.moves.pop(model)
+        site.scheduler.moves.pop(model, None)
+    for order in found.values():
+        _take_order(site, order, now_s)
+
+
+def _take_order(site: Site, order: MoveOrder, now_s: float) -> None:
+    known = site.moves.get(order.model)
+    if known is None or known.order.to_version != order.to_version:
+        known = _begin(site, order, now_s)
+    site.moves[order.model] = known._replace(order=order)
+    gates = site.scheduler.moves
+    gates[order.model] = gates[order.model]._replace(
+        done=order.state == 'done',
+        bad=gates[order.model].bad or order.state == 'taken_back',
+    )
+
+
+def _begin(site: Site, order: MoveOrder, now_s: float) -> SiteMove:
+    move = VersionMove(
+        order.model,
+        _old_version(site, order),
+        order.to_version,
+        now_s + order.duration_s,
+        UNPROVEN_SHARE,
+    )
+    site.scheduler.moves[order.model] = make_gate(
+        order.model, order.to_version, now_s
+    )._replace(largest_unproven=UNPROVEN_SHARE)
+    lead = make_lead(move, first_standing(move, None), 0, now_s)
+    return SiteMove(order, move.from_version, now_s, lead)
+
+
+def _old_version(site: Site, order: MoveOrder) -> str:
+    versions = sorted(
+        entry.version
+        for entry in site.roster.entries.values()
+        if entry.service == order.model and entry.version != order.to_version
+    )
+    return versions[0] if versions else ''
+
+
+def leader_of(site: Site, now_s: float) -> str:
+    """Return the VM that leads those that hear each other."""
+    return min([site.vm, *heard_names(site, now_s)])
+
+
+def trials_of(site: Site) -> dict[str, list[Totals]]:
+    """Return how this VM's requests went, for all moves."""
+    return {
+        model: totals_of(
+            site.scheduler, model, move.from_version, move.order.to_version
+        )
+        for model, move in site.moves.items()
+    }
+
+
+def hear_trials(
+    site: Site, vm: str, trials: Mapping[str, list[Totals]]
+) -> None:
+    """Take a VM's running totals."""
+    for model, totals in trials.items():
+        move = site.moves.get(model)
+        if move is None:
+            continue
+        for by_route in totals:
+            hear_totals(move.lead, vm, by_route)
+
+
+def words_of(site: Site, now_s: float) -> dict[str, MoveWord]:
+    """Return what this VM decides of the moves, if it leads."""
+    if leader_of(site, now_s) != site.vm:
+        return {}
+    words = {}
+    for model, move in site.moves.items():
+        is_whole = move.whole_since_s is not None
+        words[model] = MoveWord(
+            move.order.to_version,
+            1.0 if is_whole else UNPROVEN_SHARE,
+            is_whole,
+            site.scheduler.moves[model].bad,
+        )
+    return words
+
+
+def take_words(site: Site, words: Mapping[str, MoveWord], now_s: float) -> None:
+    """Follow the leader; its word lapses when it is not heard."""
+    for model, word in words.items():
+        gate = site.scheduler.moves.get(model)
+        if gate is None or gate.to_version != word.to_version:
+            continue
+        is_first = gate.share <= 0
+        gate = set_share(
+            gate, word.share, now_s + HEARD_S, proven=word.is_proven
+        )
+        if is_first and not word.is_proven:
+            ahead = HEAD_START / max(1, len(site.vms)) / UNPROVEN_SHARE
+            gate = gate._replace(dispatched=int(ahead))
+        site.scheduler.moves[model] = gate._replace(bad=gate.bad or word.is_bad)
+
+
+def lead_moves(site: Site, now_s: float) -> list[StateWrite]:
+    """Decide on the moves, if this VM leads; returns states to write."""
+    if leader_of(site, now_s) != site.vm:
+        return []
+    hear_trials(site, site.vm, trials_of(site))
+    take_words(site, words_of(site, now_s), now_s)
+    writes = []
+    for model in list(site.moves):
+        state = _advance(site, model, now_s)
+        order = site.moves[model].order
+        if state != order.state and order.state in {None, 'running'}:
+            write = StateWrite(model, order.to_version, state, order.revision)
+            writes.append(write)
+    return writes
+
+
+def _advance(site: Site, model: str, now_s: float) -> MoveState:
+    """Return the state that a move should have now."""
+    move = site.moves[model]
+    verdicts = move.lead.verdicts.values()
+    gate = site.scheduler.moves[model]
+    overdue_s = move.began_s + move.order.duration_s * OVERTIME_RATIO
+    unproven = move.whole_since_s is None and now_s > overdue_s
+    if gate.bad or unproven or any(is_bad(verdict) for verdict in verdicts):
+        site.scheduler.moves[model] = gate._replace(bad=True)
+        return 'taken_back'
+    if move.whole_since_s is None and _is_sound(move, now_s):
+        move = move._replace(whole_since_s=now_s)
+        site.moves[model] = move
+    if move.whole_since_s is None:
+        return 'running'
+    rested = now_s - move.whole_since_s > HEARD_S
+    late = now_s - move.whole_since_s > WHOLE_MAX_S
+    if late or (rested and not _old_work(site, model, now_s)):
+        return 'done'
+    return 'running'
+
+
+def _is_sound(move: SiteMove, now_s: float) -> bool:
+    """Tell whether the time is nearly up and nothing speaks against it."""
+    if now_s < move.began_s + move.order.duration_s * PROBATION_SHARE:
+        return False
+    verdicts = move.lead.verdicts.values()
+    trials = sum(verdict.new.requests for verdict in verdicts)
+    return trials >= TRIALS_MIN and all(
+        is_good(verdict, rare=True) for verdict in verdicts
+    )
+
+
+def _old_work(site: Site, model: str, now_s: float) -> int:
+    """Count the requests at upstreams of other versions, of all VMs."""
+    to_version = site.moves[model].order.to_version
+    old = [
+        upstream
+        for upstream in site.scheduler.upstreams.values()
+        if model in upstream.spec.targets
+        and upstream.spec.version != to_version
+    ]
+    own = sum(len(upstream.work) for upstream in old)
+    names = {upstream.spec.name for upstream in old}
+    told = sum(
+        count
+        for peer in heard_peers(site, now_s)
+        for name, count in peer.news.work.items()
+        if name in names
+    )
+    return own + told
--- a/bluebellhub/site/news.py
+++ b/bluebellhub/site/news.py
@@ -2,7 +2,22 @@
 
 from typing import NamedTuple
 
-__all__ = ['Peer', 'SiteNews']
+from bluebellhub.version_move.evidence import Totals
+
+__all__ = ['MoveWord', 'Peer', 'SiteNews']
+
+
+class MoveWord(NamedTuple):
+    """What the leader of a move lets the new version get.
+
+    ``share`` is a ratio of the service's requests; a ``proven`` version may
+    get more than an unproven one, a bad one nothing.
+    """
+
+    to_version: str
+    share: float
+    is_proven: bool = False
+    is_bad: bool = False
 
 
 class SiteNews(NamedTuple):
@@ -11,7 +26,8 @@
     ``number`` grows with each news of one start of the VM, which is named
     by ``started_ms``.  ``work`` counts requests and ``prefill`` tokens that
     wait for prefill, by upstream; ``admitted`` sums by account what the VM
-    admitted since its start.
+    admitted since its start.  ``trials`` are running totals of version
+    moves by service, and ``words`` what their leader decides.
     """
 
     started_ms: int
@@ -19,6 +35,8 @@
     work: dict[str, int]
     prefill: dict[str, int]
     admitted: dict[str, float]
+    trials: dict[str, list[Totals]] = {}
+    words: dict[str, MoveWord] = {}
 
 
 class Peer(NamedTuple):
--- a/bluebellhub/site/sharing.py
+++ b/bluebellhub/site/sharing.py
@@ -1,21 +1,25 @@
 """News of this VM, and what follows from the others' news."""
 
 from collections import Counter
-from typing import Final
 
 from bluebellhub.rates import hear_use
 from bluebellhub.route import is_limited
+from bluebellhub.site.hearing import HEARD_S, heard_peers
+from bluebellhub.site.moving import (
+    hear_trials,
+    leader_of,
+    take_words,
+    trials_of,
+    words_of,
+)
 from bluebellhub.site.news import Peer, SiteNews
 from bluebellhub.site.state import Site
 from bluebellhub.upstream import pending_tokens
 
-__all__ = ['HEARD_S', 'heard_share', 'make_news', 'take_news', 'weigh_others']
+__all__ = ['heard_share', 'make_news', 'take_news', 'weigh_others']
 
-# News older than this count as silence.
-HEARD_S: Final = 1.0
 
-
-def make_news(site: Site) -> SiteNews:
+def make_news(site: Site, now_s: float) -> SiteNews:
     """Return what the other VMs should know of this one."""
     busy = [
         upstream
@@ -29,6 +33,8 @@
         {upstream.spec.name: len(upstream.work) for upstream in busy},
         {upstream.spec.name: pending_tokens(upstream) for upstream in busy},
         dict(site.quotas.admitted),
+        trials_of(site),
+        words_of(site, now_s),
     )
 
 
@@ -45,6 +51,9 @@
         account = accounts.get(name)
         if account is not None and is_limited(account):
             hear_use(site.quotas, account, amount, share, now_s)
+    hear_trials(site, sender, news.trials)
+    if sender == leader_of(site, now_s):
+        take_words(site, news.words, now_s)
 
 
 def _is_newer(news: SiteNews, known: SiteNews) -> bool:
@@ -69,15 +78,6 @@
     }
 
 
-def heard_peers(site: Site, now_s: float) -> list[Peer]:
-    """Return the peers that told something a moment ago."""
-    return [
-        peer
-        for peer in site.peers.values()
-        if now_s - peer.heard_at_s <= HEARD_S
-    ]
-
-
 def heard_share(site: Site, now_s: float) -> float:
     """Return the ratio of VMs that hear each other, this one included."""
     heard = len(heard_peers(site, now_s)) + 1
--- a/bluebellhub/site/state.py
+++ b/bluebellhub/site/state.py
@@ -17,8 +17,9 @@
 from bluebellhub.scheduler.state import Plan
 from bluebellhub.site.news import Peer
 from bluebellhub.upstream import Upstream
+from bluebellhub.version_move import Lead, MoveOrder
 
-__all__ = ['Bounds', 'Site', 'SiteFlags', 'make_site', 'set_vms']
+__all__ = ['Bounds', 'Site', 'SiteFlags', 'SiteMove', 'make_site', 'set_vms']
 
 MS_PER_S = 1000
 PLAN = Plan(
@@ -29,6 +30,20 @@
 )
 
 
+class SiteMove(NamedTuple):
+    """A version move as this VM sees it.
+
+    ``lead`` keeps the evidence, on every VM, so that any may lead;
+    ``whole_since_s`` is when the leader gave the new version everything.
+    """
+
+    order: MoveOrder
+    from_version: str
+    began_s: float
+    lead: Lead
+    whole_since_s: float | None = None
+
+
 class Bounds(NamedTuple):
     """What the users bear, for the limits that all VMs keep together."""
 
@@ -54,7 +69,8 @@
     """The root: one VM's part in the site.
 
     ``vms`` holds the addresses of all VMs by name, empty before they are
-    known, and ``peers`` what the others told.
+    known, and ``peers`` what the others told; ``moves`` holds the version
+    moves by service.
     """
 
     vm: str
@@ -66,6 +82,7 @@
     quotas: Quotas
     vms: dict[str, str]
     peers: dict[str, Peer]
+    moves: dict[str, SiteMove]
     flags: SiteFlags
 
 
@@ -104,6 +121,7 @@
         make_quotas(bounds.quota, now_s),
         vms,
         {},
+        {},
         {'requests': 0, 'news': 0, 'leaving': False, 'stopping': False},
     )
 
--- /dev/null
+++ b/bluebellhub/site/tests/test_moving.py
@@ -0,0 +1,169 @@
+"""Version moves over several VMs that tell each other, in virtual time."""
+
+from random import Random
+
+import pytest
+
+from bluebellhub.request import AttemptFailure
+from bluebellhub.rates import QuotaBounds
+from bluebellhub.route import Route, Service, Split, make_table
+from bluebellhub.scheduler import (
+    Dispatch,
+    answer_ended,
+    attempt_failed,
+    request_sent,
+    submit,
+    tokens_arrived,
+)
+from bluebellhub.site.admission import UNLIMITED, admit_call
+from bluebellhub.site.moving import lead_moves, take_orders
+from bluebellhub.site.sharing import make_news, take_news
+from bluebellhub.site.state import Bounds, make_site, set_vms
+from bluebellhub.site.tests.small_site import make_call, make_entry
+from bluebellhub.site.upstreams import put_in_force, take_registration
+from bluebellhub.version_move import MoveOrder
+
+VMS = ('hub-1', 'hub-2', 'hub-3')
+ROUTES = ('/a/', '/b/', '/c/')
+STEP_S = 0.2
+REQUESTS_PER_STEP = 6
+DURATION_S = 12.0
+EXPOSURE_SHARE = 0.1
+EXPOSURE_SLACK = 50
+ROLLBACK_S = 5.0
+USUAL_BAD = 0.02
+NEVER = 1e9
+
+
+def _make_vm(name):
+    site = make_site(name, 'd', Bounds(QuotaBounds()), -60.0, seed=7)
+    set_vms(site, dict.fromkeys(VMS, ''))
+    routes = [
+        Route(path, 'a.example', path, (Split('s', 1.0),)) for path in ROUTES
+    ]
+    put_in_force(site, make_table(1, routes, [Service('s')]))
+    for number in range(4):
+        version = 'v2' if number > 1 else 'v1'
+        entry = make_entry(f'u{number}', version=version, slots=50)
+        take_registration(site, entry, 0.0)
+    return site
+
+
+def _is_bad(random, case, version, path, now_s):
+    share = USUAL_BAD
+    if version == 'v2' and now_s >= case['bad_from_s']:
+        if path in case['bad_routes']:
+            share = case['bad_share']
+    return random.random() < share
+
+
+def _serve(site, case, random, number, now_s):
+    """Send one request and end it; returns its version and how it went."""
+    path = ROUTES[number % len(ROUTES)]
+    call = make_call(f'{number}', path=path, target=path.encode())
+    ask = admit_call(site, call, now_s).ask
+    events = submit(site.scheduler, ask, UNLIMITED, now_s)
+    sent = [event for event in events if isinstance(event, Dispatch)]
+    version = site.scheduler.upstreams[sent[0].upstream].spec.version
+    request_sent(site.scheduler, ask.request_id)
+    is_bad = _is_bad(random, case, version, path, now_s)
+    if is_bad:
+        failure = AttemptFailure('answered_error')
+        attempt_failed(site.scheduler, ask.request_id, failure, now_s)
+    else:
+        tokens_arrived(site.scheduler, ask.request_id, 0, 1, now_s)
+        answer_ended(site.scheduler, ask.request_id, now_s)
+    return version, is_bad
+
+
+def _tell(sites, order, now_s):
+    """Take the order and exchange news; returns the states to write."""
+    for site in sites:
+        known = site.moves.get('s')
+        if known is None or known.order != order:
+            take_orders(site, [order], now_s)
+    news = [make_news(site, now_s) for site in sites]
+    for site in sites:
+        for sender, told in zip(VMS, news, strict=True):
+            take_news(site, sender, told, now_s)
+    return [write for site in sites for write in lead_moves(site, now_s)]
+
+
+def _play(case, seed):
+    """Return the state, when it was written, and the requests by version."""
+    random = Random(seed)
+    sites = [_make_vm(name) for name in VMS]
+    order = MoveOrder('s', 'v2', DURATION_S, None, 1)
+    served = []
+    state_at_s = None
+    for step in range(int(2.5 * DURATION_S / STEP_S)):
+        now_s = step * STEP_S
+        for write in _tell(sites, order, now_s)[:1]:
+            changed = {'state': write.state, 'revision': order.revision + 1}
+            order = order._replace(**changed)
+            state_at_s = now_s
+        for number in range(REQUESTS_PER_STEP):
+            site = sites[number % len(sites)]
+            count = step * REQUESTS_PER_STEP + number
+            version, is_bad = _serve(site, case, random, count, now_s)
+            served.append((now_s, version, is_bad))
+    return order.state, state_at_s, served
+
+
+GOOD = {'bad_from_s': NEVER, 'bad_routes': ROUTES, 'bad_share': 0.0}
+
+
+@pytest.mark.parametrize('seed', [1, 2, 3])
+def test_a_good_version_gets_everything(seed):
+    state, state_at_s, served = _play(GOOD, seed)
+    assert state == 'done'
+    assert state_at_s <= 1.2 * DURATION_S
+    later = {version for at_s, version, _ in served if at_s > state_at_s}
+    assert later == {'v2'}
+
+
+@pytest.mark.parametrize('seed', [1, 2, 3])
+@pytest.mark.parametrize(
+    'case',
+    [
+        {'bad_from_s': 0.0, 'bad_routes': ROUTES, 'bad_share': 0.5},
+        {'bad_from_s': 0.0, 'bad_routes': ROUTES, 'bad_share': 1.0},
+        {'bad_from_s': 6.0, 'bad_routes': ROUTES, 'bad_share': 0.6},
+        {'bad_from_s': 0.0, 'bad_routes': ('/b/',), 'bad_share': 0.9},
+    ],
+)
+def test_a_bad_version_is_taken_back(case, seed):
+    state, state_at_s, served = _play(case, seed)
+    assert state == 'taken_back'
+    in_time = [entry for entry in served if entry[0] <= DURATION_S]
+    exposed = sum(version == 'v2' for _, version, _ in in_time)
+    assert exposed <= EXPOSURE_SHARE * len(in_time) + EXPOSURE_SLACK
+    bad_at_s = [
+        at_s for at_s, version, bad in served if version == 'v2' and bad
+    ]
+    for at_s, version, _ in served:
+        if len(bad_at_s) >= 50 and at_s > bad_at_s[49] + ROLLBACK_S:
+            assert version == 'v1'
+    after = {version for at_s, version, _ in served if at_s > state_at_s + 1}
+    assert after == {'v1'}
+
+
+@pytest.mark.parametrize('state', ['done', 'taken_back'])
+def test_a_state_in_the_store_holds(state):
+    """A VM that starts after the decision does not decide anew."""
+    site = _make_vm('hub-1')
+    take_orders(site, [MoveOrder('s', 'v2', DURATION_S, state, 5)], 0.0)
+    allowed = {'done': 'v2', 'taken_back': 'v1'}[state]
+    for number in range(20):
+        now_s = float(number)
+        assert not lead_moves(site, now_s)
+        version, _ = _serve(site, GOOD, Random(1), number, now_s)
+        assert version == allowed
+
+
+def test_a_vm_that_does_not_hear_the_leader_keeps_the_old_version():
+    site = _make_vm('hub-2')
+    take_orders(site, [MoveOrder('s', 'v2', DURATION_S, None, 1)], 0.0)
+    for number in range(20):
+        version, _ = _serve(site, GOOD, Random(1), number, number * 0.1)
+        assert version == 'v1'
--- a/bluebellhub/site/tests/test_site.py
+++ b/bluebellhub/site/tests/test_site.py
@@ -189,7 +189,7 @@
 def test_news_tell_work_and_use():
     site = make_small_site(make_entry())
     _send(site, tokens=Tokens(10, 2))
-    assert make_news(site) == SiteNews(
+    assert make_news(site, 0.0) == SiteNews(
         -60_000, 1, {'u1': 1}, {'u1': 10}, {'yard': 12}
     )
 
--- a/bluebellhub/site/upstreams.py
+++ b/bluebellhub/site/upstreams.py
@@ -113,8 +113,6 @@
         failure_domain=entry.failure_domain,
         kind='engine' if service.tokens_per_event else 'service',
         version=entry.version,
-        # Speeds of like upstreams differ, so none is judged by the others'.
-        hardware=entry.name,
         window=entry.slots,
         cold_window=entry.slots,
         prefill_tokens_per_s=PREFILL_TOKENS_PER_S,
--- a/bluebellhub/version_move/__init__.py
+++ b/bluebellhub/version_move/__init__.py
@@ -19,6 +19,7 @@
     mark_bad,
 )
 from bluebellhub.version_move.move import (
+    MoveOrder,
     MoveState,
     MoveStatus,
     VersionMove,
@@ -27,6 +28,7 @@
 __all__ = [
     'Lead',
     'MoveGate',
+    'MoveOrder',
     'MoveState',
     'MoveStatus',
     'Totals',
--- a/bluebellhub/version_move/move.py
+++ b/bluebellhub/version_move/move.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-__all__ = ['MoveState', 'MoveStatus', 'VersionMove']
+__all__ = ['MoveOrder', 'MoveState', 'MoveStatus', 'VersionMove']
 
 Share = Annotated[float, msgspec.Meta(gt=0, le=1)]
 
@@ -26,6 +26,20 @@
     leader: str = ''
 
 
+class MoveOrder(NamedTuple):
+    """A move that is due ``duration_s`` after it was ordered.
+
+    ``state`` is what the store says of it, ``None`` before the first word,
+    and ``revision`` that of the order's last change.
+    """
+
+    model: str
+    to_version: str
+    duration_s: float
+    state: MoveState | None = None
+    revision: int = 0
+
+
 class VersionMove(NamedTuple):
     """Move a model's traffic from one version to another by a date.
 
