Tell a VM that starts the levels of the accounts' buckets

Change: VMs that run for longer tell their levels while one is heard that has just started; it takes those of the oldest. Starts are named by random ids and ages, since clocks of VMs cannot be compared. Ruled out: a head start at every start, which several kills would add up. Tests: levels told and taken, late news of an earlier start.

--- a/bluebellhub/adapters/passing/gossip.py
+++ b/bluebellhub/adapters/passing/gossip.py
@@ -51,7 +51,9 @@
 
 
 def _differ(news: SiteNews, told: SiteNews | None) -> bool:
-    return told is None or news._replace(number=told.number) != told
+    if told is None:
+        return True
+    return news._replace(number=told.number, age_s=told.age_s) != told
 
 
 def _replace_silent(
--- a/bluebellhub/rates/quota.py
+++ b/bluebellhub/rates/quota.py
@@ -7,7 +7,8 @@
 The VMs that hear each other use their share of the limit, by their number;
 so VMs that are cut off into groups keep the limit together, and a VM that
 hears nobody uses its own share.  A VM that has just started knows nothing of
-what was admitted before, so its buckets begin empty.
+what was admitted before, so its buckets begin empty, until it hears the
+levels of a VM that has run for longer.
 """
 
 from typing import Final, NamedTuple
@@ -19,7 +20,9 @@
     'Need',
     'QuotaBounds',
     'Quotas',
+    'adopt_level',
     'hear_use',
+    'levels_of',
     'make_quotas',
     'take',
     'take_back',
@@ -106,6 +109,21 @@
     _change(quotas, account.name, -amount)
 
 
+def levels_of(quotas: Quotas) -> dict[str, float]:
+    """Return the levels of the buckets, to be told to other VMs."""
+    return {name: bucket.level for name, bucket in quotas.buckets.items()}
+
+
+def adopt_level(
+    quotas: Quotas, account: Account, level: float, now_s: float
+) -> None:
+    """Take the level that a VM tells which has run for longer.
+
+    It knows what was admitted before this VM's start.
+    """
+    quotas.buckets[account.name] = Bucket(level, now_s)
+
+
 def _fill(
     quotas: Quotas, account: Account, share: float, now_s: float
 ) -> Bucket:
--- a/bluebellhub/site/news.py
+++ b/bluebellhub/site/news.py
@@ -24,23 +24,31 @@
     """A VM's work in progress and its use of the accounts' limits.
 
     ``number`` grows with each news of one start of the VM, which is named
-    by ``started_ms``.  ``work`` counts requests and ``prefill`` tokens that
-    wait for prefill, by upstream; ``admitted`` sums by account what the VM
-    admitted since its start.  ``trials`` are running totals of version
-    moves by service, and ``words`` what their leader decides.
+    by ``start_id`` and was ``age_s`` ago.  ``work`` counts requests and
+    ``prefill`` tokens that wait for prefill, by upstream; ``admitted`` sums
+    by account what the VM admitted since its start.  ``trials`` are running
+    totals of version moves by service, and ``words`` what their leader
+    decides.  ``levels`` are those of the accounts' buckets, told to VMs
+    that started later.
     """
 
-    started_ms: int
+    start_id: int
+    age_s: float
     number: int
     work: dict[str, int]
     prefill: dict[str, int]
     admitted: dict[str, float]
     trials: dict[str, list[Totals]] = {}
     words: dict[str, MoveWord] = {}
+    levels: dict[str, float] = {}
 
 
 class Peer(NamedTuple):
-    """The newest news of another VM and when it was heard."""
+    """The newest news of another VM and when it was heard.
+
+    ``past_starts`` are the VM's earlier starts, whose news come too late.
+    """
 
     news: SiteNews
     heard_at_s: float
+    past_starts: frozenset[int] = frozenset()
--- a/bluebellhub/site/sharing.py
+++ b/bluebellhub/site/sharing.py
@@ -1,9 +1,10 @@
 """News of this VM, and what follows from the others' news."""
 
 from collections import Counter
+from typing import Final
 
-from bluebellhub.rates import hear_use
-from bluebellhub.route import is_limited
+from bluebellhub.rates import adopt_level, hear_use, levels_of
+from bluebellhub.route import Account, is_limited
 from bluebellhub.site.hearing import HEARD_S, heard_peers
 from bluebellhub.site.moving import (
     hear_trials,
@@ -19,6 +20,10 @@
 __all__ = ['heard_share', 'make_news', 'take_news', 'weigh_others']
 
 
+# So long after its start a VM takes the levels of those that run longer.
+ADOPT_S: Final = 2.0
+
+
 def make_news(site: Site, now_s: float) -> SiteNews:
     """Return what the other VMs should know of this one."""
     busy = [
@@ -28,36 +33,82 @@
     ]
     site.flags['news'] += 1
     return SiteNews(
-        site.started_ms,
+        site.start_id,
+        now_s - site.started_at_s,
         site.flags['news'],
         {upstream.spec.name: len(upstream.work) for upstream in busy},
         {upstream.spec.name: pending_tokens(upstream) for upstream in busy},
         dict(site.quotas.admitted),
         trials_of(site),
         words_of(site, now_s),
+        levels_of(site.quotas) if _is_asked(site, now_s) else {},
+    )
+
+
+def _is_asked(site: Site, now_s: float) -> bool:
+    """Tell whether a VM is heard that has just started."""
+    own_age_s = now_s - site.started_at_s
+    return any(
+        peer.news.age_s < min(ADOPT_S, own_age_s)
+        for peer in heard_peers(site, now_s)
     )
 
 
 def take_news(site: Site, sender: str, news: SiteNews, now_s: float) -> None:
     """Take another VM's news; older ones than known are dropped."""
     known = site.peers.get(sender)
-    if sender == site.vm or (known and not _is_newer(news, known.news)):
+    if sender == site.vm or (known and not _is_newer(news, known)):
         return
-    site.peers[sender] = Peer(news, now_s)
+    site.peers[sender] = Peer(news, now_s, _past_starts(news, known))
     table = site.in_force['table']
     accounts = table.accounts if table else {}
     share = heard_share(site, now_s)
+    limited = {
+        name: account
+        for name, account in accounts.items()
+        if is_limited(account)
+    }
     for name, amount in _heard_use(known, news, now_s).items():
-        account = accounts.get(name)
-        if account is not None and is_limited(account):
+        account = limited.get(name)
+        if account is not None:
             hear_use(site.quotas, account, amount, share, now_s)
+    _adopt_levels(site, news, limited, now_s)
     hear_trials(site, sender, news.trials)
     if sender == leader_of(site, now_s):
         take_words(site, news.words, now_s)
 
 
-def _is_newer(news: SiteNews, known: SiteNews) -> bool:
-    return (news.started_ms, news.number) > (known.started_ms, known.number)
+def _adopt_levels(
+    site: Site, news: SiteNews, limited: dict[str, Account], now_s: float
+) -> None:
+    """Soon after a start, take the levels of a VM that has run for longer.
+
+    Those of the VM that has run longest are the last to be taken.
+    """
+    own_age_s = now_s - site.started_at_s
+    known_age_s = max(own_age_s, site.flags['adopted_age_s'])
+    is_older = news.age_s > known_age_s + ADOPT_S
+    if own_age_s > ADOPT_S or not is_older or not news.levels:
+        return
+    site.flags['adopted_age_s'] = news.age_s
+    for name, level in news.levels.items():
+        account = limited.get(name)
+        if account is not None:
+            adopt_level(site.quotas, account, level, now_s)
+
+
+def _is_newer(news: SiteNews, known: Peer) -> bool:
+    if news.start_id == known.news.start_id:
+        return news.number > known.news.number
+    return news.start_id not in known.past_starts
+
+
+def _past_starts(news: SiteNews, known: Peer | None) -> frozenset[int]:
+    if known is None:
+        return frozenset()
+    if news.start_id == known.news.start_id:
+        return known.past_starts
+    return known.past_starts | {known.news.start_id}
 
 
 def _heard_use(
@@ -70,7 +121,7 @@
     if known is None or now_s - known.heard_at_s > HEARD_S:
         return {}
     before = known.news.admitted
-    if known.news.started_ms != news.started_ms:
+    if known.news.start_id != news.start_id:
         before = {}
     return {
         account: amount - before.get(account, 0.0)
--- a/bluebellhub/site/state.py
+++ b/bluebellhub/site/state.py
@@ -1,5 +1,6 @@
 """The state behind a VM's decisions on the users' platform."""
 
+from random import Random
 from typing import NamedTuple, TypedDict
 
 from bluebellhub.rates import (
@@ -21,7 +22,7 @@
 
 __all__ = ['Bounds', 'Site', 'SiteFlags', 'SiteMove', 'make_site', 'set_vms']
 
-MS_PER_S = 1000
+START_ID_BITS = 53
 PLAN = Plan(
     policy='soonest',
     discipline='shared',
@@ -55,12 +56,14 @@
 class SiteFlags(TypedDict):
     """Scalar state: the counts of requests and news, and the VM's end.
 
-    A VM that is ``leaving`` takes requests but is not ready; one that is
-    ``stopping`` refuses new ones.
+    ``adopted_age_s`` is the age of the VM whose buckets' levels this VM has
+    taken.  A VM that is ``leaving`` takes requests but is not ready; one
+    that is ``stopping`` refuses new ones.
     """
 
     requests: int
     news: int
+    adopted_age_s: float
     leaving: bool
     stopping: bool
 
@@ -74,7 +77,8 @@
     """
 
     vm: str
-    started_ms: int
+    start_id: int
+    started_at_s: float
     bounds: Bounds
     scheduler: Scheduler
     in_force: InForce
@@ -91,6 +95,7 @@
 ) -> Site:
     """Create the state of a VM that starts now and knows nothing."""
     vms: dict[str, str] = {}
+    random = Random(seed)
 
     def cold_share(upstream: Upstream) -> float:
         if not vms:
@@ -113,7 +118,8 @@
     scheduler.flags['failure_domain'] = failure_domain
     return Site(
         vm,
-        int(now_s * MS_PER_S),
+        random.getrandbits(START_ID_BITS),
+        now_s,
         bounds,
         scheduler,
         make_in_force(),
@@ -122,7 +128,13 @@
         vms,
         {},
         {},
-        {'requests': 0, 'news': 0, 'leaving': False, 'stopping': False},
+        {
+            'requests': 0,
+            'news': 0,
+            'adopted_age_s': 0.0,
+            'leaving': False,
+            'stopping': False,
+        },
     )
 
 
--- a/bluebellhub/site/tests/test_site.py
+++ b/bluebellhub/site/tests/test_site.py
@@ -25,7 +25,7 @@
 from bluebellhub.site.admission import UNLIMITED, admit_call, give_back
 from bluebellhub.site.news import SiteNews
 from bluebellhub.site.sharing import make_news, take_news, weigh_others
-from bluebellhub.site.state import Bounds, make_site
+from bluebellhub.site.state import Bounds, make_site, set_vms
 from bluebellhub.site.tests.small_site import (
     make_call,
     make_entry,
@@ -168,7 +168,7 @@
 )
 def test_slots_that_other_vms_use_are_left_alone(others, own, placed):
     site = make_small_site(make_entry())
-    take_news(site, 'hub-2', SiteNews(1, 1, {'u1': others}, {}, {}), 0.0)
+    take_news(site, 'hub-2', SiteNews(1, 9.0, 1, {'u1': others}, {}, {}), 0.0)
     weigh_others(site, 0.1)
     for number in range(own):
         _send(site, f'own-{number}')
@@ -179,7 +179,7 @@
 @pytest.mark.parametrize(('at_s', 'placed'), [(0.5, False), (1.5, True)])
 def test_old_news_count_as_silence(at_s, placed):
     site = make_small_site(make_entry())
-    take_news(site, 'hub-2', SiteNews(1, 1, {'u1': 2}, {}, {}), 0.0)
+    take_news(site, 'hub-2', SiteNews(1, 9.0, 1, {'u1': 2}, {}, {}), 0.0)
     weigh_others(site, 0.0)
     weigh_others(site, at_s)
     _, events = _send(site, now_s=at_s)
@@ -189,9 +189,10 @@
 def test_news_tell_work_and_use():
     site = make_small_site(make_entry())
     _send(site, tokens=Tokens(10, 2))
-    assert make_news(site, 0.0) == SiteNews(
-        -60_000, 1, {'u1': 1}, {'u1': 10}, {'yard': 12}
-    )
+    news = make_news(site, 0.0)
+    assert (news.age_s, news.number) == (60.0, 1)
+    assert (news.work, news.prefill) == ({'u1': 1}, {'u1': 10})
+    assert news.admitted == {'yard': 12.0}
 
 
 @pytest.mark.parametrize(
@@ -300,8 +301,8 @@
     assert 1 <= sent <= 16 * 1.5 + 5
 
 
-def _news(number, admitted, started_ms=1):
-    return SiteNews(started_ms, number, {}, {}, {'yard': admitted})
+def _news(number, admitted, start_id=1, age_s=60.0):
+    return SiteNews(start_id, age_s, number, {}, {}, {'yard': admitted})
 
 
 @pytest.mark.parametrize(
@@ -313,6 +314,14 @@
         ([(0.1, _news(2, 500.0)), (0.2, _news(2, 500.0))], 0.0),
         ([(0.1, _news(9, 500.0)), (0.2, _news(1, 30.0, 7))], 30.0),
         ([(0.1, _news(1, 500.0)), (2.2, _news(2, 560.0))], 0.0),
+        (
+            [
+                (0.1, _news(9, 500.0)),
+                (0.2, _news(1, 30.0, 7)),
+                (0.2, _news(10, 520.0)),
+            ],
+            30.0,
+        ),
     ],
 )
 def test_use_of_others_is_charged_once(news, charged):
@@ -345,3 +354,43 @@
         _, events = _send(site, f'{number}', now_s=number / 60)
         sent += len(_chosen(events))
     assert 1 <= sent <= 16 * 1.5 + 5
+
+
+@pytest.mark.parametrize(
+    ('told', 'level'),
+    [
+        ([], 0.0),
+        ([_news(1, 0.0, 1, 50.0)._replace(levels={'yard': 700.0})], 700.0),
+        ([_news(1, 0.0, 1, 0.0)._replace(levels={'yard': 700.0})], 0.0),
+        (
+            [
+                _news(1, 0.0, 1, 50.0)._replace(levels={'yard': 700.0}),
+                _news(2, 40.0, 1, 50.1)._replace(levels={'yard': 900.0}),
+            ],
+            660.0,
+        ),
+    ],
+)
+def test_a_vm_that_starts_takes_the_level_of_one_that_runs(told, level):
+    site = make_site('hub-1', 'd', Bounds(), 0.0)
+    set_vms(site, {'hub-1': '', 'hub-2': ''})
+    put_in_force(site, make_version())
+    for news in told:
+        take_news(site, 'hub-2', news, 0.0)
+    take_registration(site, make_entry(), 0.0)
+    if level:
+        _send(site, tokens=Tokens(0, 1))
+        assert site.quotas.buckets['yard'].level == level - 1.0
+    else:
+        with pytest.raises(RateLimitError):
+            _send(site, tokens=Tokens(0, 1))
+
+
+@pytest.mark.parametrize(
+    ('age_s', 'is_told'), [(61.0, False), (3.0, False), (0.5, True)]
+)
+def test_levels_are_told_to_a_vm_that_starts(age_s, is_told):
+    site = make_small_site(make_entry(), vms=('hub-1', 'hub-2'))
+    _send(site, tokens=Tokens(0, 1))
+    take_news(site, 'hub-2', _news(1, 0.0, 1, age_s), 0.0)
+    assert bool(make_news(site, 0.1).levels) is is_told
