Begin accounts' buckets with a part of the slack; place by the first token

Change: 0.25 of the slack and 0.5 s of the rate at a start, since no VM serves sooner after its predecessor; ranks leave a tenth of the burst only. Cause: on time is judged by the first token, but upstreams were chosen by the expected end, and the learned prefill rate was capped at 1.25 times a guess, pulled down by short prompts, and known to each VM alone.

--- a/bluebellhub/adapters/passing/gossip.py
+++ b/bluebellhub/adapters/passing/gossip.py
@@ -53,7 +53,10 @@
 def _differ(news: SiteNews, told: SiteNews | None) -> bool:
     if told is None:
         return True
-    return news._replace(number=told.number, age_s=told.age_s) != told
+    same = news._replace(
+        number=told.number, age_s=told.age_s, speeds=told.speeds
+    )
+    return same != told
 
 
 def _replace_silent(
--- a/bluebellhub/rates/quota.py
+++ b/bluebellhub/rates/quota.py
@@ -7,8 +7,8 @@
 The VMs that hear each other use their share of the limit, by their number;
 so VMs that are cut off into groups keep the limit together, and a VM that
 hears nobody uses its own share.  A VM that has just started knows nothing of
-what was admitted before, so its buckets begin empty, until it hears the
-levels of a VM that has run for longer.
+what was admitted before, so its buckets begin with a part of the slack,
+until it hears the levels of a VM that has run for longer.
 """
 
 from typing import Final, NamedTuple
@@ -28,9 +28,13 @@
     'take_back',
 ]
 
-# The rest covers what other VMs admit before it is heard.
-USABLE_SLACK_SHARE: Final = 0.6
-# Part of the bucket that each rank leaves to the ranks before it.
+# Parts of the slack: in the bucket, and at a start.  The rest covers what
+# other VMs admit before it is heard.
+USABLE_SLACK_SHARE: Final = 0.35
+START_SLACK_SHARE: Final = 0.25
+# No VM serves sooner after its predecessor's end, so nothing was admitted.
+DOWN_S: Final = 0.5
+# Part of the burst that each rank leaves to the ranks before it.
 LEFT_SHARE_PER_RANK: Final = 0.1
 RETRY_MIN_S: Final = 0.1
 
@@ -85,7 +89,7 @@
     """
     bucket = _fill(quotas, account, share, now_s)
     cost = need.cost
-    left = _size(quotas, account) * share * LEFT_SHARE_PER_RANK * need.rank
+    left = account.burst * share * LEFT_SHARE_PER_RANK * need.rank
     lacking = cost + left - bucket.level
     if lacking > 0:
         wait_s = max(RETRY_MIN_S, lacking / (account.rate_per_s * share))
@@ -128,8 +132,10 @@
     quotas: Quotas, account: Account, share: float, now_s: float
 ) -> Bucket:
     """Add what the time since the last filling has brought."""
-    empty = Bucket(0.0, quotas.started_at_s)
-    bucket = quotas.buckets.get(account.name, empty)
+    bucket = quotas.buckets.get(account.name)
+    if bucket is None:
+        first = START_SLACK_SHARE * _slack(quotas, account) * share
+        bucket = Bucket(first, quotas.started_at_s - DOWN_S)
     brought = (now_s - bucket.filled_at_s) * account.rate_per_s * share
     level = min(_size(quotas, account) * share, bucket.level + brought)
     filled = Bucket(level, now_s)
@@ -144,7 +150,11 @@
 
 def _size(quotas: Quotas, account: Account) -> float:
     """Return what the account's bucket for the whole fleet holds."""
+    return account.burst + USABLE_SLACK_SHARE * _slack(quotas, account)
+
+
+def _slack(quotas: Quotas, account: Account) -> float:
+    """Return what the limit may be exceeded by in a window."""
     bounds = quotas.bounds
     limit = account.rate_per_s * bounds.window_s + account.burst
-    slack = limit * bounds.overage + bounds.slack
-    return account.burst + USABLE_SLACK_SHARE * slack
+    return limit * bounds.overage + bounds.slack
--- a/bluebellhub/routing/policy.py
+++ b/bluebellhub/routing/policy.py
@@ -16,6 +16,7 @@
 NEAR_TIE_S: Final = 0.005
 FAR_S: Final = 0.004
 LOAD_RATIO: Final = 0.4
+REST_SHARE: Final = 0.1
 
 
 class Candidate(NamedTuple):
@@ -23,8 +24,9 @@
 
     ``outstanding`` counts requests from this VM, ``predicted_s`` is the
     time to the first token.  A ``resumed`` request has its first token.
-    ``load`` is the used share of the slots, by all VMs, ``finish_s`` the
-    time to the last token, and a near upstream is in the VM's own failure
+    ``load`` is the used share of the slots, by all VMs, ``first_s`` and
+    ``finish_s`` the times to the first and last token as experience
+    corrects them, and a near upstream is in the VM's own failure
     domain.
     """
 
@@ -34,6 +36,7 @@
     uncached_tokens: int
     resumed: bool = False
     load: float = 0.0
+    first_s: float = 0.0
     finish_s: float = 0.0
     is_near: bool = True
 
@@ -62,11 +65,11 @@
 def choose_soonest(
     candidates: Sequence[Candidate], random: Random, decisions: int
 ) -> Candidate:
-    """Choose the least time to the whole answer, near upstreams first.
+    """Choose an early first token, and weigh the time that follows lightly.
 
-    Near ties are broken at random.
+    Near upstreams go first, and near ties are broken at random.
     """
-    costs = [_finish_cost_s(candidate) for candidate in candidates]
+    costs = [_weighed_s(candidate) for candidate in candidates]
     bound_s = min(costs) * NEAR_TIE_RATIO
     near = [
         candidate
@@ -76,9 +79,11 @@
     return random.choice(near)
 
 
-def _finish_cost_s(candidate: Candidate) -> float:
+def _weighed_s(candidate: Candidate) -> float:
     far_s = 0.0 if candidate.is_near else FAR_S
-    return candidate.finish_s * (1.0 + LOAD_RATIO * candidate.load) + far_s
+    rest_s = candidate.finish_s - candidate.first_s
+    taken_s = candidate.first_s + REST_SHARE * rest_s
+    return taken_s * (1.0 + LOAD_RATIO * candidate.load) + far_s
 
 
 @policies.register('random')
--- a/bluebellhub/routing/tests/test_routing.py
+++ b/bluebellhub/routing/tests/test_routing.py
@@ -120,3 +120,25 @@
     for tokens in lengths:
         note_length(known, 'a', 'r', tokens)
     assert expected_tokens(known, 'a', 'r', asked) == expected
+
+
+def _timed(name, first_s, finish_s, load=0.0, is_near=True):
+    return Candidate(
+        name, 0, first_s, 10, False, load, first_s, finish_s, is_near
+    )
+
+
+@pytest.mark.parametrize(
+    ('first', 'second', 'chosen'),
+    [
+        (('u1', 0.1, 1.0), ('u2', 0.4, 0.8), 'u1'),
+        (('u1', 0.1, 3.0), ('u2', 0.1, 1.0), 'u2'),
+        (('u1', 0.1, 1.0, 0.9), ('u2', 0.1, 1.0, 0.1), 'u2'),
+        (('u1', 0.01, 0.01, 0.0, False), ('u2', 0.01, 0.01), 'u2'),
+        (('u1', 0.01, 0.01, 0.0, False), ('u2', 0.2, 0.2), 'u1'),
+    ],
+)
+def test_soonest_weighs_the_first_token_most(first, second, chosen):
+    candidates = [_timed(*first), _timed(*second)]
+    choose = policies.find('soonest')
+    assert choose(candidates, Random(1), 0).upstream == chosen
--- a/bluebellhub/scheduler/candidate.py
+++ b/bluebellhub/scheduler/candidate.py
@@ -20,6 +20,7 @@
     uncached = max(0, ask.prompt_tokens - cached * BLOCK_TOKENS)
     predicted_s = predict_first_token_s(upstream, uncached, now_s)
     slots = upstream.window.slots
+    first_s = predicted_s * upstream.speed.delay_ratio
     domain = scheduler.flags['failure_domain']
     return Candidate(
         name,
@@ -28,24 +29,22 @@
         uncached,
         resumed=life.first_token_at_s is not None,
         load=(len(upstream.work) + upstream.others_work) / slots,
-        finish_s=_finish_s(scheduler, life, upstream, predicted_s),
+        first_s=first_s,
+        finish_s=first_s + _rest_s(scheduler, life, upstream),
         is_near=upstream.spec.failure_domain == domain,
     )
 
 
-def _finish_s(
-    scheduler: Scheduler, life: Life, upstream: Upstream, first_s: float
-) -> float:
-    """Predict the seconds to the last token, corrected by experience."""
+def _rest_s(scheduler: Scheduler, life: Life, upstream: Upstream) -> float:
+    """Predict the seconds from the first to the last token."""
     ask = life.ask
-    first_s *= upstream.speed.delay_ratio
     if ask.output_tokens <= 1:
-        return first_s
+        return 0.0
     tokens = expected_tokens(
         scheduler.lengths, ask.account, ask.route, ask.output_tokens
     )
     left = max(0, tokens - life.tokens)
-    return first_s + left * upstream.speed.step_s
+    return left * upstream.speed.step_s
 
 
 def idle_first_token_s(scheduler: Scheduler, life: Life) -> float:
--- a/bluebellhub/scheduler/progress.py
+++ b/bluebellhub/scheduler/progress.py
@@ -96,7 +96,11 @@
     upstream = scheduler.upstreams[name]
     elapsed_s = now_s - work.sent_at_s
     speed = observe_prefill(
-        upstream.speed, work.work_tokens, elapsed_s, work.predicted_s
+        upstream.speed,
+        work.work_tokens,
+        elapsed_s,
+        work.predicted_s,
+        upstream.spec.learn_min_tokens,
     )
     if not scheduler.plan.adapts_windows:
         scheduler.upstreams[name] = upstream._replace(
--- a/bluebellhub/site/news.py
+++ b/bluebellhub/site/news.py
@@ -2,6 +2,7 @@
 
 from typing import NamedTuple
 
+from bluebellhub.upstream.speed import Speed
 from bluebellhub.version_move.evidence import Totals
 
 __all__ = ['MoveWord', 'Peer', 'SiteNews']
@@ -29,7 +30,8 @@
     by account what the VM admitted since its start.  ``trials`` are running
     totals of version moves by service, and ``words`` what their leader
     decides.  ``levels`` are those of the accounts' buckets, told to VMs
-    that started later.
+    that started later, and ``speeds`` the upstreams' learned ones, told
+    now and then.
     """
 
     start_id: int
@@ -41,6 +43,7 @@
     trials: dict[str, list[Totals]] = {}
     words: dict[str, MoveWord] = {}
     levels: dict[str, float] = {}
+    speeds: dict[str, Speed] = {}
 
 
 class Peer(NamedTuple):
--- a/bluebellhub/site/sharing.py
+++ b/bluebellhub/site/sharing.py
@@ -16,12 +16,14 @@
 from bluebellhub.site.news import Peer, SiteNews
 from bluebellhub.site.state import Site
 from bluebellhub.upstream import pending_tokens
+from bluebellhub.upstream.speed import Speed, blend
 
 __all__ = ['heard_share', 'make_news', 'take_news', 'weigh_others']
 
 
 # So long after its start a VM takes the levels of those that run longer.
 ADOPT_S: Final = 2.0
+SPEEDS_EVERY: Final = 8
 
 
 def make_news(site: Site, now_s: float) -> SiteNews:
@@ -42,9 +44,31 @@
         trials_of(site),
         words_of(site, now_s),
         levels_of(site.quotas) if _is_asked(site, now_s) else {},
+        _learned_speeds(site),
     )
 
 
+def _learned_speeds(site: Site) -> dict[str, Speed]:
+    """Return what was learned of the upstreams, in some of the news."""
+    if site.flags['news'] % SPEEDS_EVERY:
+        return {}
+    return {
+        name: upstream.speed
+        for name, upstream in site.scheduler.upstreams.items()
+        if upstream.speed.observations
+    }
+
+
+def _blend_speeds(site: Site, told: dict[str, Speed]) -> None:
+    upstreams = site.scheduler.upstreams
+    for name, speed in told.items():
+        upstream = upstreams.get(name)
+        if upstream is not None:
+            upstreams[name] = upstream._replace(
+                speed=blend(upstream.speed, speed)
+            )
+
+
 def _is_asked(site: Site, now_s: float) -> bool:
     """Tell whether a VM is heard that has just started."""
     own_age_s = now_s - site.started_at_s
@@ -73,6 +97,7 @@
         if account is not None:
             hear_use(site.quotas, account, amount, share, now_s)
     _adopt_levels(site, news, limited, now_s)
+    _blend_speeds(site, news.speeds)
     hear_trials(site, sender, news.trials)
     if sender == leader_of(site, now_s):
         take_words(site, news.words, now_s)
--- a/bluebellhub/site/upstreams.py
+++ b/bluebellhub/site/upstreams.py
@@ -29,6 +29,9 @@
 # Estimates for an upstream that has not answered yet.
 PREFILL_TOKENS_PER_S: Final = 50_000.0
 STEP_S: Final = 0.005
+FASTER_RATIO_MAX: Final = 10.0
+# The prefill of shorter prompts is hidden by an engine's fixed delay.
+LEARN_MIN_TOKENS: Final = 1500
 
 
 def put_in_force(site: Site, table: RoutingTable) -> bool:
@@ -117,6 +120,8 @@
         cold_window=entry.slots,
         prefill_tokens_per_s=PREFILL_TOKENS_PER_S,
         step_s=STEP_S,
+        faster_ratio_max=FASTER_RATIO_MAX,
+        learn_min_tokens=LEARN_MIN_TOKENS,
         leaving=entry.state == 'draining',
         cold_per_s=service.cold_per_s,
         cold_start_s=service.cold_start_s,
--- a/bluebellhub/upstream/speed.py
+++ b/bluebellhub/upstream/speed.py
@@ -2,13 +2,14 @@
 
 from typing import Final, NamedTuple
 
-__all__ = ['Speed', 'make_speed', 'observe_prefill', 'observe_step']
+__all__ = ['Speed', 'blend', 'make_speed', 'observe_prefill', 'observe_step']
 
 SMOOTHING: Final = 0.2
 WORK_MIN_TOKENS: Final = 64
 RATE_MIN_TOKENS_PER_S: Final = 50.0
 STEP_MIN_S: Final = 0.001
 CEILING_RATIO: Final = 1.25
+OBSERVATIONS_MAX: Final = 20
 
 
 class Speed(NamedTuple):
@@ -25,25 +26,34 @@
     observations: int = 0
 
 
-def make_speed(prefill_tokens_per_s: float, step_s: float) -> Speed:
+def make_speed(
+    prefill_tokens_per_s: float,
+    step_s: float,
+    ceiling_ratio: float = CEILING_RATIO,
+) -> Speed:
     """Create an estimate from the values in the upstream's settings."""
-    ceiling = prefill_tokens_per_s * CEILING_RATIO
+    ceiling = prefill_tokens_per_s * ceiling_ratio
     return Speed(prefill_tokens_per_s, step_s, ceiling)
 
 
 def observe_prefill(
-    speed: Speed, work_tokens: float, elapsed_s: float, predicted_s: float
+    speed: Speed,
+    work_tokens: float,
+    elapsed_s: float,
+    predicted_s: float,
+    min_tokens: int = WORK_MIN_TOKENS,
 ) -> Speed:
     """Learn from a first token that came ``elapsed_s`` after dispatch.
 
-    ``work_tokens`` counts the uncached tokens ahead of and in the request.
+    ``work_tokens`` counts the uncached tokens ahead of and in the request;
+    fewer than ``min_tokens`` tell nothing of the prefill rate.
     """
     ratio = elapsed_s / max(predicted_s, STEP_MIN_S)
     smoothed = _smooth(speed.delay_ratio, min(ratio, 10.0))
     learned = speed._replace(
         delay_ratio=smoothed, observations=speed.observations + 1
     )
-    if work_tokens < WORK_MIN_TOKENS:
+    if work_tokens < min_tokens:
         return learned
     prefill_s = max(elapsed_s - speed.step_s, STEP_MIN_S)
     rate = work_tokens / prefill_s
@@ -59,5 +69,25 @@
     return speed._replace(step_s=_smooth(speed.step_s, max(step_s, STEP_MIN_S)))
 
 
+def blend(own: Speed, told: Speed) -> Speed:
+    """Join two VMs' estimates, by their numbers of observations."""
+    known = min(own.observations, OBSERVATIONS_MAX)
+    heard = min(told.observations, OBSERVATIONS_MAX)
+    if not heard:
+        return own
+    weight = heard / (known + heard)
+    return own._replace(
+        prefill_tokens_per_s=_mix(
+            own.prefill_tokens_per_s, told.prefill_tokens_per_s, weight
+        ),
+        step_s=_mix(own.step_s, told.step_s, weight),
+        delay_ratio=_mix(own.delay_ratio, told.delay_ratio, weight),
+    )
+
+
+def _mix(own: float, told: float, weight: float) -> float:
+    return own + weight * (told - own)
+
+
 def _smooth(old: float, new: float) -> float:
     return old + SMOOTHING * (new - old)
--- a/bluebellhub/upstream/upstream.py
+++ b/bluebellhub/upstream/upstream.py
@@ -46,7 +46,8 @@
     or services that it serves.  ``fences`` tells whether it refuses orders
     with an old fencing number.  While it is cold, for ``cold_start_s``
     after its start, it bears ``cold_per_s`` requests a second; 0 for no
-    such limit.
+    such limit.  It may prove ``faster_ratio_max`` times as fast as its
+    settings, by prompts of ``learn_min_tokens`` and more.
     """
 
     name: str
@@ -65,6 +66,8 @@
     cold_per_s: float = 0.0
     cold_start_s: float = 0.0
     tokens_per_event: int = 1
+    faster_ratio_max: Positive = 1.25
+    learn_min_tokens: Count = 64
 
 
 class LoadReport(NamedTuple):
@@ -113,7 +116,9 @@
     """Create an upstream without work, cold unless ``warm``."""
     return Upstream(
         spec,
-        make_speed(spec.prefill_tokens_per_s, spec.step_s),
+        make_speed(
+            spec.prefill_tokens_per_s, spec.step_s, spec.faster_ratio_max
+        ),
         make_window(spec.cold_window, spec.window, warm=warm),
         {},
     )
