--- a/bluebellhub/adapters/passing/relay.py
+++ b/bluebellhub/adapters/passing/relay.py
@@ -23,10 +23,13 @@
 from bluebellhub.request.refusal import AnswerTimeoutError, ShedError
 from bluebellhub.scheduler import Dispatch, answer_ended, attempt_failed
 from bluebellhub.site.admission import UNLIMITED, admit_call, give_back
+from bluebellhub.site.hearing import heard_names
+from bluebellhub.upstream import Upstream
 
 __all__ = ['answer_call']
 
 LATE_RETRY_S: Final = 1.0
+MS_PER_S: Final = 1000
 
 log = logbook.Logger('bluebellhub.passing')
 
@@ -92,6 +95,7 @@
     failure: AttemptFailure | None = AttemptFailure('connect_failed', 'gone')
     if upstream is not None:
         job.progress['upstream'] = dispatch.upstream
+        _log_sent(passing, job, upstream)
         failure = await run_attempt(passing, job, upstream.spec)
     if failure is None:
         events = answer_ended(scheduler, dispatch.request_id, now_s())
@@ -161,6 +165,30 @@
     )
 
 
+def _log_sent(passing: Passing, job: Job, upstream: Upstream) -> None:
+    """Tell what decided the choice: loads, speed, and the news' age."""
+    now = now_s()
+    ask = job.admission.ask
+    work = upstream.work.get(ask.request_id)
+    table = passing.site.in_force['table']
+    log.info(
+        'sent',
+        extra={
+            'request': job.call.head.request_id,
+            'upstream': upstream.spec.name,
+            'waited_ms': round((now - ask.arrived_at_s) * MS_PER_S),
+            'own_work': len(upstream.work),
+            'others_work': upstream.others_work,
+            'predicted_ms': round(work.predicted_s * MS_PER_S)
+            if work
+            else None,
+            'heard_vms': len(heard_names(passing.site, now)),
+            'known_vms': len(passing.site.vms),
+            'configuration': table.version if table else None,
+        },
+    )
+
+
 def _log_end(passing: Passing, job: Job) -> None:
     ask = job.admission.ask
     passing.node.scheduler.counters['ends', job.progress['outcome']] += 1
@@ -173,6 +201,7 @@
             'rank': ask.tier.rank,
             'upstream': job.progress['upstream'],
             'outcome': job.progress['outcome'] or 'cancelled',
-            'took_ms': round((now_s() - ask.arrived_at_s) * 1000),
+            'took_ms': round((now_s() - ask.arrived_at_s) * MS_PER_S),
+            'events': job.progress['last_event'],
         },
     )
--- a/bluebellhub/settings.py
+++ b/bluebellhub/settings.py
@@ -132,15 +132,24 @@
         )
 
 
+def _check_site(settings: Settings) -> None:
+    """Check that a VM of the users' platform can be reached there."""
+    for field in ('store', 'ready_listen'):
+        address = getattr(settings.site, field)
+        if address:
+            check_address(address, f'settings.site.{field}')
+    if settings.site.store and not settings.site.ready_listen:
+        raise SettingsError('settings.site.ready_listen', '', 'an address')
+    if settings.site.store and settings.peer_listen is None:
+        raise SettingsError('settings.peer_listen', None, 'an address')
+
+
 def _check_addresses(settings: Settings) -> None:
     check_address(settings.listen, 'settings.listen')
     for field in ('peer_listen', 'platform'):
         address = getattr(settings, field)
         if address is not None:
             check_address(address, f'settings.{field}')
-    for field in ('store', 'ready_listen'):
-        address = getattr(settings.site, field)
-        if address:
-            check_address(address, f'settings.site.{field}')
+    _check_site(settings)
     for place, peer in enumerate(settings.peers):
         check_address(peer.address, f'settings.peers[{place}].address')
--- a/bluebellhub/tests/test_settings.py
+++ b/bluebellhub/tests/test_settings.py
@@ -41,6 +41,11 @@
         (f'{GOOD}limits: {{drain_s: soon}}\n', "got 'soon', expected `float`"),
         (f'{GOOD}site: {{store: nowhere}}\n', 'settings.site.store'),
         (f'{GOOD}site: {{grace_s: 0}}\n', 'settings.site.grace_s'),
+        (f'{GOOD}site: {{store: 10.0.0.1:1}}\n', 'settings.site.ready_listen'),
+        (
+            f'{GOOD}site: {{store: 10.0.0.1:1, ready_listen: 10.0.0.1:2}}\n',
+            'settings.peer_listen',
+        ),
         (f'{GOOD}limits: {{drain_ms: 1}}\n', 'settings.limits.drain_ms'),
         (f'{GOOD}peers: [{{name: a}}]\n', 'settings.peers[0].address'),
         (
