--- a/bluebellhub/adapters/passing/run.py
+++ b/bluebellhub/adapters/passing/run.py
@@ -2,6 +2,7 @@
 
 import secrets
 import signal
+from pathlib import Path
 from typing import Final
 
 import logbook
@@ -13,6 +14,10 @@
 from bluebellhub.adapters.passing.gossip import hear_news, tell_news
 from bluebellhub.adapters.passing.moves import run_moves
 from bluebellhub.adapters.passing.readiness import make_ready_app
+from bluebellhub.adapters.passing.reloading import (
+    follow_settings,
+    read_again,
+)
 from bluebellhub.adapters.passing.server import close_idle, serve_callers
 from bluebellhub.adapters.passing.state import Passing
 from bluebellhub.adapters.passing.watching import (
@@ -43,34 +48,43 @@
 log = logbook.Logger('bluebellhub.run')
 
 
-async def run_site(settings: Settings) -> None:
-    """Serve until SIGTERM, then finish what runs."""
+async def run_site(settings: Settings, path: Path) -> None:
+    """Serve until SIGTERM, then finish what runs; ``path`` is looked at."""
     async with trio.open_nursery() as nursery:
         passing = _make_passing(settings, nursery)
-        store = make_store(settings.site.store)
-        app = make_ready_app(passing)
-        # HTTP libraries import modules at their first use.  That is over
-        # before the message library starts its thread: files read beside
-        # the start of a thread have crashed the process.
-        announced = await announce_vm(store, settings)
-        link = make_peer_link(
-            settings.vm,
-            settings.peer_listen or '',
-            passing.node.scheduler.counters,
-        )
-        watcher = Watcher(passing, store, link, {}, {})
-        _start_tasks(settings, nursery, watcher, app)
-        if not announced:
-            nursery.start_soon(keep_announcing, store, settings)
+        watcher = await _start(settings, nursery, passing)
+        nursery.start_soon(follow_settings, path, settings)
         log.info('started', extra={'vm': settings.vm})
-        await _stop_at_signal(settings, passing)
+        await _await_stop(path, settings)
+        await _stop(settings, passing)
         nursery.cancel_scope.cancel()
     with trio.move_on_after(STEP_S, shield=True):
-        await close_store(store)
-    close_link(link)
+        await close_store(watcher.store)
+    close_link(watcher.link)
     log.info('stopped', extra={'vm': settings.vm})
 
 
+async def _start(
+    settings: Settings, nursery: trio.Nursery, passing: Passing
+) -> Watcher:
+    """Open the ways out and start all tasks.
+
+    HTTP libraries import modules at their first use.  That is over before
+    the message library starts its thread: files read beside the start of a
+    thread have crashed the process.
+    """
+    store = make_store(settings.site.store)
+    app = make_ready_app(passing)
+    announced = await announce_vm(store, settings)
+    counters = passing.node.scheduler.counters
+    link = make_peer_link(settings.vm, settings.peer_listen or '', counters)
+    watcher = Watcher(passing, store, link, {}, {})
+    _start_tasks(settings, nursery, watcher, app)
+    if not announced:
+        nursery.start_soon(keep_announcing, store, settings)
+    return watcher
+
+
 def _make_passing(settings: Settings, nursery: trio.Nursery) -> Passing:
     site = make_site(
         settings.vm,
@@ -107,10 +121,18 @@
     nursery.start_soon(serve_app, app, settings.site.ready_listen)
 
 
-async def _stop_at_signal(settings: Settings, passing: Passing) -> None:
+async def _await_stop(path: Path, settings: Settings) -> None:
+    """Wait for SIGTERM; at SIGHUP read the settings file again."""
+    signals = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
+    with trio.open_signal_receiver(*signals) as received:
+        async for number in received:
+            if number != signal.SIGHUP:
+                return
+            read_again(path, settings)
+
+
+async def _stop(settings: Settings, passing: Passing) -> None:
     """Leave in order: unready, no idle callers, no new work, end."""
-    with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as received:
-        await anext(received)
     scheduler = passing.node.scheduler
     log.info('stopping', extra={'running': len(scheduler.lives)})
     started_s = trio.current_time()
--- a/bluebellhub/daemon.py
+++ b/bluebellhub/daemon.py
@@ -85,13 +85,18 @@
     shutdown.set()
 
 
+def _default_path() -> Path | None:
+    name = os.environ.get(SETTINGS_VARIABLE)
+    return Path(name) if name else None
+
+
 def make_parser() -> argparse.ArgumentParser:
     """Create the command line's parser."""
     parser = argparse.ArgumentParser(prog='bluebellhubd', description=__doc__)
     parser.add_argument(
         '--settings',
         type=Path,
-        default=os.environ.get(SETTINGS_VARIABLE),
+        default=_default_path(),
         help=f'the settings file; by default ${SETTINGS_VARIABLE}',
     )
     parser.add_argument(
@@ -118,7 +123,10 @@
         return
     make_fatal(fatal=os.environ.get('BLUEBELLHUB_FATAL') == '1')
     with set_up_logs(settings.log_level):
-        trio.run(run_site if settings.site.store else run_daemon, settings)
+        if settings.site.store:
+            trio.run(run_site, settings, args.settings)
+        else:
+            trio.run(run_daemon, settings)
 
 
 if __name__ == '__main__':
