Leave a kept connection to its next user; take short requests while stopping

A request that had kept its connection closed it at its end if it no longer lay among the idle ones, although the next request had taken it. Test: test_a_kept_connection_belongs_to_its_next_user failed before. Change: it takes those whose time limit ends before it does. Test: test_a_vm_that_stops_takes_what_ends_before.

--- a/bluebellhub/adapters/node.py
+++ b/bluebellhub/adapters/node.py
@@ -136,10 +136,13 @@
     """Pass a refusal to the caller."""
     exchange = node.exchanges.pop(event.request_id, None)
     log.info(
-        'refused {} reason={} run={}',
-        event.request_id,
-        event.error.reason,
-        event.error.run,
+        'not served',
+        extra={
+            'request': event.request_id.partition('/')[0],
+            'reason': event.error.reason,
+            'run': event.error.run,
+            'detail': str(event.error),
+        },
     )
     if exchange is not None:
         exchange.outgoing.send_nowait(event.error)
--- a/bluebellhub/adapters/passing/run.py
+++ b/bluebellhub/adapters/passing/run.py
@@ -39,7 +39,7 @@
 
 # Callers are sent elsewhere after two failed questions, a second apart.
 UNNOTICED_S: Final = 2.3
-# Later requests could still run when the VM is killed.
+# Later ones are taken only if their time limit ends before the VM does.
 ACCEPT_S: Final = 2.8
 EXIT_MARGIN_S: Final = 0.8
 STEP_S: Final = 0.05
@@ -141,8 +141,8 @@
     await trio.sleep(min(UNNOTICED_S, grace_s * 0.3))
     close_idle(passing)
     await trio.sleep(min(ACCEPT_S - UNNOTICED_S, grace_s * 0.1))
-    passing.site.flags['stopping'] = True
     left_s = grace_s - EXIT_MARGIN_S - (trio.current_time() - started_s)
+    passing.site.flags['stops_at_s'] = now_s() + left_s
     with trio.move_on_after(max(0.0, left_s)):
         while scheduler.lives:
             close_idle(passing)
--- a/bluebellhub/adapters/passing/upstream_link.py
+++ b/bluebellhub/adapters/passing/upstream_link.py
@@ -2,7 +2,7 @@
 
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
-from typing import Any, Final, NamedTuple
+from typing import Any, Final, NamedTuple, TypedDict
 
 import h11
 import trio
@@ -43,12 +43,19 @@
 KeptLinks = dict[tuple[str, str], list[KeptLink]]
 
 
+class LinkState(TypedDict):
+    """Whether the connection was kept, and is no longer this request's."""
+
+    is_kept: bool
+
+
 class UpstreamLink(NamedTuple):
     """A connection that carries one request."""
 
     spec: UpstreamSpec
     stream: trio.SocketStream
     protocol: h11.Connection
+    state: LinkState
 
 
 @asynccontextmanager
@@ -63,11 +70,11 @@
     if stream is None:
         stream = await _open(spec)
     protocol = h11.Connection(h11.CLIENT)
-    link = UpstreamLink(spec, stream, protocol)
+    link = UpstreamLink(spec, stream, protocol, {'is_kept': False})
     try:
         yield link
     finally:
-        if not _is_kept(kept, link):
+        if not link.state['is_kept']:
             await trio.aclose_forcefully(stream)
 
 
@@ -89,11 +96,6 @@
     return None
 
 
-def _is_kept(kept: KeptLinks, link: UpstreamLink) -> bool:
-    idle = kept.get((link.spec.name, link.spec.address), [])
-    return any(found.stream is link.stream for found in idle)
-
-
 def keep(kept: KeptLinks, link: UpstreamLink, idle_s: float) -> None:
     """Keep a connection whose answer is complete, if it may be used again."""
     protocol = link.protocol
@@ -104,6 +106,7 @@
     idle = kept.setdefault((link.spec.name, link.spec.address), [])
     if len(idle) < KEPT_MAX:
         idle.append(KeptLink(link.stream, now_s() + idle_s))
+        link.state['is_kept'] = True
 
 
 async def send_events(link: UpstreamLink, events: list[Any]) -> None:
--- a/bluebellhub/site/admission.py
+++ b/bluebellhub/site/admission.py
@@ -41,8 +41,6 @@
 
 def admit_call(site: Site, head: CallHead, now_s: float) -> Admission:
     """Admit a request to the queue; raises the refusal if it is not."""
-    if site.flags['stopping']:
-        raise DrainingError('the VM is shutting down', retry_after_s=0.0)
     if not site.vms:
         raise NoUpstreamError(
             'the other VMs are not known yet', retry_after_s=AWAY_RETRY_S
@@ -57,6 +55,8 @@
             f'no upstream of {target}', retry_after_s=AWAY_RETRY_S
         )
     ask = _make_ask(site, head, route, account, target, now_s)
+    if ask.ends_at_s > site.flags['stops_at_s']:
+        raise DrainingError('the VM is shutting down', retry_after_s=0.0)
     cost = _take_cost(site, account, head.tokens, ask)
     return Admission(ask, route, account, cost)
 
--- a/bluebellhub/site/state.py
+++ b/bluebellhub/site/state.py
@@ -1,5 +1,6 @@
 """The state behind a VM's decisions on the users' platform."""
 
+from math import inf
 from random import Random
 from typing import NamedTuple, TypedDict
 
@@ -57,15 +58,15 @@
     """Scalar state: the counts of requests and news, and the VM's end.
 
     ``adopted_age_s`` is the age of the VM whose buckets' levels this VM has
-    taken.  A VM that is ``leaving`` takes requests but is not ready; one
-    that is ``stopping`` refuses new ones.
+    taken.  A VM that is ``leaving`` takes requests but is not ready; it takes
+    those that are over by ``stops_at_s``.
     """
 
     requests: int
     news: int
     adopted_age_s: float
     leaving: bool
-    stopping: bool
+    stops_at_s: float
 
 
 class Site(NamedTuple):
@@ -133,7 +134,7 @@
             'news': 0,
             'adopted_age_s': 0.0,
             'leaving': False,
-            'stopping': False,
+            'stops_at_s': inf,
         },
     )
 
