Send a repeated attempt elsewhere; close idle connections in time

Kept connections that were not used again stayed open for good. Test: test_the_next_attempt_goes_elsewhere.

--- a/bluebellhub/adapters/passing/run.py
+++ b/bluebellhub/adapters/passing/run.py
@@ -20,6 +20,7 @@
 )
 from bluebellhub.adapters.passing.server import close_idle, serve_callers
 from bluebellhub.adapters.passing.state import Passing
+from bluebellhub.adapters.passing.upstream_link import close_expired
 from bluebellhub.adapters.passing.watching import (
     Watcher,
     announce_vm,
@@ -114,6 +115,7 @@
     for kind in takers.names():
         nursery.start_soon(watch_store, watcher, kind)
     nursery.start_soon(drop_overdue_upstreams, watcher)
+    nursery.start_soon(close_expired, passing.kept)
     nursery.start_soon(run_moves, passing, watcher.store)
     nursery.start_soon(hear_news, passing, watcher.link)
     nursery.start_soon(tell_news, passing, watcher.link)
--- a/bluebellhub/adapters/passing/upstream_link.py
+++ b/bluebellhub/adapters/passing/upstream_link.py
@@ -16,6 +16,7 @@
     'ConnectError',
     'KeptLinks',
     'UpstreamLink',
+    'close_expired',
     'connect',
     'keep',
     'next_event',
@@ -109,6 +110,17 @@
         link.state['is_kept'] = True
 
 
+async def close_expired(kept: KeptLinks) -> None:
+    """Close connections that were not used again, until cancelled."""
+    while True:
+        for idle in kept.values():
+            expired = [link for link in idle if now_s() >= link.until_s]
+            for link in expired:
+                idle.remove(link)
+                link.stream.socket.close()
+        await trio.sleep(KEPT_MAX_S)
+
+
 async def send_events(link: UpstreamLink, events: list[Any]) -> None:
     """Send a request; an upstream that stops reading ends it quietly."""
     encoded = b''.join(link.protocol.send(event) or b'' for event in events)
--- a/bluebellhub/request/life.py
+++ b/bluebellhub/request/life.py
@@ -72,6 +72,7 @@
     ``tokens`` counts the answer's tokens that went to the caller;
     ``past_sent`` tells whether an ended attempt may have reached an
     upstream, and ``runs`` counts those that may have run.
+    ``last_upstream`` had the last attempt that ended.
     """
 
     ask: Ask
@@ -80,6 +81,7 @@
     attempts: int = 0
     past_sent: bool = False
     runs: int = 0
+    last_upstream: str = ''
     tokens: int = 0
     first_token_at_s: float | None = None
 
@@ -169,6 +171,7 @@
         attempt=None,
         past_sent=life.past_sent or sent,
         runs=life.runs + sent,
+        last_upstream=life.attempt.upstream if life.attempt else '',
     )
 
 
--- a/bluebellhub/routing/policy.py
+++ b/bluebellhub/routing/policy.py
@@ -15,6 +15,7 @@
 NEAR_TIE_RATIO: Final = 1.05
 NEAR_TIE_S: Final = 0.005
 FAR_S: Final = 0.004
+FAILED_S: Final = 1.0
 LOAD_RATIO: Final = 0.4
 REST_SHARE: Final = 0.1
 
@@ -27,7 +28,7 @@
     ``load`` is the used share of the slots, by all VMs, ``first_s`` and
     ``finish_s`` the times to the first and last token as experience
     corrects them, and a near upstream is in the VM's own failure
-    domain.
+    domain.  One that ``has_failed`` had the request's last attempt.
     """
 
     upstream: str
@@ -39,6 +40,7 @@
     first_s: float = 0.0
     finish_s: float = 0.0
     is_near: bool = True
+    has_failed: bool = False
 
 
 Policy = Callable[[Sequence[Candidate], Random, int], Candidate]
@@ -81,6 +83,8 @@
 
 def _weighed_s(candidate: Candidate) -> float:
     far_s = 0.0 if candidate.is_near else FAR_S
+    if candidate.has_failed:
+        far_s += FAILED_S
     rest_s = candidate.finish_s - candidate.first_s
     taken_s = candidate.first_s + REST_SHARE * rest_s
     return taken_s * (1.0 + LOAD_RATIO * candidate.load) + far_s
--- a/bluebellhub/scheduler/candidate.py
+++ b/bluebellhub/scheduler/candidate.py
@@ -32,6 +32,7 @@
         first_s=first_s,
         finish_s=first_s + _rest_s(scheduler, life, upstream),
         is_near=upstream.spec.failure_domain == domain,
+        has_failed=life.last_upstream == name,
     )
 
 
--- a/bluebellhub/site/tests/test_site.py
+++ b/bluebellhub/site/tests/test_site.py
@@ -19,6 +19,7 @@
     Dispatch,
     Refuse,
     attempt_failed,
+    caller_left,
     request_sent,
     submit,
     tick,
@@ -276,6 +277,22 @@
     assert [error.run for error in _refusals(events)] == runs
 
 
+def test_the_next_attempt_goes_elsewhere():
+    site = make_small_site(make_entry('u1'), make_entry('u2'), **REPEATABLE)
+    for number in range(60):
+        admit_call(site, make_call(f'other-{number}'), 0.0)
+    pairs = []
+    for number in range(8):
+        admission, events = _send(site, f'{number}')
+        request_id = admission.ask.request_id
+        request_sent(site.scheduler, request_id)
+        failure = AttemptFailure('cut')
+        again = attempt_failed(site.scheduler, request_id, failure, 0.1)
+        pairs.append((*_chosen(events), *_chosen(again)))
+        caller_left(site.scheduler, request_id, 0.1)
+    assert set(pairs) <= {('u1', 'u2'), ('u2', 'u1')}
+
+
 def test_a_request_that_was_refused_unrun_twice_has_not_run():
     site = make_small_site(make_entry(), repeat='once')
     admission, _ = _send(site)
