Name the account and the bucket's level in a refusal by the limit

Cause: the log said 'more than 97236 requests a second on this VM' of a limit in tokens over the fleet, and did not name the account. Change: a refusal type of its own, 'quota', 429.

--- a/bluebellhub/rates/quota.py
+++ b/bluebellhub/rates/quota.py
@@ -13,7 +13,7 @@
 
 from typing import Final, NamedTuple
 
-from bluebellhub.request.refusal import RateLimitError
+from bluebellhub.request.refusal import QuotaError
 from bluebellhub.route import Account
 
 __all__ = [
@@ -85,7 +85,7 @@
     """Take the cost of a request from the account's bucket.
 
     ``share`` is that of the VMs that hear each other.  Raises
-    `RateLimitError` when the bucket holds too little.
+    `QuotaError` when the bucket holds too little.
     """
     bucket = _fill(quotas, account, share, now_s)
     cost = need.cost
@@ -93,7 +93,7 @@
     lacking = cost + left - bucket.level
     if lacking > 0:
         wait_s = max(RETRY_MIN_S, lacking / (account.rate_per_s * share))
-        raise RateLimitError(account.rate_per_s, retry_after_s=wait_s)
+        raise QuotaError(account.name, cost + left, bucket.level, wait_s)
     _change(quotas, account.name, -cost)
     admitted = quotas.admitted.get(account.name, 0.0)
     quotas.admitted[account.name] = admitted + cost
--- a/bluebellhub/rates/tests/test_rates.py
+++ b/bluebellhub/rates/tests/test_rates.py
@@ -22,7 +22,7 @@
     wait_s,
 )
 from bluebellhub.rates.sliding import add, make_sliding, total
-from bluebellhub.request.refusal import RateLimitError
+from bluebellhub.request.refusal import QuotaError
 from bluebellhub.route import Account
 
 YARD = Account('yard', rate_per_s=100.0, burst=50.0, counts_tokens=True)
@@ -50,7 +50,7 @@
     while True:
         try:
             take(quotas, YARD, Need(cost, rank), share, now_s)
-        except RateLimitError as error:
+        except QuotaError as error:
             assert error.retry_after_s > 0
             return taken
         taken += cost
--- a/bluebellhub/request/refusal.py
+++ b/bluebellhub/request/refusal.py
@@ -25,6 +25,7 @@
     'NoUpstreamError',
     'NotAllowedError',
     'OrderUnknownError',
+    'QuotaError',
     'RateLimitError',
     'RefusalError',
     'Run',
@@ -125,6 +126,19 @@
         )
 
 
+@_reason('quota', 429)
+class QuotaError(RefusalError):
+    """The account has used up what the fleet may admit for it."""
+
+    def __init__(
+        self, account: str, need: float, level: float, retry_after_s: float
+    ) -> None:
+        super().__init__(
+            f'{account}: needs {need:g}, the bucket holds {level:.0f}',
+            retry_after_s=retry_after_s,
+        )
+
+
 @_reason('concurrency_limit', 429)
 class ConcurrencyLimitError(RefusalError):
     """The account has too many requests in progress."""
--- a/bluebellhub/site/tests/test_site.py
+++ b/bluebellhub/site/tests/test_site.py
@@ -11,7 +11,7 @@
 from bluebellhub.request.refusal import (
     DrainingError,
     NoUpstreamError,
-    RateLimitError,
+    QuotaError,
     UnauthenticatedError,
     UnknownTargetError,
 )
@@ -66,7 +66,7 @@
         ({'path': '/b/'}, UnknownTargetError, 404),
         ({'key': 'k2'}, UnauthenticatedError, 401),
         ({'key': None}, UnauthenticatedError, 401),
-        ({'tokens': Tokens(5000, 0)}, RateLimitError, 429),
+        ({'tokens': Tokens(5000, 0)}, QuotaError, 429),
     ],
 )
 def test_what_the_configuration_does_not_allow(fields, error, status):
@@ -220,7 +220,7 @@
 def test_a_refused_request_gives_its_tokens_back():
     site = make_small_site(make_entry())
     admission, _ = _send(site, tokens=Tokens(900, 0))
-    with pytest.raises(RateLimitError):
+    with pytest.raises(QuotaError):
         _send(site, '2', tokens=Tokens(900, 0))
     give_back(site, admission)
     _send(site, '3', tokens=Tokens(900, 0))
