--- a/bluebellhub/adapters/passing/tests/scripted.py
+++ b/bluebellhub/adapters/passing/tests/scripted.py
@@ -70,8 +70,11 @@
 
 
 @asynccontextmanager
-async def running_hub(*scripts, **fields) -> AsyncIterator[Hub]:
-    """Run a VM whose upstreams, one for each script, follow them."""
+async def running_hub(*scripts, addresses=(), **fields) -> AsyncIterator[Hub]:
+    """Run a VM whose upstreams, one for each script, follow them.
+
+    ``addresses`` are those of upstreams that run already.
+    """
     received: list[bytes] = []
     with trio.fail_after(LIMIT_S):
         async with trio.open_nursery() as nursery:
@@ -82,6 +85,9 @@
                 )
                 entry = make_entry(f'u{number}', address=f'127.0.0.1:{port}')
                 take_registration(site, entry, now_s())
+            for address in addresses:
+                entry = make_entry(address, address=address)
+                take_registration(site, entry, now_s())
             settings = Settings('hub-1', 'd', '127.0.0.1:1')
             connections = make_connections(1.0)
             node = make_node(settings, site.scheduler, connections, nursery)
