--- a/benchmarks/passing.py
+++ b/benchmarks/passing.py
@@ -16,12 +16,8 @@
 import trio
 from tabulate import tabulate
 
-from bluebellhub.adapters.passing.tests.scripted import (
-    Hub,
-    ask,
-    request,
-    running_hub,
-)
+from bluebellhub.adapters.passing.tests.scripted import Hub, ask, running_hub
+from bluebellhub.platform.tests.wire import PROOF, request
 
 __all__ = ['main']
 
@@ -30,9 +26,9 @@
 ROUNDS: Final = 5
 READ_BYTES: Final = 65_536
 HEAD: Final = (
-    b'HTTP/1.1 200 OK\r\nX-Bluebellhub-Response-Signature: p\r\n'
+    b'HTTP/1.1 200 OK\r\n%s'
     b'Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n'
-)
+) % PROOF
 CLOSE: Final = b'Connection: close\r\n'
 LAST: Final = b'0\r\n\r\n'
 US_PER_S: Final = 1e6
--- a/bluebellhub/adapters/passing/run.py
+++ b/bluebellhub/adapters/passing/run.py
@@ -11,6 +11,10 @@
 from bluebellhub.adapters.connections import make_connections
 from bluebellhub.adapters.http_server import HttpApp, serve_app
 from bluebellhub.adapters.node import make_node, run_ticks
+from bluebellhub.adapters.passing.announcing import (
+    announce_vm,
+    keep_announcing,
+)
 from bluebellhub.adapters.passing.gossip import hear_news, tell_news
 from bluebellhub.adapters.passing.moves import run_moves
 from bluebellhub.adapters.passing.readiness import make_ready_app
@@ -23,9 +27,7 @@
 from bluebellhub.adapters.passing.upstream_link import close_expired
 from bluebellhub.adapters.passing.watching import (
     Watcher,
-    announce_vm,
     drop_overdue_upstreams,
-    keep_announcing,
     takers,
     watch_store,
 )
--- a/bluebellhub/adapters/passing/tests/scripted.py
+++ b/bluebellhub/adapters/passing/tests/scripted.py
@@ -16,10 +16,9 @@
 from bluebellhub.site.tests.small_site import make_entry, make_small_site
 from bluebellhub.site.upstreams import take_registration
 
-__all__ = ['Hub', 'ask', 'request', 'running_hub']
+__all__ = ['Hub', 'ask', 'running_hub']
 
 LIMIT_S = 10.0
-PROOF = b'X-Bluebellhub-Response-Signature: p\r\n'
 
 
 class Hub(NamedTuple):
@@ -30,17 +29,6 @@
     received: list[bytes]
 
 
-def request(body=b'', path=b'/a/x', method=b'POST', headers=b''):
-    """Return a caller's request; ``headers`` end with a line break."""
-    return (
-        b'%s %s HTTP/1.1\r\nHost: a.example\r\n'
-        b'X-Bluebellhub-Request-Id: r1\r\n'
-        b'X-Bluebellhub-Deadline-Ms: 3000\r\n'
-        b'Authorization: Bearer k1\r\n%s'
-        b'Content-Length: %d\r\n\r\n%s'
-    ) % (method, path, headers, len(body), body)
-
-
 async def _follow(script, received, stream):
     """Answer each connection by the next step of the script.
 
--- a/bluebellhub/adapters/passing/tests/test_passing.py
+++ b/bluebellhub/adapters/passing/tests/test_passing.py
@@ -1,25 +1,26 @@
 """What callers and upstreams see of a VM, byte for byte."""
 
 import pytest
-import trio
 
-from bluebellhub.adapters.passing.tests.scripted import (
-    ask,
+from bluebellhub.adapters.passing.tests.scripted import ask, running_hub
+from bluebellhub.clock import now_s
+from bluebellhub.platform.tests.wire import (
+    OTHER_ID,
+    PROOF,
+    PROOF_NAME,
+    UNRUN,
     request,
-    running_hub,
 )
-from bluebellhub.clock import now_s
 from bluebellhub.site.admission import admit_call
 from bluebellhub.site.tests.small_site import make_call
 
-PROOF = b'X-Bluebellhub-Response-Signature: p\r\n'
 OK = b'HTTP/1.1 200 OK\r\n' + PROOF
 WHOLE = OK + b'Content-Length: 4\r\n\r\nbody'
 FOUR = b'Content-Length: 4\r\n\r\nbody'
 CLOSE = b'Connection: close\r\n'
 STREAM = OK + b'Content-Type: text/event-stream\r\n'
 NO_BODY = b'Content-Length: 0\r\n\r\n'
-UNRUN = b'HTTP/1.1 503 No\r\nX-Bluebellhub-Not-Executed: 1\r\n' + NO_BODY
+REFUSED = b'HTTP/1.1 503 No\r\n' + UNRUN + NO_BODY
 ERROR = b'HTTP/1.1 500 No\r\n' + PROOF + b'Content-Length: 3\r\n\r\nbad'
 REPEATABLE = {'repeat': 'idempotent', 'attempts_max': 2}
 ONCE = {'repeat': 'once', 'attempts_max': 2}
@@ -83,8 +84,8 @@
         (ONCE, (b'\x00garbage\r\n\r\n', 'close'), (WHOLE, 'keep'), 502, None),
         (ONCE, (b'', 'close'), (WHOLE, 'keep'), 502, None),
         (ONCE, (ERROR, 'keep'), (WHOLE, 'keep'), 500, b'bad'),
-        (ONCE, (UNRUN, 'keep'), (WHOLE, 'keep'), 200, b'body'),
-        (ONCE, (UNRUN, 'keep'), (UNRUN, 'keep'), 503, None),
+        (ONCE, (REFUSED, 'keep'), (WHOLE, 'keep'), 200, b'body'),
+        (ONCE, (REFUSED, 'keep'), (REFUSED, 'keep'), 503, None),
         (
             ONCE,
             (b'HTTP/1.1 503 X\r\nContent-Length: 0\r\n\r\n', 'keep'),
@@ -112,7 +113,7 @@
         (
             ONCE,
             (
-                OK + b'X-Bluebellhub-Request-Id: r2\r\n' + FOUR,
+                OK + OTHER_ID + FOUR,
                 'keep',
             ),
             (WHOLE, 'keep'),
@@ -162,7 +163,7 @@
         _warm(hub)
         answer = await ask(hub, request(headers=CLOSE))
     assert _status(answer) == status
-    proven = b'x-bluebellhub-response-signature' in answer.lower()
+    proven = PROOF_NAME in answer.lower()
     assert proven is (body is not None)
     if body is not None:
         assert _body(answer) == body
@@ -240,107 +241,3 @@
     async with running_hub([(step, 'keep')], **ENDLESS) as hub:
         answer = await ask(hub, request(), until=_event(1))
     assert _event(1) in answer
-
-
-@pytest.mark.parametrize(
-    ('sent', 'status'),
-    [
-        (b'GET /a/ HTTP/1.1\r\n\r\n', 400),
-        (b'GET /a/ HTTP/1.1\r\nHost: a.example\r\n\r\n', 400),
-        (b'nonsense\r\n\r\n', 400),
-        (request(headers=b'Content-Length: 7\r\n'), 400),
-        (request(headers=b'Transfer-Encoding: chunked\r\n'), 400),
-        (request(headers=b'Transfer-Encoding: gzip\r\n'), 400),
-        (request(headers=b'X-Big: %s\r\n' % (b'a' * 20_000)), 431),
-        (request(headers=b'Bad Name: x\r\n'), 400),
-        (request().replace(b'Content-Length: 0', b'Content-Length: -1'), 400),
-        (
-            request().replace(b'Content-Length: 0', b'Content-Length: 9000000')
-            + b'x' * 9_000_000,
-            413,
-        ),
-        (
-            request().replace(
-                b'Content-Length: 0', b'Transfer-Encoding: chunked'
-            )
-            + b'zz\r\n',
-            400,
-        ),
-        (request(path=b'/b/'), 404),
-        (request().replace(b'Bearer k1', b'Bearer k2'), 401),
-    ],
-)
-async def test_what_cannot_be_read_reaches_no_upstream(sent, status):
-    async with running_hub([(WHOLE, 'keep')], **ONCE) as hub:
-        stream = await trio.open_tcp_stream('127.0.0.1', hub.port)
-        async with stream, trio.open_nursery() as nursery:
-            nursery.start_soon(_send_quietly, stream, sent)
-            answer = await stream.receive_some()
-            nursery.cancel_scope.cancel()
-        assert not hub.received
-    assert _status(answer) == status
-    if status not in {401, 404}:
-        assert b'connection: close' in answer.lower()
-
-
-async def _send_quietly(stream, sent):
-    try:
-        await stream.send_all(sent)
-    except trio.BrokenResourceError:
-        return
-
-
-async def test_requests_of_one_connection_are_answered_in_turn():
-    async with running_hub([(WHOLE, 'close')], **ONCE) as hub:
-        pair = request() + request(headers=CLOSE)
-        answer = await ask(hub, pair)
-        assert len(hub.received) == 2
-    assert answer.count(b'HTTP/1.1 200') == 2
-
-
-@pytest.mark.parametrize(
-    ('name', 'expected'),
-    [
-        (b'x-bluebellhub-tenant', b'yard'),
-        (b'x-bluebellhub-expect-instance', b'u0'),
-        (b'x-bluebellhub-request-id', b'r1'),
-        (b'host', b'a.example'),
-        (b'content-length', b'5'),
-        (b'authorization', None),
-        (b'kv-from', None),
-    ],
-)
-async def test_what_an_upstream_receives(name, expected):
-    sent = request(b'hello', headers=CLOSE + b'Kv-From: 1.2.3.4:5/6\r\n')
-    async with running_hub([(WHOLE, 'close')], **ONCE) as hub:
-        await ask(hub, sent)
-        received = hub.received[0]
-    assert received.startswith(b'POST /a/x HTTP/1.1\r\n')
-    fields = dict(
-        line.lower().split(b': ', 1)
-        for line in received.split(b'\r\n\r\n')[0].split(b'\r\n')[1:]
-    )
-    assert fields.get(name) == expected
-
-
-async def test_an_upstream_is_left_when_the_caller_leaves():
-    async with running_hub([(b'', 'keep')], **ONCE) as hub:
-        stream = await trio.open_tcp_stream('127.0.0.1', hub.port)
-        await stream.send_all(request())
-        while not hub.received:
-            await trio.sleep(0.01)
-        await stream.aclose()
-        while hub.passing.node.scheduler.lives:
-            await trio.sleep(0.01)
-        scheduler = hub.passing.node.scheduler
-        assert not scheduler.upstreams['u0'].work
-
-
-@pytest.mark.parametrize(
-    ('scripts', 'status'), [([[(b'', 'keep')]], 504), ([], 503)]
-)
-async def test_a_time_limit_ends_with_an_answer(scripts, status):
-    async with running_hub(*scripts, **ONCE) as hub:
-        sent = request(headers=CLOSE).replace(b'3000', b'300')
-        answer = await ask(hub, sent)
-    assert _status(answer) == status
--- a/bluebellhub/adapters/passing/watching.py
+++ b/bluebellhub/adapters/passing/watching.py
@@ -10,7 +10,7 @@
 from bluebellhub.adapters.passing.state import Passing
 from bluebellhub.adapters.peer_link import PeerLink, set_peer
 from bluebellhub.clock import now_s
-from bluebellhub.errors import ConflictError, ObjectError, StoreError
+from bluebellhub.errors import ObjectError, StoreError
 from bluebellhub.platform.shapes import (
     CONFIG_KIND,
     CONFIG_NAME,
@@ -18,12 +18,10 @@
     MOVE_KIND,
     UPSTREAM_KIND,
     VM_KIND,
-    WireVm,
     read_move,
     read_registration,
     read_table,
     read_vm_address,
-    vm_spec,
 )
 from bluebellhub.platform.store import (
     Change,
@@ -31,14 +29,11 @@
     Listing,
     Store,
     StoredEntry,
-    create_entry,
     list_kind,
-    replace_entry,
     watch_kind,
 )
 from bluebellhub.registration import note_outage
 from bluebellhub.registry import Registry, make_registry
-from bluebellhub.settings import Settings
 from bluebellhub.site.moving import take_orders
 from bluebellhub.site.state import set_vms
 from bluebellhub.site.upstreams import (
@@ -52,9 +47,7 @@
 
 __all__ = [
     'Watcher',
-    'announce_vm',
     'drop_overdue_upstreams',
-    'keep_announcing',
     'takers',
     'watch_store',
 ]
@@ -277,27 +270,3 @@
         if gone:
             log.info('upstreams did not return', extra={'gone': gone})
         await trio.sleep(OVERDUE_STEP_S)
-
-
-async def keep_announcing(store: Store, settings: Settings) -> None:
-    """Announce this VM until the store has taken it."""
-    while not await announce_vm(store, settings):
-        await trio.sleep(RETRY_MAX_S)
-
-
-async def announce_vm(store: Store, settings: Settings) -> bool:
-    """Write where this VM listens for the others; tells whether it lasts."""
-    spec = vm_spec(settings.peer_listen or '')
-    try:
-        await _write_vm(store, settings.vm, spec)
-    except StoreError as error:
-        log.info('VM not announced', extra={'cause': str(error)})
-        return False
-    return True
-
-
-async def _write_vm(store: Store, vm: str, spec: WireVm) -> None:
-    try:
-        await create_entry(store, VM_KIND, vm, spec)
-    except ConflictError:
-        await replace_entry(store, VM_KIND, vm, spec)
--- a/bluebellhub/site/tests/small_site.py
+++ b/bluebellhub/site/tests/small_site.py
@@ -3,10 +3,21 @@
 from bluebellhub.registration import Registration
 from bluebellhub.request.call import CallHead
 from bluebellhub.route import Account, Route, Service, Split, make_table
+from bluebellhub.scheduler import Dispatch, Refuse, submit
+from bluebellhub.site.admission import UNLIMITED, admit_call
 from bluebellhub.site.state import Bounds, make_site, set_vms
 from bluebellhub.site.upstreams import put_in_force, take_registration
 
-__all__ = ['YARD', 'make_call', 'make_entry', 'make_small_site', 'make_version']
+__all__ = [
+    'YARD',
+    'chosen_of',
+    'make_call',
+    'make_entry',
+    'make_small_site',
+    'make_version',
+    'refusals_of',
+    'send',
+]
 
 YARD = Account('yard', rate_per_s=1000.0, burst=1000.0, counts_tokens=True)
 
@@ -61,3 +72,20 @@
         **fields,
     }
     return CallHead(request_id, **given)
+
+
+def send(site, request_id='1', now_s=0.0, **fields):
+    """Admit and submit a request; returns its admission and the events."""
+    admission = admit_call(site, make_call(request_id, **fields), now_s)
+    events = submit(site.scheduler, admission.ask, UNLIMITED, now_s)
+    return admission, events
+
+
+def chosen_of(events):
+    """Return the upstreams that requests were dispatched to."""
+    return [event.upstream for event in events if isinstance(event, Dispatch)]
+
+
+def refusals_of(events):
+    """Return the refusals among the events."""
+    return [event.error for event in events if isinstance(event, Refuse)]
--- /dev/null
+++ b/bluebellhub/site/tests/test_admission.py
@@ -0,0 +1,193 @@
+"""Admission, waiting and retries of a VM on the users' platform."""
+
+from math import inf
+
+import pytest
+
+from bluebellhub.errors import InvariantError
+from bluebellhub.invariants import violations
+from bluebellhub.request import AttemptFailure
+from bluebellhub.request.call import Tokens
+from bluebellhub.request.refusal import (
+    DrainingError,
+    NoUpstreamError,
+    QuotaError,
+    UnauthenticatedError,
+    UnknownTargetError,
+)
+from bluebellhub.scheduler import (
+    attempt_failed,
+    caller_left,
+    request_sent,
+    tick,
+    tokens_arrived,
+)
+from bluebellhub.site.admission import admit_call, give_back
+from bluebellhub.site.state import Bounds, make_site
+from bluebellhub.site.tests.small_site import (
+    chosen_of,
+    make_call,
+    make_entry,
+    make_small_site,
+    refusals_of,
+    send,
+)
+
+
+@pytest.mark.parametrize(
+    ('fields', 'error', 'status'),
+    [
+        ({'host': 'b.example'}, UnknownTargetError, 404),
+        ({'path': '/b/'}, UnknownTargetError, 404),
+        ({'key': 'k2'}, UnauthenticatedError, 401),
+        ({'key': None}, UnauthenticatedError, 401),
+        ({'tokens': Tokens(5000, 0)}, QuotaError, 429),
+    ],
+)
+def test_what_the_configuration_does_not_allow(fields, error, status):
+    site = make_small_site(make_entry())
+    with pytest.raises(error) as caught:
+        admit_call(site, make_call(**fields), 0.0)
+    assert (caught.value.status, caught.value.run) == (status, 'no')
+
+
+def test_a_vm_without_configuration_says_not_run():
+    site = make_site('hub-1', 'd', Bounds(), -60.0)
+    with pytest.raises(NoUpstreamError) as caught:
+        admit_call(site, make_call(), 0.0)
+    assert caught.value.status == 503
+
+
+@pytest.mark.parametrize(
+    ('stops_at_s', 'entries', 'error'),
+    [
+        (4.9, [make_entry()], DrainingError),
+        (inf, [], NoUpstreamError),
+        (inf, [make_entry(service='t')], NoUpstreamError),
+    ],
+)
+def test_what_this_vm_cannot_serve(stops_at_s, entries, error):
+    site = make_small_site(*entries)
+    site.flags['stops_at_s'] = stops_at_s
+    with pytest.raises(error) as caught:
+        admit_call(site, make_call(), 0.0)
+    assert (caught.value.status, caught.value.run) == (503, 'no')
+
+
+def test_a_vm_that_stops_takes_what_ends_before():
+    site = make_small_site(make_entry())
+    site.flags['stops_at_s'] = 5.0
+    assert admit_call(site, make_call(time_limit_s=5.0), 0.0)
+    with pytest.raises(DrainingError):
+        admit_call(site, make_call(time_limit_s=5.0), 0.1)
+
+
+@pytest.mark.parametrize(
+    ('limit_s', 'timeout_s', 'ends_at_s'),
+    [(5.0, 10.0, 5.0), (None, 10.0, 10.0), (50.0, 10.0, 10.0)],
+)
+def test_the_shorter_time_limit_holds(limit_s, timeout_s, ends_at_s):
+    site = make_small_site(make_entry(), timeout_s=timeout_s)
+    admission = admit_call(site, make_call(time_limit_s=limit_s), 0.0)
+    assert admission.ask.ends_at_s == ends_at_s
+
+
+def test_a_refused_request_gives_its_tokens_back():
+    site = make_small_site(make_entry())
+    admission, _ = send(site, tokens=Tokens(900, 0))
+    with pytest.raises(QuotaError):
+        send(site, '2', tokens=Tokens(900, 0))
+    give_back(site, admission)
+    send(site, '3', tokens=Tokens(900, 0))
+
+
+@pytest.mark.parametrize(('waited_s', 'runs'), [(0.3, []), (0.61, ['no'])])
+def test_a_request_waits_for_a_part_of_its_objective(waited_s, runs):
+    site = make_small_site(make_entry())
+    for number in range(2):
+        send(site, f'own-{number}')
+    send(site)
+    errors = refusals_of(tick(site.scheduler, waited_s))
+    assert [error.run for error in errors] == runs
+    assert all(error.status == 503 for error in errors)
+
+
+REPEATABLE = {'repeat': 'idempotent', 'attempts_max': 2}
+
+
+ONCE = {'repeat': 'once', 'attempts_max': 2}
+
+
+@pytest.mark.parametrize(
+    ('route', 'kind', 'again', 'runs'),
+    [
+        (REPEATABLE, 'cut', True, []),
+        (REPEATABLE, 'silent', True, []),
+        (REPEATABLE, 'mismatch', True, []),
+        (REPEATABLE, 'answered_error', True, []),
+        (ONCE, 'cut', False, ['unknown']),
+        (ONCE, 'silent', False, ['unknown']),
+        (ONCE, 'mismatch', False, ['unknown']),
+        (ONCE, 'answered_error', False, ['unknown']),
+        (ONCE, 'refused', True, []),
+        (ONCE, 'misdirected', True, []),
+        (ONCE, 'connect_failed', True, []),
+        ({**REPEATABLE, 'attempts_max': 1}, 'cut', False, ['unknown']),
+        ({**ONCE, 'attempts_max': 1}, 'refused', True, []),
+    ],
+)
+def test_what_follows_a_failed_attempt(route, kind, again, runs):
+    site = make_small_site(make_entry('u1'), make_entry('u2'), **route)
+    for number in range(60):
+        admit_call(site, make_call(f'other-{number}', tokens=Tokens(1, 0)), 0.0)
+    admission, events = send(site)
+    request_id = admission.ask.request_id
+    request_sent(site.scheduler, request_id)
+    events = attempt_failed(
+        site.scheduler, request_id, AttemptFailure(kind), 0.1
+    )
+    assert bool(chosen_of(events)) is again
+    assert [error.run for error in refusals_of(events)] == runs
+
+
+def test_the_next_attempt_goes_elsewhere():
+    site = make_small_site(make_entry('u1'), make_entry('u2'), **REPEATABLE)
+    for number in range(60):
+        admit_call(site, make_call(f'other-{number}'), 0.0)
+    pairs = []
+    for number in range(8):
+        admission, events = send(site, f'{number}')
+        request_id = admission.ask.request_id
+        request_sent(site.scheduler, request_id)
+        failure = AttemptFailure('cut')
+        again = attempt_failed(site.scheduler, request_id, failure, 0.1)
+        pairs.append((*chosen_of(events), *chosen_of(again)))
+        caller_left(site.scheduler, request_id, 0.1)
+    assert set(pairs) <= {('u1', 'u2'), ('u2', 'u1')}
+
+
+def test_a_request_that_was_refused_unrun_twice_has_not_run():
+    site = make_small_site(make_entry(), repeat='once')
+    admission, _ = send(site)
+    request_id = admission.ask.request_id
+    request_sent(site.scheduler, request_id)
+    events = attempt_failed(
+        site.scheduler, request_id, AttemptFailure('refused'), 0.1
+    )
+    assert [error.run for error in refusals_of(events)] == ['no']
+
+
+def test_a_stream_has_neither_gap_nor_repetition():
+    site = make_small_site(make_entry(), is_stream=True)
+    admission, _ = send(site)
+    request_id = admission.ask.request_id
+    tokens_arrived(site.scheduler, request_id, 0, 6, 0.1)
+    with pytest.raises(InvariantError):
+        tokens_arrived(site.scheduler, request_id, 3, 6, 0.2)
+    assert violations.pop('whole_answer') == 1
+
+
+def test_a_vm_that_knows_no_other_sends_nothing():
+    site = make_small_site(make_entry(), vms=())
+    with pytest.raises(NoUpstreamError):
+        admit_call(site, make_call(), 0.0)
--- a/bluebellhub/site/tests/test_moving.py
+++ b/bluebellhub/site/tests/test_moving.py
@@ -4,8 +4,8 @@
 
 import pytest
 
-from bluebellhub.request import AttemptFailure
 from bluebellhub.rates import QuotaBounds
+from bluebellhub.request import AttemptFailure
 from bluebellhub.route import Route, Service, Split, make_table
 from bluebellhub.scheduler import (
     Dispatch,
--- /dev/null
+++ b/bluebellhub/site/tests/test_sharing.py
@@ -0,0 +1,124 @@
+"""What VMs tell each other, and what follows from it."""
+
+import pytest
+
+from bluebellhub.request.call import Tokens
+from bluebellhub.site.news import SiteNews
+from bluebellhub.site.sharing import make_news, take_news, weigh_others
+from bluebellhub.site.state import Bounds, make_site, set_vms
+from bluebellhub.site.tests.small_site import (
+    chosen_of,
+    make_entry,
+    make_small_site,
+    make_version,
+    send,
+)
+from bluebellhub.site.upstreams import put_in_force, take_registration
+
+
+@pytest.mark.parametrize(
+    ('others', 'own', 'placed'),
+    [(0, 0, True), (0, 1, True), (1, 1, False), (2, 0, False), (5, 0, False)],
+)
+def test_slots_that_other_vms_use_are_left_alone(others, own, placed):
+    site = make_small_site(make_entry())
+    take_news(site, 'hub-2', SiteNews(1, 9.0, 1, {'u1': others}, {}, {}), 0.0)
+    weigh_others(site, 0.1)
+    for number in range(own):
+        send(site, f'own-{number}')
+    _, events = send(site)
+    assert bool(chosen_of(events)) is placed
+
+
+@pytest.mark.parametrize(('at_s', 'placed'), [(0.5, False), (1.5, True)])
+def test_old_news_count_as_silence(at_s, placed):
+    site = make_small_site(make_entry())
+    take_news(site, 'hub-2', SiteNews(1, 9.0, 1, {'u1': 2}, {}, {}), 0.0)
+    weigh_others(site, 0.0)
+    weigh_others(site, at_s)
+    _, events = send(site, now_s=at_s)
+    assert bool(chosen_of(events)) is placed
+
+
+def test_news_tell_work_and_use():
+    site = make_small_site(make_entry())
+    send(site, tokens=Tokens(10, 2))
+    news = make_news(site, 0.0)
+    assert (news.age_s, news.number) == (60.0, 1)
+    assert (news.work, news.prefill) == ({'u1': 1}, {'u1': 10})
+    assert news.admitted == {'yard': 12.0}
+
+
+# The bucket of `YARD`: its burst and 0.35 of the overage of a window.
+FULL = 1315.0
+
+
+# At a start: 0.5 s of the rate and 0.25 of the overage.
+START = 725.0
+
+
+def _news(number, admitted, start_id=1, age_s=60.0):
+    return SiteNews(start_id, age_s, number, {}, {}, {'yard': admitted})
+
+
+@pytest.mark.parametrize(
+    ('news', 'charged'),
+    [
+        ([(0.1, _news(1, 500.0))], 0.0),
+        ([(0.1, _news(1, 500.0)), (0.2, _news(2, 560.0))], 60.0),
+        ([(0.1, _news(2, 500.0)), (0.2, _news(1, 460.0))], 0.0),
+        ([(0.1, _news(2, 500.0)), (0.2, _news(2, 500.0))], 0.0),
+        ([(0.1, _news(9, 500.0)), (0.2, _news(1, 30.0, 7))], 30.0),
+        ([(0.1, _news(1, 500.0)), (2.2, _news(2, 560.0))], 0.0),
+        (
+            [
+                (0.1, _news(9, 500.0)),
+                (0.2, _news(1, 30.0, 7)),
+                (0.2, _news(10, 520.0)),
+            ],
+            30.0,
+        ),
+    ],
+)
+def test_use_of_others_is_charged_once(news, charged):
+    site = make_small_site(make_entry(), vms=('hub-1', 'hub-2'))
+    for at_s, item in news:
+        take_news(site, 'hub-2', item, at_s)
+    send(site, now_s=news[-1][0], tokens=Tokens(0, 1))
+    assert site.quotas.buckets['yard'].level == FULL - charged - 1.0
+
+
+@pytest.mark.parametrize(
+    ('told', 'level'),
+    [
+        ([], START / 2),
+        ([_news(1, 0.0, 1, 50.0)._replace(levels={'yard': 700.0})], 700.0),
+        ([_news(1, 0.0, 1, 0.0)._replace(levels={'yard': 900.0})], START),
+        (
+            [
+                _news(1, 0.0, 1, 50.0)._replace(levels={'yard': 700.0}),
+                _news(2, 40.0, 1, 50.1)._replace(levels={'yard': 900.0}),
+            ],
+            660.0,
+        ),
+    ],
+)
+def test_a_vm_that_starts_takes_the_level_of_one_that_runs(told, level):
+    site = make_site('hub-1', 'd', Bounds(), 0.0)
+    set_vms(site, {'hub-1': '', 'hub-2': ''})
+    put_in_force(site, make_version())
+    for news in told:
+        take_news(site, 'hub-2', news, 0.0)
+    take_registration(site, make_entry(), 0.0)
+    send(site, tokens=Tokens(0, 1))
+    assert site.quotas.buckets['yard'].level == level - 1.0
+
+
+@pytest.mark.parametrize(
+    ('age_s', 'is_told'), [(61.0, False), (3.0, False), (0.5, True)]
+)
+def test_levels_are_told_to_a_vm_that_starts(age_s, is_told):
+    site = make_small_site(make_entry(), vms=('hub-1', 'hub-2'))
+    send(site, tokens=Tokens(0, 1))
+    take_news(site, 'hub-2', _news(1, 0.0, 1, age_s), 0.0)
+    assert bool(make_news(site, 0.1).levels) is is_told
--- /dev/null
+++ b/bluebellhub/site/tests/test_upstreams.py
@@ -0,0 +1,123 @@
+"""Which upstreams get work: registrations, domains, cold ones."""
+
+import pytest
+
+from bluebellhub.request.call import Load
+from bluebellhub.request.refusal import NoUpstreamError
+from bluebellhub.site.state import Bounds, make_site
+from bluebellhub.site.tests.small_site import (
+    chosen_of,
+    make_entry,
+    make_small_site,
+    make_version,
+    send,
+)
+from bluebellhub.site.upstreams import (
+    hear_call_load,
+    put_in_force,
+    set_evacuated,
+    take_listing,
+    take_registration,
+    take_removal,
+)
+
+
+@pytest.mark.parametrize(
+    ('entry', 'out', 'chosen'),
+    [
+        (make_entry('u2'), (), ['u2']),
+        (make_entry('u2', state='draining'), (), []),
+        (make_entry('u2', failure_domain='e'), ('e',), []),
+        (make_entry('u2', service='t'), (), []),
+    ],
+)
+def test_which_upstreams_get_new_work(entry, out, chosen):
+    site = make_small_site(make_entry('u1', state='draining'), entry)
+    set_evacuated(site, out)
+    _, events = send(site)
+    assert chosen_of(events) == chosen
+
+
+@pytest.mark.parametrize(
+    ('change', 'chosen'),
+    [
+        (lambda site: take_removal(site, 'u1', 9.0), []),
+        (lambda site: take_listing(site, [], 9.0), []),
+        (lambda site: take_listing(site, [make_entry()], 9.0), ['u1']),
+        (
+            lambda site: take_registration(
+                site, make_entry(state='draining'), 9.0
+            ),
+            [],
+        ),
+        (
+            lambda site: take_registration(
+                site, make_entry(address='10.0.0.2:1', born_ms=9), 9.0
+            ),
+            ['u1'],
+        ),
+    ],
+)
+def test_registrations_change_the_upstreams(change, chosen):
+    site = make_small_site(make_entry(), make_entry('other', service='t'))
+    change(site)
+    site.scheduler.by_target.setdefault('s', [])
+    if not site.scheduler.by_target['s']:
+        with pytest.raises(NoUpstreamError):
+            send(site, now_s=9.0)
+        return
+    _, events = send(site, now_s=9.0)
+    assert chosen_of(events) == chosen
+
+
+def test_a_new_lifetime_has_learned_nothing():
+    site = make_small_site(make_entry())
+    upstreams = site.scheduler.upstreams
+    upstreams['u1'] = upstreams['u1']._replace(paused_until_s=99.0)
+    take_registration(site, make_entry(born_ms=5), 1.0)
+    assert upstreams['u1'].paused_until_s == 0.0
+
+
+@pytest.mark.parametrize(
+    ('load', 'placed'),
+    [(Load(1, 0, 2), True), (Load(2, 0, 2), False), (Load(1, 1, 2), False)],
+)
+def test_the_load_in_an_answer_counts(load, placed):
+    site = make_small_site(make_entry())
+    hear_call_load(site, 'u1', load)
+    _, events = send(site)
+    assert bool(chosen_of(events)) is placed
+
+
+@pytest.mark.parametrize('vms', [1, 8, 85])
+def test_a_cold_upstream_gets_its_rate_from_all_vms(vms):
+    names = [f'hub-{number}' for number in range(vms)]
+    sent = 0
+    for name in names:
+        site = make_site(name, 'd', Bounds(), -60.0)
+        site.vms.update(dict.fromkeys(names, ''))
+        put_in_force(site, make_version())
+        cold = make_entry(cold_s=3.0, slots=50)
+        take_registration(site, cold, 0.0)
+        for number in range(40):
+            _, events = send(site, f'{number}', now_s=number / 40)
+            sent += len(chosen_of(events))
+    assert 1 <= sent <= 16 * 1.5 + 5
+
+
+@pytest.mark.parametrize('is_first', [True, False])
+def test_a_cold_upstream_is_cold_whichever_is_read_first(is_first):
+    """A VM that starts may read registrations before the configuration."""
+    site = make_site('hub-1', 'd', Bounds(), -60.0)
+    site.vms['hub-1'] = ''
+    cold = make_entry(cold_s=3.0, slots=50)
+    if is_first:
+        take_registration(site, cold, 0.0)
+    put_in_force(site, make_version())
+    if not is_first:
+        take_registration(site, cold, 0.0)
+    sent = 0
+    for number in range(60):
+        _, events = send(site, f'{number}', now_s=number / 60)
+        sent += len(chosen_of(events))
+    assert 1 <= sent <= 16 * 1.5 + 5
