Wait for answers that are being written before a VM ends

Ruled out: the time of the request (its limit ended before the VM's end). Change: the VM also waits for connections that are not idle. Test: test_a_vm_that_stops_waits_for_answers_that_are_being_written.

--- a/bluebellhub/adapters/passing/run.py
+++ b/bluebellhub/adapters/passing/run.py
@@ -22,7 +22,11 @@
     follow_settings,
     read_again,
 )
-from bluebellhub.adapters.passing.server import close_idle, serve_callers
+from bluebellhub.adapters.passing.server import (
+    close_idle,
+    is_answering,
+    serve_callers,
+)
 from bluebellhub.adapters.passing.state import Passing
 from bluebellhub.adapters.passing.upstream_link import close_expired
 from bluebellhub.adapters.passing.watching import (
@@ -148,6 +152,6 @@
     left_s = grace_s - EXIT_MARGIN_S - (trio.current_time() - started_s)
     passing.site.flags['stops_at_s'] = now_s() + left_s
     with trio.move_on_after(max(0.0, left_s)):
-        while scheduler.lives:
+        while scheduler.lives or is_answering(passing):
             close_idle(passing)
             await trio.sleep(STEP_S)
--- a/bluebellhub/adapters/passing/server.py
+++ b/bluebellhub/adapters/passing/server.py
@@ -20,7 +20,7 @@
 from bluebellhub.request import RefusalError
 from bluebellhub.route import CallerLimits
 
-__all__ = ['close_idle', 'serve_callers']
+__all__ = ['close_idle', 'is_answering', 'serve_caller', 'serve_callers']
 
 BACKLOG: Final = 1024
 
@@ -91,3 +91,8 @@
         scope = link.state['idle_scope']
         if scope is not None:
             scope.cancel()
+
+
+def is_answering(passing: Passing) -> bool:
+    """Tell whether a request is read or answered on some connection."""
+    return any(not link.state['is_idle'] for link in passing.links.values())
--- a/bluebellhub/adapters/passing/tests/test_requests.py
+++ b/bluebellhub/adapters/passing/tests/test_requests.py
@@ -3,6 +3,7 @@
 import pytest
 import trio
 
+from bluebellhub.adapters.passing.server import is_answering
 from bluebellhub.adapters.passing.tests.scripted import ask, running_hub
 from bluebellhub.platform.tests.wire import (
     FORGED,
@@ -112,3 +113,25 @@
         sent = request(headers=CLOSE).replace(b'3000', b'300')
         answer = await ask(hub, sent)
     assert _status(answer) == status
+
+
+async def _wait(is_over):
+    while not is_over():
+        await trio.sleep(0.01)
+
+
+async def test_a_vm_that_stops_waits_for_answers_that_are_being_written():
+    """A request is over for the scheduler before its failure is written."""
+    size = 8_000_000
+    step = b'HTTP/1.1 500 No\r\nContent-Length: %d\r\n\r\n' % size
+    large = (step + b'x' * size, 'keep')
+    route = {'repeat': 'idempotent', 'attempts_max': 1}
+    async with running_hub([large], **route) as hub:
+        stream = await trio.open_tcp_stream('127.0.0.1', hub.port)
+        assert not is_answering(hub.passing)
+        await stream.send_all(request(headers=CLOSE))
+        await stream.receive_some(1)
+        assert not hub.passing.node.scheduler.lives
+        assert is_answering(hub.passing)
+        await stream.aclose()
+        await _wait(lambda: not is_answering(hub.passing))
