--- a/bluebellhub/adapters/passing/attempt.py
+++ b/bluebellhub/adapters/passing/attempt.py
@@ -26,6 +26,7 @@
 )
 from bluebellhub.clock import now_s
 from bluebellhub.errors import HubError
+from bluebellhub.platform.answers import PROMISES
 from bluebellhub.platform.headers import attempt_headers, read_answer_head
 from bluebellhub.request import AttemptFailure
 from bluebellhub.request.call import AnswerHead
@@ -51,8 +52,6 @@
     }
 )
 FAILURES: Final = tuple(FAILURE_KINDS)
-# Without the upstream's promise these would say more than it did.
-PROMISES: Final = frozenset((408, 421, 429, 503))
 
 
 class AttemptError(HubError):
--- a/bluebellhub/platform/answers.py
+++ b/bluebellhub/platform/answers.py
@@ -7,7 +7,7 @@
 from bluebellhub.request import RefusalError
 from bluebellhub.request.call import Headers
 
-__all__ = ['READY_PATH', 'OwnAnswer', 'refusal_answer']
+__all__ = ['PROMISES', 'READY_PATH', 'OwnAnswer', 'refusal_answer']
 
 READY_PATH: Final = '/api/ready'
 # Statuses that promise that the request has not run and never will.
