Tell news over a grid of VMs instead of to every other VM

Cause: each VM told all others up to eight times a second.

Change: up to 16 VMs still tell all others. More of them are laid out as a grid by the hashes of their names; a VM tells its row of itself and its column what the row told, five times a second. The next VM of the row takes over for a silent one. A message is encoded once for all receivers, and a connection is opened by the first message. The two loops that replaced silent connections are one.

Ruled out: fewer rounds of the full mesh (the figures grow with the square), and a few relays (their links and processors would carry all of it).

--- a/bluebellhub/adapters/fleet_runner.py
+++ b/bluebellhub/adapters/fleet_runner.py
@@ -17,7 +17,7 @@
 from bluebellhub.adapters.peer_link import (
     PeerLink,
     receive_all,
-    reconnect,
+    replace_silent,
     send,
     set_peer,
 )
@@ -47,7 +47,6 @@
 __all__ = ['FleetRunner', 'make_runner', 'receive', 'run_fleet']
 
 STEP_S: Final = 0.05
-SILENT_S: Final = 3.0
 VM_LIST_S: Final = 2.0
 WATCH_WAIT_S: Final = 10.0
 SLOW_WATCH_S: Final = 5.0
@@ -261,11 +260,6 @@
 
 def _replace_silent(runner: FleetRunner) -> None:
     """Give peers that stay silent a fresh connection."""
-    moment_s = now_s()
-    for name in runner.link.addresses:
-        peer = runner.fleet.members.peers.get(name)
-        heard_s = peer.heard_at_s if peer else -SILENT_S
-        last_s = max(heard_s, runner.reconnected.get(name, 0.0))
-        if moment_s - last_s > SILENT_S:
-            runner.reconnected[name] = moment_s
-            reconnect(runner.link, name)
+    peers = runner.fleet.members.peers
+    heard = {name: peer.heard_at_s for name, peer in peers.items()}
+    replace_silent(runner.link, heard, runner.reconnected, now_s())
--- a/bluebellhub/adapters/passing/watching.py
+++ b/bluebellhub/adapters/passing/watching.py
@@ -8,7 +8,7 @@
 import trio
 
 from bluebellhub.adapters.passing.state import Passing
-from bluebellhub.adapters.peer_link import PeerLink, set_peer
+from bluebellhub.adapters.peer_link import PeerLink, note_peer
 from bluebellhub.clock import now_s
 from bluebellhub.errors import ObjectError, StoreError
 from bluebellhub.platform.shapes import (
@@ -170,7 +170,7 @@
             log.warning('VM left aside: {}', error)
     set_vms(watcher.passing.site, addresses)
     for name, address in addresses.items():
-        set_peer(watcher.link, name, address)
+        note_peer(watcher.link, name, address)
 
 
 def take_all_upstreams(watcher: Watcher, entries: list[StoredEntry]) -> None:
--- a/bluebellhub/adapters/peer_link.py
+++ b/bluebellhub/adapters/peer_link.py
@@ -7,7 +7,7 @@
 """
 
 from collections import Counter
-from collections.abc import Callable
+from collections.abc import Callable, Iterable, Mapping
 from typing import Final, NamedTuple
 
 import logbook
@@ -21,8 +21,12 @@
     'PeerLink',
     'close_link',
     'make_peer_link',
+    'note_peer',
     'receive_all',
+    'reconnect',
+    'replace_silent',
     'send',
+    'send_all',
     'set_peer',
 ]
 
@@ -30,6 +34,7 @@
 HEARTBEAT_MS: Final = 1000
 HEARTBEAT_TIMEOUT_MS: Final = 3000
 MESSAGE_MAX_BYTES: Final = 4_194_304
+SILENT_S: Final = 3.0
 FRAME_COUNT: Final = 2
 
 log = logbook.Logger('bluebellhub.peers')
@@ -61,11 +66,19 @@
 
 
 def set_peer(link: PeerLink, name: str, address: str) -> None:
-    """Set a peer's address; a changed one is connected anew."""
+    """Set a peer's address and connect; a changed one is connected anew."""
+    note_peer(link, name, address)
+    if name in link.addresses and name not in link.outboxes:
+        reconnect(link, name)
+
+
+def note_peer(link: PeerLink, name: str, address: str) -> None:
+    """Set a peer's address; the first message to it opens a connection."""
     if name == link.name or link.addresses.get(name) == address:
         return
     link.addresses[name] = address
-    reconnect(link, name)
+    if name in link.outboxes:
+        reconnect(link, name)
 
 
 def reconnect(link: PeerLink, name: str) -> None:
@@ -82,6 +95,24 @@
     link.outboxes[name] = outbox
 
 
+def replace_silent(
+    link: PeerLink,
+    heard_at_s: Mapping[str, float],
+    replaced: dict[str, float],
+    now_s: float,
+) -> None:
+    """Give peers that stay silent a fresh connection.
+
+    ``heard_at_s`` tells when each was last heard; ``replaced`` keeps when a
+    connection was replaced, so that the new one has its time.
+    """
+    for name in tuple(link.outboxes):
+        last_s = max(heard_at_s.get(name, -SILENT_S), replaced.get(name, 0.0))
+        if now_s - last_s > SILENT_S:
+            replaced[name] = now_s
+            reconnect(link, name)
+
+
 def close_link(link: PeerLink) -> None:
     """Close all sockets; what has not been sent is dropped."""
     link.context.destroy(linger=0)
@@ -89,10 +120,21 @@
 
 def send(link: PeerLink, to: str, message: object) -> None:
     """Send without waiting; a message that finds no room is dropped."""
-    outbox = link.outboxes.get(to)
-    if outbox is None:
-        return
+    send_all(link, (to,), message)
+
+
+def send_all(link: PeerLink, names: Iterable[str], message: object) -> None:
+    """Send one message to several peers; unknown ones are left out."""
     encoded = encode_message(message)
+    for name in names:
+        if name in link.addresses:
+            _send_encoded(link, name, encoded)
+
+
+def _send_encoded(link: PeerLink, to: str, encoded: bytes) -> None:
+    if to not in link.outboxes:
+        reconnect(link, to)
+    outbox = link.outboxes[to]
     try:
         outbox.send_multipart([link.name.encode(), encoded], zmq.NOBLOCK)
     except zmq.Again:
--- a/bluebellhub/fleet/messages.py
+++ b/bluebellhub/fleet/messages.py
@@ -10,7 +10,7 @@
 from bluebellhub.membership import Heartbeat, ShardMap
 from bluebellhub.order import Claim, ClaimAnswer, Outcome
 from bluebellhub.registry import Registry
-from bluebellhub.site.news import SiteNews
+from bluebellhub.site.news import NewsBatch
 from bluebellhub.version_move import Totals
 
 __all__ = [
@@ -83,11 +83,11 @@
     GrantBatch,
     Heartbeat,
     MapAsk,
+    NewsBatch,
     Outcome,
     RenewalBatch,
     Revoke,
     ShardMap,
-    SiteNews,
 )
 message_types: Registry[Any] = Registry(
     'message type', {kind.__name__: kind for kind in MESSAGE_TYPES}
--- a/bluebellhub/site/news.py
+++ b/bluebellhub/site/news.py
@@ -5,7 +5,7 @@
 from bluebellhub.upstream.speed import Speed
 from bluebellhub.version_move.evidence import Totals
 
-__all__ = ['MoveWord', 'Peer', 'SiteNews']
+__all__ = ['MoveWord', 'NewsBatch', 'Peer', 'SiteNews', 'Told']
 
 
 class MoveWord(NamedTuple):
@@ -46,6 +46,19 @@
     speeds: dict[str, Speed] = {}
 
 
+class Told(NamedTuple):
+    """A VM's news, as it told them or as another VM passes them on."""
+
+    vm: str
+    news: SiteNews
+
+
+class NewsBatch(NamedTuple):
+    """News of some VMs in one message."""
+
+    items: list[Told]
+
+
 class Peer(NamedTuple):
     """The newest news of another VM and when it was heard.
 
--- a/bluebellhub/site/state.py
+++ b/bluebellhub/site/state.py
@@ -17,6 +17,7 @@
 from bluebellhub.scheduler import Scheduler, make_scheduler
 from bluebellhub.scheduler.room import shared_window
 from bluebellhub.scheduler.state import Plan
+from bluebellhub.site.grid import Grid, lay_out
 from bluebellhub.site.news import Peer
 from bluebellhub.upstream import Upstream
 from bluebellhub.version_move import Lead, MoveOrder
@@ -58,8 +59,9 @@
     """Scalar state: the counts of requests and news, and the VM's end.
 
     ``adopted_age_s`` is the age of the VM whose buckets' levels this VM has
-    taken.  A VM that is ``leaving`` takes requests but is not ready; it takes
-    those that are over by ``stops_at_s``.
+    taken, and ``grid`` tells whom it tells its news.  A VM that is
+    ``leaving`` takes requests but is not ready; it takes those that are over
+    by ``stops_at_s``.
     """
 
     requests: int
@@ -67,6 +69,7 @@
     adopted_age_s: float
     leaving: bool
     stops_at_s: float
+    grid: Grid
 
 
 class Site(NamedTuple):
@@ -135,6 +138,7 @@
             'adopted_age_s': 0.0,
             'leaving': False,
             'stops_at_s': inf,
+            'grid': lay_out(vm, ()),
         },
     )
 
@@ -144,3 +148,4 @@
     site.vms.clear()
     site.vms.update(vms)
     site.scheduler.flags['vm_count'] = max(1, len(site.vms))
+    site.flags['grid'] = lay_out(site.vm, site.vms)
--- /dev/null
+++ b/bluebellhub/site/telling.py
@@ -0,0 +1,101 @@
+"""What a VM tells whom: its own news, and what its row has told."""
+
+from typing import Final, NamedTuple
+
+from bluebellhub.site.grid import ROW_MAX, Grid, column_peers, row_peers
+from bluebellhub.site.hearing import heard_names
+from bluebellhub.site.news import NewsBatch, SiteNews, Told
+from bluebellhub.site.sharing import make_news
+from bluebellhub.site.state import Site
+
+__all__ = ['Letter', 'Telling', 'make_letters', 'make_telling', 'pause_s']
+
+# Unchanged news are told again, as a sign of life.
+REPEAT_S: Final = 0.36
+PAUSE_S: Final = 0.12
+# Two hops and a repeat have to fit into the time after which VMs count as
+# silent.
+GRID_PAUSE_S: Final = 0.2
+
+
+class Telling(NamedTuple):
+    """This VM's last news, when it told them, and what it passed on.
+
+    ``passed`` holds the start and number of the last news of each VM of the
+    row that went to this VM's column.
+    """
+
+    own: SiteNews | None
+    told_at_s: float
+    passed: dict[str, tuple[int, int]]
+
+
+class Letter(NamedTuple):
+    """One message for several VMs."""
+
+    to: list[str]
+    batch: NewsBatch
+
+
+def make_telling() -> Telling:
+    """Create the state of a VM that has told nothing."""
+    return Telling(None, 0.0, {})
+
+
+def pause_s(grid: Grid) -> float:
+    """Return the seconds between two rounds of news."""
+    is_row = len(grid.rows[grid.row]) <= ROW_MAX and len(grid.rows) == 1
+    return PAUSE_S if is_row else GRID_PAUSE_S
+
+
+def make_letters(
+    site: Site, telling: Telling, now_s: float
+) -> tuple[Telling, list[Letter]]:
+    """Return the messages of a round; none if nothing has changed."""
+    grid = site.flags['grid']
+    news = make_news(site, now_s)
+    letters = []
+    items = []
+    if _is_due(telling, news, now_s):
+        telling = telling._replace(own=news, told_at_s=now_s)
+        own = Told(site.vm, news)
+        items.append(own)
+        letters.append(Letter(row_peers(grid), NewsBatch([own])))
+    items.extend(_unpassed(site, telling, grid))
+    column = column_peers(grid, heard_names(site, now_s))
+    letters.append(Letter(column, NewsBatch(items)))
+    return telling, [entry for entry in letters if entry.to and _items(entry)]
+
+
+def _items(letter: Letter) -> list[Told]:
+    return letter.batch.items
+
+
+def _is_due(telling: Telling, news: SiteNews, now_s: float) -> bool:
+    told = telling.own
+    if told is None or now_s - telling.told_at_s >= REPEAT_S:
+        return True
+    same = news._replace(
+        number=told.number, age_s=told.age_s, speeds=told.speeds
+    )
+    return same != told
+
+
+def _unpassed(site: Site, telling: Telling, grid: Grid) -> list[Told]:
+    """Return the row's news that this VM's column has not got.
+
+    Learned speeds go one hop only: they are blended on the way, and reach
+    everybody so.
+    """
+    if len(grid.rows) == 1:
+        return []
+    found = []
+    for name in row_peers(grid):
+        peer = site.peers.get(name)
+        if peer is None:
+            continue
+        mark = (peer.news.start_id, peer.news.number)
+        if telling.passed.get(name) != mark:
+            telling.passed[name] = mark
+            found.append(Told(name, peer.news._replace(speeds={})))
+    return found
