Rank requests by the account and then the route; use all places

Cause: an account's rank replaced the route's, and nearly all requests are of accounts of one rank. So in the seconds of a burst long plans (most worth, most urgent) competed with sorting requests by deadline, and plans were shed while less urgent requests were served. Beside that the shared discipline left one of twelve places of every upstream to the top rank.

Change: the queue goes by the account's rank, then the route's; all places are used. The line `ended` tells the time of the first event, both ranks and the caller's limit.

--- a/bluebellhub/adapters/passing/attempt.py
+++ b/bluebellhub/adapters/passing/attempt.py
@@ -180,6 +180,8 @@
     """Tell the scheduler of a piece of the answer."""
     node = passing.node
     count = link.spec.tokens_per_event
+    if job.progress['first_at_s'] is None:
+        job.progress['first_at_s'] = now_s()
     events = tokens_arrived(
         node.scheduler,
         job.admission.ask.request_id,
--- a/bluebellhub/adapters/passing/relay.py
+++ b/bluebellhub/adapters/passing/relay.py
@@ -24,7 +24,12 @@
 )
 from bluebellhub.adapters.passing.state import Job, Passing, make_job
 from bluebellhub.clock import now_s
-from bluebellhub.request import AttemptFailure, RefusalError, run_claim
+from bluebellhub.request import (
+    Ask,
+    AttemptFailure,
+    RefusalError,
+    run_claim,
+)
 from bluebellhub.request.refusal import AnswerTimeoutError, ShedError
 from bluebellhub.scheduler import Dispatch, answer_ended, attempt_failed
 from bluebellhub.site.admission import UNLIMITED, admit_call, give_back
@@ -182,7 +187,7 @@
         extra={
             'request': job.call.head.request_id,
             'upstream': upstream.spec.name,
-            'waited_ms': round((now - ask.arrived_at_s) * MS_PER_S),
+            'waited_ms': _elapsed_ms(ask, now),
             'own_work': len(upstream.work),
             'others_work': upstream.others_work,
             'predicted_ms': round(work.predicted_s * MS_PER_S)
@@ -195,8 +200,15 @@
     )
 
 
+def _elapsed_ms(ask: Ask, at_s: float | None) -> int | None:
+    if at_s is None:
+        return None
+    return round((at_s - ask.arrived_at_s) * MS_PER_S)
+
+
 def _log_end(passing: Passing, job: Job) -> None:
     ask = job.admission.ask
+    standing = job.admission.standing
     passing.node.scheduler.counters['ends', job.progress['outcome']] += 1
     log.info(
         'ended',
@@ -204,10 +216,13 @@
             'request': job.call.head.request_id,
             'account': ask.account,
             'route': ask.route,
-            'rank': ask.tier.rank,
+            'rank': standing.account,
+            'route_rank': standing.route,
+            'limit_ms': round((ask.time_limit_s or 0.0) * MS_PER_S),
             'upstream': job.progress['upstream'],
             'outcome': job.progress['outcome'] or 'cancelled',
-            'took_ms': round((now_s() - ask.arrived_at_s) * MS_PER_S),
+            'took_ms': _elapsed_ms(ask, now_s()),
+            'first_ms': _elapsed_ms(ask, job.progress['first_at_s']),
             'events': job.progress['last_event'],
         },
     )
--- a/bluebellhub/adapters/passing/state.py
+++ b/bluebellhub/adapters/passing/state.py
@@ -34,13 +34,15 @@
     """How far an answer has come.
 
     ``has_begun`` tells that its head went to the caller, ``last_event``
-    is the id of the last event that did.  ``held`` is a failure that an
+    is the id of the last event that did, and ``first_at_s`` the time of the
+    first one.  ``held`` is a failure that an
     upstream answered, for the case that no other attempt does better.
     """
 
     has_begun: bool
     last_event: int | None
     tokens: int
+    first_at_s: float | None
     held: Held | None
     upstream: str
     outcome: str
@@ -65,6 +67,7 @@
         'has_begun': False,
         'last_event': int(resume_after) if resume_after.isdigit() else None,
         'tokens': 0,
+        'first_at_s': None,
         'held': None,
         'upstream': '',
         'outcome': '',
--- a/bluebellhub/scheduler/room.py
+++ b/bluebellhub/scheduler/room.py
@@ -118,7 +118,7 @@
     slots = usable_slots(
         placement.scheduler, placement.upstream, placement.now_s
     )
-    return _fits(placement, slots)
+    return len(placement.upstream.work) < slots
 
 
 def _has_slot(placement: Placement) -> bool:
--- a/bluebellhub/site/admission.py
+++ b/bluebellhub/site/admission.py
@@ -20,6 +20,11 @@
     may_repeat,
 )
 from bluebellhub.site.sharing import heard_share
+from bluebellhub.site.standing import (
+    Standing,
+    rank_of,
+    standing_of,
+)
 from bluebellhub.site.state import Site
 
 __all__ = ['UNLIMITED', 'Admission', 'admit_call', 'give_back']
@@ -34,6 +39,7 @@
     """An admitted request; ``cost`` was taken from the account's limit."""
 
     ask: Ask
+    standing: Standing
     route: Route
     account: Account | None
     cost: float
@@ -54,11 +60,16 @@
         raise NoUpstreamError(
             f'no upstream of {target}', retry_after_s=AWAY_RETRY_S
         )
-    ask = _make_ask(site, head, route, account, target, now_s)
+    standing = standing_of(route, account)
+    ask = _make_ask(site, head, route, standing, target, now_s)
+    if account is not None:
+        ask = ask._replace(account=account.name)
     if ask.ends_at_s > site.flags['stops_at_s']:
         raise DrainingError('the VM is shutting down', retry_after_s=0.0)
-    cost = _take_cost(site, account, head.tokens, ask)
-    return Admission(ask, route, account, cost)
+    need = Need(_cost_of(account, head.tokens), standing.account)
+    if account is not None and need.cost:
+        take(site.quotas, account, need, heard_share(site, now_s), now_s)
+    return Admission(ask, standing, route, account, need.cost)
 
 
 def give_back(site: Site, admission: Admission) -> None:
@@ -67,40 +78,33 @@
         take_back(site.quotas, admission.account.name, admission.cost)
 
 
-def _take_cost(
-    site: Site, account: Account | None, tokens: Tokens | None, ask: Ask
-) -> float:
+def _cost_of(account: Account | None, tokens: Tokens | None) -> float:
     if account is None or not is_limited(account):
         return 0.0
-    cost = cost_of(account, sum(tokens) if tokens else None)
-    now_s = ask.arrived_at_s
-    need = Need(cost, ask.tier.rank)
-    take(site.quotas, account, need, heard_share(site, now_s), now_s)
-    return cost
+    return cost_of(account, sum(tokens) if tokens else None)
 
 
 def _make_ask(
     site: Site,
     head: CallHead,
     route: Route,
-    account: Account | None,
+    standing: Standing,
     target: str,
     now_s: float,
 ) -> Ask:
     site.flags['requests'] += 1
-    rank = route.rank
-    if account is not None and account.rank is not None:
-        rank = account.rank
-    tier = Tier(
-        f'rank{rank}', rank, route.objective_s * WAIT_SHARE, route.gap_s
-    )
     tokens = head.tokens or Tokens(0, 1)
     limit_s = min(head.time_limit_s or route.timeout_s, route.timeout_s)
+    tier = Tier(
+        f'rank{standing.account}',
+        rank_of(standing),
+        route.objective_s * WAIT_SHARE,
+        route.gap_s,
+    )
     return make_ask(
         f'{head.request_id}/{site.flags["requests"]}',
         tier,
         target,
-        account=account.name if account else '',
         route=route.name,
         prompt_tokens=tokens.prompt,
         output_tokens=max(1, tokens.output_max),
--- /dev/null
+++ b/bluebellhub/site/standing.py
@@ -0,0 +1,32 @@
+"""In which order requests are served: the account's rank, then the route's."""
+
+from typing import Final, NamedTuple
+
+from bluebellhub.route import Account, Route
+
+__all__ = ['Standing', 'rank_of', 'standing_of']
+
+ROUTE_RANKS: Final = 16
+
+
+class Standing(NamedTuple):
+    """The ranks of a request's account and route; smaller ones go first."""
+
+    account: int
+    route: int
+
+
+def standing_of(route: Route, account: Account | None) -> Standing:
+    """Return the standing of a request; the account's rank goes first."""
+    rank = account.rank if account else None
+    return Standing(route.rank if rank is None else rank, route.rank)
+
+
+def rank_of(standing: Standing) -> int:
+    """Return one number for the order of the queue.
+
+    >>> rank_of(Standing(0, 2)) < rank_of(Standing(1, 0)) < 18
+    True
+    """
+    minor = min(max(standing.route, 0), ROUTE_RANKS - 1)
+    return standing.account * ROUTE_RANKS + minor
--- a/bluebellhub/site/tests/test_admission.py
+++ b/bluebellhub/site/tests/test_admission.py
@@ -15,6 +15,7 @@
     UnauthenticatedError,
     UnknownTargetError,
 )
+from bluebellhub.route import Account, Route
 from bluebellhub.scheduler import (
     attempt_failed,
     caller_left,
@@ -23,6 +24,7 @@
     tokens_arrived,
 )
 from bluebellhub.site.admission import admit_call, give_back
+from bluebellhub.site.standing import rank_of, standing_of
 from bluebellhub.site.state import Bounds, make_site
 from bluebellhub.site.tests.small_site import (
     chosen_of,
@@ -191,3 +193,28 @@
     site = make_small_site(make_entry(), vms=())
     with pytest.raises(NoUpstreamError):
         admit_call(site, make_call(), 0.0)
+
+
+@pytest.mark.parametrize(
+    ('first', 'second', 'served'),
+    [
+        ({'account': 1, 'route': 0}, {'account': 0, 'route': 2}, 'second'),
+        ({'account': 1, 'route': 2}, {'account': 1, 'route': 0}, 'second'),
+        ({'account': None, 'route': 1}, {'account': 0, 'route': 1}, 'second'),
+        ({'account': 0, 'route': 0}, {'account': 0, 'route': 1}, 'first'),
+        ({'account': 0, 'route': 1}, {'account': 0, 'route': 1}, 'first'),
+    ],
+)
+def test_the_accounts_rank_goes_first_then_the_routes(first, second, served):
+    ranked = {}
+    for name, ranks in (('first', first), ('second', second)):
+        account = Account('yard', rank=ranks['account'])
+        route = Route('r', 'a.example', '/', (), rank=ranks['route'])
+        ranked[name] = rank_of(standing_of(route, account))
+    assert min(ranked, key=lambda name: ranked[name]) == served
+
+
+def test_all_places_serve_while_only_a_low_rank_asks():
+    site = make_small_site(make_entry(slots=12), rank=9)
+    sent = [send(site, f'{number}')[1] for number in range(12)]
+    assert all(chosen_of(events) for events in sent)
