Send refused callers back later than a burst lasts

Change: they are asked to come back after 4 s.

Ruled out: that upstreams stand idle in a burst (their places are 11 to 12 of 12 taken), and that predictions are at fault (some 140 served late at an upstream against 450 shed).

--- a/bluebellhub/scheduler/shedding.py
+++ b/bluebellhub/scheduler/shedding.py
@@ -28,7 +28,7 @@
 
 __all__ = ['may_shed', 'shed', 'tick', 'total_slots']
 
-RETRY_AFTER_S: Final = 2.0
+RETRY_AFTER_S: Final = 4.0
 RETRY_WAIT_SHARE: Final = 0.6
 FLOOR_HOLD_S: Final = 0.6
 LOWEST_RANK: Final = max(tier.rank for tier in DEFAULT_TIERS)
