Do not probe the platform's upstreams; spend less on idle work

Settings were parsed each two seconds.

Change: the platform's plan does not probe; HTTP clients are told not to load certificates for plain HTTP; only VMs that are heard singly are given a fresh connection; settings are read again when another file was written; a grid's round lasts 0.25 s.

--- a/bluebellhub/adapters/connections.py
+++ b/bluebellhub/adapters/connections.py
@@ -50,8 +50,12 @@
 def _make_pool(address: str, connect_timeout_s: float) -> Pool:
     timeout = httpx.Timeout(None, connect=connect_timeout_s)
     limits = httpx.Limits(max_connections=CONNECTIONS_MAX)
+    # Plain HTTP: without this a client loads all certificates at its start.
     client = httpx.AsyncClient(
-        base_url=f'http://{address}', timeout=timeout, limits=limits
+        base_url=f'http://{address}',
+        timeout=timeout,
+        limits=limits,
+        verify=False,
     )
     return Pool(client, {'users': 0, 'retired': False})
 
--- a/bluebellhub/adapters/fleet_runner.py
+++ b/bluebellhub/adapters/fleet_runner.py
@@ -262,4 +262,5 @@
     """Give peers that stay silent a fresh connection."""
     peers = runner.fleet.members.peers
     heard = {name: peer.heard_at_s for name, peer in peers.items()}
-    replace_silent(runner.link, heard, runner.reconnected, now_s())
+    link = runner.link
+    replace_silent(link, link.addresses, heard, runner.reconnected, now_s())
--- a/bluebellhub/adapters/passing/gossip.py
+++ b/bluebellhub/adapters/passing/gossip.py
@@ -11,6 +11,7 @@
 )
 from bluebellhub.clock import now_s
 from bluebellhub.site.domains import take_domain
+from bluebellhub.site.grid import near_names
 from bluebellhub.site.news import DomainNews, NewsBatch
 from bluebellhub.site.sharing import take_batch, weigh_others
 from bluebellhub.site.telling import make_letters, make_telling, pause_s
@@ -30,11 +31,8 @@
         for letter in letters:
             send_all(link, letter.to, letter.message)
         heard = {name: peer.heard_at_s for name, peer in site.peers.items()}
-        heard.update(
-            (domain.news.vm, domain.heard_at_s)
-            for domain in site.domains.values()
-        )
-        replace_silent(link, heard, replaced, moment_s)
+        near = near_names(site.flags['grid'])
+        replace_silent(link, near, heard, replaced, moment_s)
         await trio.sleep(pause_s(site.flags['grid']))
 
 
--- a/bluebellhub/adapters/passing/reloading.py
+++ b/bluebellhub/adapters/passing/reloading.py
@@ -18,11 +18,28 @@
 
 
 async def follow_settings(path: Path, settings: Settings) -> None:
-    """Look at the file now and then, until cancelled."""
+    """Look at the file now and then, until cancelled.
+
+    It is read anew only if another one was written.
+    """
     known = settings
+    seen = _mark_of(path)
     while True:
         await trio.sleep(LOOK_S)
-        known = read_again(path, known)
+        mark = _mark_of(path)
+        if mark != seen:
+            seen = mark
+            known = read_again(path, known)
+
+
+def _mark_of(path: Path) -> tuple[int, int, int] | None:
+    """Return what tells one writing of a file from another."""
+    try:
+        status = path.stat()
+    except OSError as error:
+        log.warning('settings not found', extra={'cause': str(error)})
+        return None
+    return status.st_ino, status.st_mtime_ns, status.st_size
 
 
 def read_again(path: Path, known: Settings) -> Settings:
--- a/bluebellhub/adapters/peer_link.py
+++ b/bluebellhub/adapters/peer_link.py
@@ -97,16 +97,17 @@
 
 def replace_silent(
     link: PeerLink,
+    names: Iterable[str],
     heard_at_s: Mapping[str, float],
     replaced: dict[str, float],
     now_s: float,
 ) -> None:
-    """Give peers that stay silent a fresh connection.
+    """Give those of ``names`` that stay silent a fresh connection.
 
     ``heard_at_s`` tells when each was last heard; ``replaced`` keeps when a
     connection was replaced, so that the new one has its time.
     """
-    for name in tuple(link.outboxes):
+    for name in link.outboxes.keys() & set(names):
         last_s = max(heard_at_s.get(name, -SILENT_S), replaced.get(name, 0.0))
         if now_s - last_s > SILENT_S:
             replaced[name] = now_s
--- a/bluebellhub/adapters/platform.py
+++ b/bluebellhub/adapters/platform.py
@@ -79,7 +79,7 @@
 ) -> Platform:
     """Create a client of the object API at ``address``."""
     client = httpx.AsyncClient(
-        base_url=f'http://{address}', timeout=CALL_TIMEOUT_S
+        base_url=f'http://{address}', timeout=CALL_TIMEOUT_S, verify=False
     )
     return Platform(client, Counter() if calls is None else calls)
 
--- a/bluebellhub/platform/store.py
+++ b/bluebellhub/platform/store.py
@@ -117,8 +117,11 @@
 
 def make_store(address: str) -> Store:
     """Create a client of the store at an IP number and port."""
+    # Plain HTTP: without `verify` a client loads all certificates.
     transport = httpx.AsyncHTTPTransport(
-        socket_options=SOCKET_OPTIONS, limits=httpx.Limits(max_connections=32)
+        verify=False,
+        socket_options=SOCKET_OPTIONS,
+        limits=httpx.Limits(max_connections=32),
     )
     client = httpx.AsyncClient(
         base_url=f'http://{address}{OBJECTS}',
--- a/bluebellhub/scheduler/progress.py
+++ b/bluebellhub/scheduler/progress.py
@@ -216,7 +216,7 @@
         )
         if restarted:
             note_restart(scheduler, name, now_s)
-    if failure.kind == 'silent':
+    if failure.kind == 'silent' and scheduler.plan.probes_silent:
         events.append(Probe(name))
 
 
--- a/bluebellhub/scheduler/state.py
+++ b/bluebellhub/scheduler/state.py
@@ -38,7 +38,8 @@
     """Names of the variations that a scheduler uses.
 
     ``retry_share`` is the ratio of retries to requests.  Windows follow
-    late first tokens if ``adapts_windows``.
+    late first tokens if ``adapts_windows``.  A silent upstream is probed
+    over a fresh connection if ``probes_silent``.
     """
 
     policy: str = 'predicted'
@@ -46,6 +47,7 @@
     retry_share: float = 0.1
     retry_budget: str = 'credit'
     adapts_windows: bool = True
+    probes_silent: bool = True
 
 
 class Flags(TypedDict):
--- a/bluebellhub/site/grid.py
+++ b/bluebellhub/site/grid.py
@@ -28,6 +28,7 @@
     'column_peers',
     'far_peers',
     'lay_out',
+    'near_names',
     'row_peers',
 ]
 
@@ -75,6 +76,11 @@
     return tuple(names[start:end] for start, end in pairwise(bounds))
 
 
+def near_names(grid: Grid) -> list[str]:
+    """Return the VMs that are heard singly, this one included."""
+    return [name for row in grid.rows for name in row]
+
+
 def row_peers(grid: Grid) -> list[str]:
     """Return the VMs that hear this one directly."""
     return [name for name in grid.rows[grid.row] if name != grid.vm]
@@ -95,7 +101,7 @@
 
 def far_peers(grid: Grid, heard: Collection[str]) -> list[str]:
     """Return the VMs of other domains that hear of this domain from it."""
-    near = [name for row in grid.rows for name in row]
+    near = near_names(grid)
     return [
         name
         for names in grid.far.values()
--- a/bluebellhub/site/state.py
+++ b/bluebellhub/site/state.py
@@ -32,6 +32,7 @@
     discipline='shared',
     retry_budget='windowed',
     adapts_windows=False,
+    probes_silent=False,
 )
 
 
--- a/bluebellhub/site/telling.py
+++ b/bluebellhub/site/telling.py
@@ -16,8 +16,8 @@
 PAUSE_S: Final = 0.12
 # Two hops and a repeat have to fit into the time after which VMs count as
 # silent.
-GRID_PAUSE_S: Final = 0.2
-FAR_PAUSE_S: Final = 0.4
+GRID_PAUSE_S: Final = 0.25
+FAR_PAUSE_S: Final = 0.5
 
 
 class Telling(NamedTuple):
--- a/bluebellhub/site/tests/test_admission.py
+++ b/bluebellhub/site/tests/test_admission.py
@@ -17,6 +17,7 @@
 )
 from bluebellhub.route import Account, Route
 from bluebellhub.scheduler import (
+    Probe,
     attempt_failed,
     caller_left,
     request_sent,
@@ -218,3 +219,15 @@
     site = make_small_site(make_entry(slots=12), rank=9)
     sent = [send(site, f'{number}')[1] for number in range(12)]
     assert all(chosen_of(events) for events in sent)
+
+
+def test_a_silent_upstream_of_the_platform_is_not_probed():
+    site = make_small_site(make_entry(), make_entry('u2'))
+    admission, _ = send(site)
+    events = attempt_failed(
+        site.scheduler,
+        admission.ask.request_id,
+        AttemptFailure('silent'),
+        1.0,
+    )
+    assert not any(isinstance(event, Probe) for event in events)
