Keep latency histograms; serve metrics on an address of their own

There were no histograms, and metrics stood at the readiness address only. Two histograms, by service and outcome: the time to the first piece of an answer and to the end.

--- a/bluebellhub/adapters/front_end.py
+++ b/bluebellhub/adapters/front_end.py
@@ -137,7 +137,9 @@
 
     @app.get('/metrics')
     async def metrics() -> Response:
-        body, content_type = render_metrics(front.node.scheduler)
+        body, content_type = render_metrics(
+            front.node.scheduler, front.node.latencies
+        )
         return Response(body, content_type=content_type)
 
 
--- a/bluebellhub/adapters/node.py
+++ b/bluebellhub/adapters/node.py
@@ -26,6 +26,7 @@
 from bluebellhub.adapters.exchange import Exchange, Head
 from bluebellhub.clock import now_s
 from bluebellhub.contract import AccountLimits
+from bluebellhub.latencies import Latencies, make_latencies
 from bluebellhub.registry import Registry, make_registry
 from bluebellhub.request import Ask, AttemptFailure, Life, RefusalError
 from bluebellhub.scheduler import (
@@ -80,6 +81,7 @@
     exchanges: dict[str, Exchange]
     reads: dict[tuple[str, int], Reads]
     cache_events: dict[tuple[str, str], int]
+    latencies: Latencies
 
 
 Carrier = Callable[[Node, Any], None]
@@ -94,7 +96,16 @@
     nursery: trio.Nursery,
 ) -> Node:
     """Create the runtime of a VM without requests."""
-    return Node(settings, scheduler, connections, nursery, {}, {}, {})
+    return Node(
+        settings,
+        scheduler,
+        connections,
+        nursery,
+        {},
+        {},
+        {},
+        make_latencies(),
+    )
 
 
 def start(
--- a/bluebellhub/adapters/passing/readiness.py
+++ b/bluebellhub/adapters/passing/readiness.py
@@ -1,13 +1,20 @@
 """Whether this VM takes callers, and its metrics."""
 
+import logbook
 from quart import Response
 
-from bluebellhub.adapters.http_server import HttpApp, make_http_app
+from bluebellhub.adapters.http_server import (
+    HttpApp,
+    make_http_app,
+    serve_app,
+)
 from bluebellhub.adapters.passing.state import Passing
 from bluebellhub.metrics import render_metrics
 from bluebellhub.platform.answers import READY_PATH
 
-__all__ = ['is_ready', 'make_ready_app']
+__all__ = ['is_ready', 'make_ready_app', 'serve_metrics']
+
+log = logbook.Logger('bluebellhub.metrics')
 
 
 def is_ready(passing: Passing) -> bool:
@@ -30,9 +37,27 @@
             return Response(b'ready\n', 200)
         return Response(b'not ready\n', 503)
 
+    _add_metrics(app, passing)
+    return app
+
+
+def _add_metrics(app: HttpApp, passing: Passing) -> None:
+    node = passing.node
+
     @app.get('/metrics')
     async def metrics() -> Response:
-        body, content_type = render_metrics(passing.node.scheduler)
+        body, content_type = render_metrics(node.scheduler, node.latencies)
         return Response(body, content_type=content_type)
 
-    return app
+
+async def serve_metrics(passing: Passing, listen: str) -> None:
+    """Serve the metrics on an address of their own until cancelled.
+
+    Requests are served all the same where the address cannot be had.
+    """
+    app = make_http_app('bluebellhub-metrics')
+    _add_metrics(app, passing)
+    try:
+        await serve_app(app, listen)
+    except OSError as error:
+        log.error('metrics not served', extra={'cause': str(error)})
--- a/bluebellhub/adapters/passing/relay.py
+++ b/bluebellhub/adapters/passing/relay.py
@@ -24,8 +24,8 @@
 )
 from bluebellhub.adapters.passing.state import Job, Passing, make_job
 from bluebellhub.clock import now_s
+from bluebellhub.latencies import note_end
 from bluebellhub.request import (
-    Ask,
     AttemptFailure,
     RefusalError,
     run_claim,
@@ -187,7 +187,7 @@
         extra={
             'request': job.call.head.request_id,
             'upstream': upstream.spec.name,
-            'waited_ms': _elapsed_ms(ask, now),
+            'waited_ms': round((now - ask.arrived_at_s) * MS_PER_S),
             'own_work': len(upstream.work),
             'others_work': upstream.others_work,
             'predicted_ms': round(work.predicted_s * MS_PER_S)
@@ -200,16 +200,15 @@
     )
 
 
-def _elapsed_ms(ask: Ask, at_s: float | None) -> int | None:
-    if at_s is None:
-        return None
-    return round((at_s - ask.arrived_at_s) * MS_PER_S)
-
-
 def _log_end(passing: Passing, job: Job) -> None:
     ask = job.admission.ask
     standing = job.admission.standing
-    passing.node.scheduler.counters['ends', job.progress['outcome']] += 1
+    outcome = job.progress['outcome'] or 'cancelled'
+    took_s = now_s() - ask.arrived_at_s
+    first_at_s = job.progress['first_at_s']
+    first_s = None if first_at_s is None else first_at_s - ask.arrived_at_s
+    passing.node.scheduler.counters['ends', outcome] += 1
+    note_end(passing.node.latencies, ask.target, outcome, took_s, first_s)
     log.info(
         'ended',
         extra={
@@ -220,9 +219,9 @@
             'route_rank': standing.route,
             'limit_ms': round((ask.time_limit_s or 0.0) * MS_PER_S),
             'upstream': job.progress['upstream'],
-            'outcome': job.progress['outcome'] or 'cancelled',
-            'took_ms': _elapsed_ms(ask, now_s()),
-            'first_ms': _elapsed_ms(ask, job.progress['first_at_s']),
+            'outcome': outcome,
+            'took_ms': round(took_s * MS_PER_S),
+            'first_ms': None if first_s is None else round(first_s * MS_PER_S),
             'events': job.progress['last_event'],
         },
     )
--- a/bluebellhub/adapters/passing/run.py
+++ b/bluebellhub/adapters/passing/run.py
@@ -17,7 +17,10 @@
 )
 from bluebellhub.adapters.passing.gossip import hear_news, tell_news
 from bluebellhub.adapters.passing.moves import run_moves
-from bluebellhub.adapters.passing.readiness import make_ready_app
+from bluebellhub.adapters.passing.readiness import (
+    make_ready_app,
+    serve_metrics,
+)
 from bluebellhub.adapters.passing.reloading import (
     follow_settings,
     read_again,
@@ -125,8 +128,17 @@
     nursery.start_soon(run_moves, passing, watcher.store)
     nursery.start_soon(hear_news, passing, watcher.link)
     nursery.start_soon(tell_news, passing, watcher.link)
+    _start_servers(settings, nursery, passing, app)
+
+
+def _start_servers(
+    settings: Settings, nursery: trio.Nursery, passing: Passing, app: HttpApp
+) -> None:
+    site = settings.site
     nursery.start_soon(serve_callers, passing, settings.listen)
-    nursery.start_soon(serve_app, app, settings.site.ready_listen)
+    nursery.start_soon(serve_app, app, site.ready_listen)
+    if site.metrics_listen:
+        nursery.start_soon(serve_metrics, passing, site.metrics_listen)
 
 
 async def _await_stop(path: Path, settings: Settings) -> None:
--- a/bluebellhub/metrics.py
+++ b/bluebellhub/metrics.py
@@ -7,6 +7,7 @@
 
 from bluebellhub.admission import size
 from bluebellhub.invariants import violations
+from bluebellhub.latencies import Latencies, register_latencies
 from bluebellhub.scheduler.state import Scheduler
 
 __all__ = ['render_metrics']
@@ -33,11 +34,14 @@
 }
 
 
-def render_metrics(scheduler: Scheduler) -> tuple[bytes, str]:
+def render_metrics(
+    scheduler: Scheduler, latencies: Latencies
+) -> tuple[bytes, str]:
     """Return the metrics of a VM and their content type."""
     registry = Registry()
     _add_counters(registry, scheduler)
     _add_gauges(registry, scheduler)
+    register_latencies(registry, latencies)
     body, headers = render(registry, TEXT_FORMAT)
     return body, headers['Content-Type']
 
--- a/bluebellhub/settings.py
+++ b/bluebellhub/settings.py
@@ -54,7 +54,8 @@
 class SiteSettings(NamedTuple):
     """A VM's place on the users' platform; none without a ``store``.
 
-    ``ready_listen`` tells readiness and metrics.  ``grace_s`` is the time
+    ``ready_listen`` tells readiness and metrics, ``metrics_listen`` only
+    the latter, if it is set.  ``grace_s`` is the time
     from SIGTERM to SIGKILL.  The others bound what all VMs may do together
     in a window: ``quota`` beyond the accounts' limits, ``retry`` beyond
     callers' requests, ``cold`` beyond a cold upstream's rate.
@@ -62,6 +63,7 @@
 
     store: str = ''
     ready_listen: str = ''
+    metrics_listen: str = ''
     grace_s: Positive = 8.0
     quota_window_s: Positive = 8.0
     quota_overage: Share = 0.0
@@ -134,7 +136,7 @@
 
 def _check_site(settings: Settings) -> None:
     """Check that a VM of the users' platform can be reached there."""
-    for field in ('store', 'ready_listen'):
+    for field in ('store', 'ready_listen', 'metrics_listen'):
         address = getattr(settings.site, field)
         if address:
             check_address(address, f'settings.site.{field}')
--- /dev/null
+++ b/bluebellhub/tests/test_metrics.py
@@ -0,0 +1,41 @@
+"""What the metrics tell of requests that ended."""
+
+import pytest
+
+from bluebellhub.latencies import make_latencies, note_end
+from bluebellhub.metrics import render_metrics
+from bluebellhub.scheduler import make_scheduler
+from bluebellhub.scheduler.room import whole_window
+from bluebellhub.scheduler.state import Plan
+
+LABELS = 'outcome="answered",target="plans"'
+
+
+def _render(*ends):
+    latencies = make_latencies()
+    for whole_s, first_s in ends:
+        note_end(latencies, 'plans', 'answered', whole_s, first_s)
+    scheduler = make_scheduler(Plan(), whole_window)
+    return render_metrics(scheduler, latencies)[0].decode()
+
+
+@pytest.mark.parametrize(
+    ('name', 'bound', 'count'),
+    [
+        ('request', '0.4', 1),
+        ('request', '1.6', 2),
+        ('request', '+Inf', 3),
+        ('first_piece', '0.1', 1),
+        ('first_piece', '+Inf', 2),
+    ],
+)
+def test_histograms_count_by_bucket(name, bound, count):
+    text = _render((0.3, 0.05), (1.5, 0.9), (99.0, None))
+    line = (
+        f'bluebellhub_{name}_seconds_bucket{{le="{bound}",{LABELS}}} {count}.0'
+    )
+    assert line in text.splitlines()
+
+
+def test_they_are_rendered_more_than_once():
+    assert _render() == _render()
