--- a/bluebellhub/adapters/node.py
+++ b/bluebellhub/adapters/node.py
@@ -13,7 +13,6 @@
     Ended,
     Hooks,
     Reads,
-    TimeLimits,
     cancel_reads,
     make_reads,
     run_attempt,
@@ -24,11 +23,12 @@
     replace_silent,
 )
 from bluebellhub.adapters.exchange import Exchange, Head
+from bluebellhub.adapters.time_limits import time_limits
 from bluebellhub.clock import now_s
 from bluebellhub.contract import AccountLimits
 from bluebellhub.latencies import Latencies, make_latencies
 from bluebellhub.registry import Registry, make_registry
-from bluebellhub.request import Ask, AttemptFailure, Life, RefusalError
+from bluebellhub.request import Ask, AttemptFailure, RefusalError
 from bluebellhub.scheduler import (
     Cancel,
     Dispatch,
@@ -45,7 +45,6 @@
     tokens_arrived,
 )
 from bluebellhub.settings import Settings
-from bluebellhub.upstream import Upstream
 
 __all__ = [
     'Node',
@@ -56,13 +55,9 @@
     'make_node',
     'run_ticks',
     'start',
-    'time_limits',
 ]
 
 TICK_S = 0.05
-FIRST_BYTE_RATIO = 2.0
-FIRST_BYTE_SLACK_S = 1.0
-NEXT_BYTE_RATIO = 20.0
 
 log = logbook.Logger('bluebellhub.node')
 
@@ -226,37 +221,12 @@
         pool_for(node.connections, upstream.spec),
         event,
         exchange,
-        time_limits(node, life, upstream),
+        time_limits(node.settings.limits, life, upstream),
         _make_hooks(node, event),
         reads,
     )
 
 
-def time_limits(node: Node, life: Life, upstream: Upstream) -> TimeLimits:
-    """Return how long to wait for the answer's next byte.
-
-    The caller of a resumed stream is in the middle of it, so the first byte
-    of another attempt may take no longer than a pause, or than the prompt
-    is expected to take at this upstream.
-    """
-    tier = life.ask.tier
-    next_s = max(
-        node.settings.limits.next_byte_s,
-        tier.between_tokens_s * NEXT_BYTE_RATIO,
-    )
-    if life.ask.prompt_tokens == 0:
-        return TimeLimits(node.settings.limits.service_timeout_s, next_s)
-    if life.first_token_at_s is None:
-        return TimeLimits(_first_byte_s(tier.first_token_s), next_s)
-    work = upstream.work.get(life.ask.request_id)
-    resumed_s = _first_byte_s(work.predicted_s if work else 0.0)
-    return TimeLimits(max(resumed_s, next_s), next_s)
-
-
-def _first_byte_s(expected_s: float) -> float:
-    return expected_s * FIRST_BYTE_RATIO + FIRST_BYTE_SLACK_S
-
-
 def _make_hooks(node: Node, event: Dispatch) -> Hooks:
     request_id = event.request_id
 
--- a/bluebellhub/adapters/tests/test_node.py
+++ b/bluebellhub/adapters/tests/test_time_limits.py
@@ -1,16 +1,11 @@
 """How long a VM waits for an upstream's next byte."""
 
 import pytest
-import trio
 
-from bluebellhub.adapters.connections import make_connections
-from bluebellhub.adapters.node import make_node, time_limits
+from bluebellhub.adapters.time_limits import time_limits
 from bluebellhub.contract import DEFAULT_TIERS
 from bluebellhub.request import begin_attempt, make_ask, make_life
-from bluebellhub.scheduler import make_scheduler
-from bluebellhub.scheduler.room import whole_window
-from bluebellhub.scheduler.state import Plan
-from bluebellhub.settings import Settings
+from bluebellhub.settings import Limits
 from bluebellhub.upstream import UpstreamSpec, add_work, make_upstream
 
 TIERS = {tier.name: tier for tier in DEFAULT_TIERS}
@@ -40,11 +35,7 @@
         ('plan', 4, True, 9.0),
     ],
 )
-async def test_time_to_the_first_byte(tier, tokens, resumed, first_s):
-    async with trio.open_nursery() as nursery:
-        scheduler = make_scheduler(Plan(), whole_window)
-        settings = Settings('hub', 'd', '127.0.0.1:1')
-        node = make_node(settings, scheduler, make_connections(1.0), nursery)
-        limits = time_limits(node, *_sent(tier, tokens, resumed))
+def test_time_to_the_first_byte(tier, tokens, resumed, first_s):
+    limits = time_limits(Limits(), *_sent(tier, tokens, resumed))
     assert limits.first_byte_s == pytest.approx(first_s, abs=0.01)
     assert limits.next_byte_s == pytest.approx(5.0)
--- /dev/null
+++ b/bluebellhub/scheduler/tests/small_scheduler.py
@@ -0,0 +1,51 @@
+"""A scheduler with a few upstreams, for tests."""
+
+from bluebellhub.contract import AccountLimits, find_tier
+from bluebellhub.request import make_ask
+from bluebellhub.scheduler import Refuse, add_upstream, make_scheduler, submit
+from bluebellhub.scheduler.room import whole_window
+from bluebellhub.scheduler.state import Plan
+from bluebellhub.upstream import UpstreamSpec, make_upstream
+
+__all__ = [
+    'LIMITS',
+    'kinds_of',
+    'make_small_scheduler',
+    'reasons_of',
+    'submit_one',
+]
+
+LIMITS = AccountLimits(1e6, 10**6)
+
+
+def make_small_scheduler(upstreams=1, window=2, **fields):
+    scheduler = make_scheduler(Plan(), whole_window)
+    for number in range(upstreams):
+        spec = UpstreamSpec(
+            f'u{number}',
+            '127.0.0.1:1',
+            ('m',),
+            f'd{number}',
+            window=window,
+            **fields,
+        )
+        add_upstream(scheduler, make_upstream(spec, warm=True))
+    return scheduler
+
+
+def submit_one(scheduler, name, tier='check', now_s=0.0, **fields):
+    given = {'prompt_tokens': 10, 'arrived_at_s': now_s, **fields}
+    ask = make_ask(name, find_tier(tier), 'm', **given)
+    return submit(scheduler, ask, LIMITS, now_s)
+
+
+def kinds_of(events):
+    return [type(event) for event in events]
+
+
+def reasons_of(events):
+    return {
+        event.request_id: event.error.reason
+        for event in events
+        if isinstance(event, Refuse)
+    }
--- /dev/null
+++ b/bluebellhub/scheduler/tests/test_failures.py
@@ -0,0 +1,91 @@
+"""What follows a failed attempt: retries, probes and true refusals."""
+
+import pytest
+
+from bluebellhub.request import AttemptFailure
+from bluebellhub.request.refusal import NoUpstreamError
+from bluebellhub.scheduler import (
+    Dispatch,
+    Probe,
+    attempt_failed,
+    caller_left,
+    request_sent,
+    tokens_arrived,
+)
+from bluebellhub.scheduler.finish import refuse
+from bluebellhub.scheduler.tests.small_scheduler import (
+    kinds_of,
+    make_small_scheduler,
+    reasons_of,
+    submit_one,
+)
+
+
+@pytest.mark.parametrize(
+    ('kind', 'sent', 'idempotent', 'outcome', 'run'),
+    [
+        ('connect_failed', False, False, 'retry', None),
+        ('connect_failed', False, True, 'retry', None),
+        ('cut', True, True, 'retry', None),
+        ('cut', True, False, 'upstream_failed', 'unknown'),
+        ('silent', True, False, 'upstream_failed', 'unknown'),
+        ('mismatch', True, False, 'answer_mismatch', 'unknown'),
+    ],
+)
+def test_failures_are_retried_or_refused(kind, sent, idempotent, outcome, run):
+    scheduler = make_small_scheduler(upstreams=2)
+    first = submit_one(scheduler, 'a', idempotent=idempotent)[0]
+    if sent:
+        request_sent(scheduler, 'a')
+    events = attempt_failed(scheduler, 'a', AttemptFailure(kind), 0.1)
+    events = [event for event in events if not isinstance(event, Probe)]
+    if outcome == 'retry':
+        assert kinds_of(events) == [Dispatch]
+        moved = events[0].upstream != first.upstream
+        assert moved or kind == 'cut'
+        return
+    assert reasons_of(events) == {'a': outcome}
+    assert events[0].error.run == run
+
+
+def test_a_silent_upstream_is_probed():
+    scheduler = make_small_scheduler(upstreams=2)
+    first = submit_one(scheduler, 'a')[0]
+    events = attempt_failed(scheduler, 'a', AttemptFailure('silent'), 0.1)
+    assert Probe(first.upstream) in events
+
+
+def test_retries_have_a_budget():
+    scheduler = make_small_scheduler(upstreams=3, window=30)
+    outcomes = []
+    for number in range(30):
+        name = f'r{number}'
+        submit_one(scheduler, name, now_s=float(number))
+        failure = AttemptFailure('mismatch')
+        events = attempt_failed(scheduler, name, failure, number + 0.01)
+        outcomes.append(Dispatch in kinds_of(events))
+        if name in scheduler.lives:
+            caller_left(scheduler, name, number + 0.02)
+    assert sum(outcomes) == 10
+    assert scheduler.counters['retries_denied', 'mismatch'] == 20
+
+
+def test_a_cut_stream_is_resumed_at_its_offset():
+    scheduler = make_small_scheduler(upstreams=2)
+    submit_one(scheduler, 'a')
+    request_sent(scheduler, 'a')
+    tokens_arrived(scheduler, 'a', 0, 7, 0.05)
+    events = attempt_failed(scheduler, 'a', AttemptFailure('cut'), 0.9)
+    resumed = [event for event in events if isinstance(event, Dispatch)]
+    assert [event.offset for event in resumed] == [7]
+
+
+@pytest.mark.parametrize(('sent', 'run'), [(False, 'no'), (True, 'unknown')])
+def test_a_refusal_tells_truly_whether_it_ran(sent, run):
+    scheduler = make_small_scheduler()
+    submit_one(scheduler, 'a')
+    if sent:
+        request_sent(scheduler, 'a')
+    error = NoUpstreamError('gone')
+    refuse(scheduler, [], scheduler.lives['a'], error)
+    assert error.run == run
