--- a/benchmarks/news.py
+++ b/benchmarks/news.py
@@ -19,7 +19,7 @@
 from bluebellhub.site.state import Bounds, Site, make_site, set_vms
 from bluebellhub.site.telling import (
     Telling,
-    make_letters,
+    make_multicasts,
     make_telling,
     pause_s,
 )
@@ -83,14 +83,14 @@
     site: Site, telling: Telling, now_s: float
 ) -> tuple[Telling, list[Envelope]]:
     weigh_others(site, now_s)
-    telling, letters = make_letters(site, telling, now_s)
+    telling, multicasts = make_multicasts(site, telling, now_s)
     return telling, [
         Envelope(
-            letter.to,
-            encode_message(letter.message),
-            isinstance(letter.message, DomainNews),
+            multicast.to,
+            encode_message(multicast.message),
+            isinstance(multicast.message, DomainNews),
         )
-        for letter in letters
+        for multicast in multicasts
     ]
 
 
--- a/bluebellhub/adapters/passing/gossip.py
+++ b/bluebellhub/adapters/passing/gossip.py
@@ -14,7 +14,7 @@
 from bluebellhub.site.grid import near_names
 from bluebellhub.site.news import DomainNews, NewsBatch
 from bluebellhub.site.sharing import take_batch, weigh_others
-from bluebellhub.site.telling import make_letters, make_telling, pause_s
+from bluebellhub.site.telling import make_multicasts, make_telling, pause_s
 
 __all__ = ['hear_news', 'tell_news']
 
@@ -27,9 +27,9 @@
     while True:
         moment_s = now_s()
         weigh_others(site, moment_s)
-        telling, letters = make_letters(site, telling, moment_s)
-        for letter in letters:
-            send_all(link, letter.to, letter.message)
+        telling, multicasts = make_multicasts(site, telling, moment_s)
+        for multicast in multicasts:
+            send_all(link, multicast.to, multicast.message)
         heard = {name: peer.heard_at_s for name, peer in site.peers.items()}
         near = near_names(site.flags['grid'])
         replace_silent(link, near, heard, replaced, moment_s)
--- a/bluebellhub/site/telling.py
+++ b/bluebellhub/site/telling.py
@@ -9,7 +9,7 @@
 from bluebellhub.site.sharing import make_news
 from bluebellhub.site.state import Site
 
-__all__ = ['Letter', 'Telling', 'make_letters', 'make_telling', 'pause_s']
+__all__ = ['Multicast', 'Telling', 'make_multicasts', 'make_telling', 'pause_s']
 
 # Unchanged news are told again, as a sign of life.
 REPEAT_S: Final = 0.36
@@ -34,7 +34,7 @@
     passed: dict[str, tuple[int, int]]
 
 
-class Letter(NamedTuple):
+class Multicast(NamedTuple):
     """One message for several VMs."""
 
     to: list[str]
@@ -52,28 +52,30 @@
     return PAUSE_S if is_mesh else GRID_PAUSE_S
 
 
-def make_letters(
+def make_multicasts(
     site: Site, telling: Telling, now_s: float
-) -> tuple[Telling, list[Letter]]:
+) -> tuple[Telling, list[Multicast]]:
     """Return the messages of a round; none if nothing has changed."""
     grid = site.flags['grid']
     news = make_news(site, now_s)
-    letters = []
+    multicasts = []
     items = []
     if _is_due(telling, news, now_s):
         telling = telling._replace(own=news, told_at_s=now_s)
         own = Told(site.vm, news)
         items.append(own)
-        letters.append(Letter(row_peers(grid), NewsBatch([own])))
+        multicasts.append(Multicast(row_peers(grid), NewsBatch([own])))
     items.extend(_unpassed(site, telling, grid))
     heard = heard_names(site, now_s)
     if items:
-        letters.append(Letter(column_peers(grid, heard), NewsBatch(items)))
+        multicasts.append(
+            Multicast(column_peers(grid, heard), NewsBatch(items))
+        )
     if grid.far and now_s - telling.far_at_s >= FAR_PAUSE_S:
         telling = telling._replace(far_at_s=now_s)
         far = make_domain_news(site, news, now_s)
-        letters.append(Letter(far_peers(grid, heard), far))
-    return telling, [letter for letter in letters if letter.to]
+        multicasts.append(Multicast(far_peers(grid, heard), far))
+    return telling, [multicast for multicast in multicasts if multicast.to]
 
 
 def _is_due(telling: Telling, news: SiteNews, now_s: float) -> bool:
--- a/bluebellhub/site/tests/test_telling.py
+++ b/bluebellhub/site/tests/test_telling.py
@@ -10,7 +10,7 @@
 from bluebellhub.site.place import VmPlace
 from bluebellhub.site.sharing import take_batch, weigh_others
 from bluebellhub.site.state import Bounds, make_site, set_vms
-from bluebellhub.site.telling import make_letters, make_telling, pause_s
+from bluebellhub.site.telling import make_multicasts, make_telling, pause_s
 from bluebellhub.site.tests.small_site import (
     make_entry,
     make_version,
@@ -40,12 +40,12 @@
     for _ in range(rounds):
         sent = []
         for name, site in sites.items():
-            telling, letters = make_letters(site, tellings[name], now_s)
+            telling, multicasts = make_multicasts(site, tellings[name], now_s)
             tellings[name] = telling
-            sent.extend(letters)
-        for letter in sent:
-            for to in letter.to:
-                _deliver(sites, to, letter.message, now_s)
+            sent.extend(multicasts)
+        for multicast in sent:
+            for to in multicast.to:
+                _deliver(sites, to, multicast.message, now_s)
         now_s += pause_s(site.flags['grid'])
     return now_s
 
@@ -137,6 +137,6 @@
     sites, tellings = _make_sites(60, 1)
     now_s = _run_rounds(sites, tellings, 0.0, 3)
     site = sites['hub-000']
-    telling, _ = make_letters(site, tellings['hub-000'], now_s)
-    _, letters = make_letters(site, telling, now_s)
-    assert not letters
+    telling, _ = make_multicasts(site, tellings['hub-000'], now_s)
+    _, multicasts = make_multicasts(site, telling, now_s)
+    assert not multicasts
