--- a/bluebellhub/site/domains.py
+++ b/bluebellhub/site/domains.py
@@ -15,6 +15,7 @@
     hear_words,
     is_asked,
     learned_speeds,
+    sum_counts,
 )
 from bluebellhub.site.state import Site
 from bluebellhub.version_move import Totals
@@ -31,11 +32,6 @@
     ``own`` are its own news.
     """
     near = [own, *(peer.news for peer in heard_peers(site, now_s))]
-    work: Counter[str] = Counter()
-    prefill: Counter[str] = Counter()
-    for news in near:
-        work.update(news.work)
-        prefill.update(news.prefill)
     admitted = Counter(site.quotas.admitted)
     admitted.update(site.heard)
     place = site.vms.get(site.vm)
@@ -49,8 +45,8 @@
         len(near),
         first,
         min(news.age_s for news in near),
-        dict(work),
-        dict(prefill),
+        dict(sum_counts(news.work for news in near)),
+        dict(sum_counts(news.prefill for news in near)),
         dict(admitted),
         _trials(site, own, now_s),
         own.words if first == site.vm else site.peers[first].news.words,
--- a/bluebellhub/site/sharing.py
+++ b/bluebellhub/site/sharing.py
@@ -34,6 +34,7 @@
     'is_asked',
     'learned_speeds',
     'make_news',
+    'sum_counts',
     'take_batch',
     'take_news',
     'weigh_others',
@@ -228,7 +229,8 @@
     return heard / max(heard, len(site.vms))
 
 
-def _sum(counts: Iterable[Mapping[str, int]]) -> Counter[str]:
+def sum_counts(counts: Iterable[Mapping[str, int]]) -> Counter[str]:
+    """Add counts up by name."""
     total: Counter[str] = Counter()
     for count in counts:
         total.update(count)
@@ -242,7 +244,7 @@
     for domain in heard_domains(site, now_s):
         told.append(domain.news.work)
         waiting.append(domain.news.prefill)
-    work, prefill = _sum(told), _sum(waiting)
+    work, prefill = sum_counts(told), sum_counts(waiting)
     upstreams = site.scheduler.upstreams
     for name, upstream in upstreams.items():
         if upstream.others_work == work[name] == 0:
--- a/bluebellhub/site/tests/test_telling.py
+++ b/bluebellhub/site/tests/test_telling.py
@@ -2,15 +2,13 @@
 
 import pytest
 
-from bluebellhub.fleet import decode_message, encode_message
 from bluebellhub.request.call import Tokens
-from bluebellhub.site.domains import take_domain
 from bluebellhub.site.hearing import first_heard, heard_count
-from bluebellhub.site.news import DomainNews
 from bluebellhub.site.place import VmPlace
-from bluebellhub.site.sharing import take_batch, weigh_others
+from bluebellhub.site.sharing import weigh_others
 from bluebellhub.site.state import Bounds, make_site, set_vms
 from bluebellhub.site.telling import make_multicasts, make_telling, pause_s
+from bluebellhub.site.tests.many_sites import deliver
 from bluebellhub.site.tests.small_site import (
     make_entry,
     make_version,
@@ -45,22 +43,13 @@
             sent.extend(multicasts)
         for multicast in sent:
             for to in multicast.to:
-                _deliver(sites, to, multicast.message, now_s)
-        now_s += pause_s(site.flags['grid'])
+                site = sites.get(to)
+                if site is not None:
+                    deliver(site, multicast.message, now_s)
+        now_s += pause_s(next(iter(sites.values())).flags['grid'])
     return now_s
 
 
-def _deliver(sites, to, message, now_s):
-    site = sites.get(to)
-    message = decode_message(encode_message(message))
-    if site is None:
-        return
-    if isinstance(message, DomainNews):
-        take_domain(site, message, now_s)
-    else:
-        take_batch(site, message.items, now_s)
-
-
 @pytest.mark.parametrize(
     ('count', 'domains', 'rounds'),
     [(2, 1, 1), (8, 3, 1), (16, 3, 1), (17, 3, 4), (60, 4, 5), (85, 3, 5)],
