Log the attempt, its tokens and the prompt's shared parts when one fails

What operators saw: at a crash all requests of an upstream fail alike; no log line told which of them it was processing, nor what their prompts have in common.

The ids of the prompt's shared parts are decoded with the request head; the last part is the request's own and is left out. 'attempt failed' has the number of the attempt, the tokens received and up to eight ids.

--- a/bluebellhub/adapters/proxy/request_handling.py
+++ b/bluebellhub/adapters/proxy/request_handling.py
@@ -44,6 +44,7 @@
 
 RETRY_AFTER_S: Final = 1.0
 MS_PER_S: Final = 1000
+LOGGED_PARTS_MAX: Final = 8
 
 log = logbook.Logger('bluebellhub.passing')
 
@@ -138,7 +139,11 @@
     dispatch: Dispatch,
     failure: AttemptFailure,
 ) -> None:
-    """Report a failed attempt; the scheduler decides what follows."""
+    """Report a failed attempt; the scheduler decides what follows.
+
+    The log tells an upstream that fails while it processes a prompt from one
+    that fails later: no token has arrived from the first.
+    """
     log.info(
         'attempt failed',
         extra={
@@ -146,6 +151,11 @@
             'upstream': dispatch.upstream,
             'kind': failure.kind,
             'detail': failure.detail,
+            'attempt': dispatch.attempt,
+            'tokens': context.progress['tokens'],
+            'shared_parts': context.received.head.shared_parts[
+                :LOGGED_PARTS_MAX
+            ],
         },
     )
     events = attempt_failed(
--- a/bluebellhub/platform/header_names.py
+++ b/bluebellhub/platform/header_names.py
@@ -9,6 +9,7 @@
     'HOP_BY_HOP',
     'LAST_EVENT_ID',
     'NOT_EXECUTED',
+    'PROMPT_PARTS',
     'REQUEST_ID',
     'RESPONSE_SIGNATURE',
     'RESTRICTED',
@@ -21,6 +22,9 @@
 DEADLINE_MS: Final = b'x-bluebellhub-deadline-ms'
 # Prompt tokens and the maximum of output tokens, separated by a comma.
 TOKEN_COUNTS: Final = b'x-bluebellhub-token-counts'
+# Parts of the prompt in order, as comma-separated pairs ID:TOKENS. The last one
+# belongs to the request itself or to its session.
+PROMPT_PARTS: Final = b'x-bluebellhub-prompt-prefix'
 CLIENT_ACCOUNT: Final = b'x-bluebellhub-tenant'
 EXPECT_UPSTREAM: Final = b'x-bluebellhub-expect-instance'
 # Shows that the upstream sent the response; contains no key of bluebellhub.
--- a/bluebellhub/platform/headers.py
+++ b/bluebellhub/platform/headers.py
@@ -10,6 +10,7 @@
     HOP_BY_HOP,
     LAST_EVENT_ID,
     NOT_EXECUTED,
+    PROMPT_PARTS,
     REQUEST_ID,
     RESPONSE_SIGNATURE,
     RESTRICTED,
@@ -61,6 +62,7 @@
         tokens=_read_tokens(by_name.get(TOKEN_COUNTS)),
         resume_after=by_name.get(LAST_EVENT_ID),
         forwarded_headers=_without(headers, excluded | {LAST_EVENT_ID}),
+        shared_parts=_read_shared_parts(by_name.get(PROMPT_PARTS)),
     )
 
 
@@ -140,6 +142,20 @@
     return TokenCounts(prompt, output_max)
 
 
+def _read_shared_parts(field: bytes | None) -> tuple[str, ...]:
+    """Return the ids of the prompt's parts without the last one.
+
+    It is empty if the header is absent or malformed.
+    """
+    ids = []
+    for entry in (field or b'').split(b','):
+        part_id, _, tokens = entry.strip().partition(b':')
+        if not part_id or not tokens.isdigit():
+            return ()
+        ids.append(part_id.decode('latin-1'))
+    return tuple(ids[:-1])
+
+
 def _read_load(field: bytes | None) -> UpstreamLoad | None:
     """Return the upstream's load; ``None`` if absent or malformed."""
     counts = (field or b'').split(b',')
--- a/bluebellhub/request/heads.py
+++ b/bluebellhub/request/heads.py
@@ -26,7 +26,8 @@
     ``key`` is the key of the client account.  ``time_limit_s`` counts from
     the arrival of the request.  ``resume_after`` is the id of the last event
     of an earlier response that the caller received.  ``forwarded_headers``
-    are sent on to the upstream.
+    are sent on to the upstream.  ``shared_parts`` are the ids of those parts
+    of the prompt that other requests may share.
     """
 
     request_id: str
@@ -39,6 +40,7 @@
     tokens: TokenCounts | None
     resume_after: bytes | None
     forwarded_headers: Headers
+    shared_parts: tuple[str, ...] = ()
 
 
 class UpstreamLoad(NamedTuple):
