Show that a prompt part that crashes upstreams reaches all of them

Callers of a service see their streams cut while one upstream after the other crashes at the same part of unlike prompts. The test runs ten upstreams that end at that part and sends twelve such requests: all ten crash, at most eight may (three after the fifth).

--- /dev/null
+++ b/bluebellhub/adapters/proxy/tests/test_crashing_prompts.py
@@ -0,0 +1,89 @@
+"""Upstreams that crash while they process a certain part of a prompt."""
+
+from functools import partial
+
+import pytest
+import trio
+
+from bluebellhub.adapters.proxy.tests.scripted_upstreams import (
+    running_hub,
+    send_and_receive,
+)
+from bluebellhub.clock import now_s
+from bluebellhub.platform.tests.wire import SIGNATURE, request
+from bluebellhub.site.admission import admit_request
+from bluebellhub.site.tests.small_site import make_request_head
+
+CRASHING_PART = b'dead'
+SOUND = (
+    b'HTTP/1.1 200 OK\r\n' + SIGNATURE + b'Content-Type: text/event-stream\r\n'
+    b'Content-Length: 15\r\n\r\nid: 1\ndata: a\n\n'
+)
+UPSTREAM_COUNT = 10
+REQUEST_COUNT = 12
+# After the fifth crash at most three more requests may reach an upstream.
+CRASHES_MAX = 8
+STREAM = {'is_stream': True, 'is_resumable': False, 'attempts_max': 1}
+RESUMABLE = {'is_stream': True, 'is_resumable': True, 'attempts_max': 2}
+
+
+async def _serve_until_crash(crashes, scope, stream):
+    """Answer a request, or end the upstream's process at the crashing part."""
+    async with stream:
+        head = b''
+        while b'\r\n\r\n' not in head:
+            part = await stream.receive_some()
+            if not part:
+                return
+            head += part
+        if CRASHING_PART in head:
+            crashes.append(head)
+            scope.cancel()
+            await trio.sleep_forever()
+        await stream.send_all(SOUND)
+
+
+async def _run_upstream(crashes, task_status):
+    """Run an upstream until it crashes, which closes all its sockets."""
+    (listener,) = await trio.open_tcp_listeners(0, host='127.0.0.1')
+    port = listener.socket.getsockname()[1]
+    with trio.CancelScope() as scope:
+        task_status.started(f'127.0.0.1:{port}')
+        handler = partial(_serve_until_crash, crashes, scope)
+        await trio.serve_listeners(handler, [listener])
+
+
+def _request(*parts):
+    prompt = b','.join(b'%s:9' % part for part in parts)
+    header = b'X-Bluebellhub-Prompt-Prefix: %s\r\n' % prompt
+    return request(headers=b'Connection: close\r\n' + header)
+
+
+def _fill_retry_budget(hub):
+    """Admit requests, so that the retry budget allows retries."""
+    for number in range(60):
+        head = make_request_head(f'other-{number}')
+        admit_request(hub.proxy.site, head, now_s())
+
+
+@pytest.mark.known_red
+@pytest.mark.parametrize('route', [STREAM, RESUMABLE])
+async def test_prompt_part_that_crashes_upstreams_is_stopped(route):
+    crashes = []
+    async with trio.open_nursery() as nursery:
+        run_upstream = partial(_run_upstream, crashes)
+        addresses = [
+            await nursery.start(lambda task_status: run_upstream(task_status))
+            for _ in range(UPSTREAM_COUNT)
+        ]
+        async with running_hub(addresses=addresses, **route) as hub:
+            _fill_retry_budget(hub)
+            await send_and_receive(hub, _request(b'5c1e', b'f0'))
+            for number in range(REQUEST_COUNT):
+                own_part = b'a%d' % number
+                sent = _request(b'5c1e', CRASHING_PART, own_part)
+                await send_and_receive(hub, sent)
+            assert len(crashes) <= CRASHES_MAX
+            response = await send_and_receive(hub, _request(b'5c1e', b'f1'))
+            assert response.startswith(b'HTTP/1.1 200 ')
+        nursery.cancel_scope.cancel()
