Quarantine parts of prompts that crash upstreams

What callers saw: upstreams crash one after the other, each time with all the streams that they serve; the requests that remain find two of five upstreams and are shed.

Cause: nothing connects a crash with what the requests have in common. Each request is judged alone, and each that has the crashing part goes to the next upstream, as does each attempt after it.

Change: a request that is cut before its first token makes its VM check whether the upstream still accepts connections. If it does not, the crash counts against the shared parts of the prompt, but for those with which a request got a token in the last minute. VMs exchange this evidence, a set of crashes by part, and object to parts that pass elsewhere. From three crashes on requests with the part are refused with 'prompt_quarantined', and those without a token are cancelled at their upstream. An upstream found crashed is paused as after a failed connection. The proxy now heeds cancelled attempts.

--- a/bluebellhub/adapters/attempt_control.py
+++ b/bluebellhub/adapters/attempt_control.py
@@ -1,10 +1,17 @@
 """Cancels attempts from outside the task that runs them."""
 
+from collections.abc import Iterator
+from contextlib import contextmanager
 from typing import TypedDict
 
 import trio
 
-__all__ = ['AttemptControl', 'cancel_attempt', 'make_attempt_control']
+__all__ = [
+    'AttemptControl',
+    'cancel_attempt',
+    'cancellable',
+    'make_attempt_control',
+]
 
 
 class AttemptControl(TypedDict):
@@ -19,6 +26,15 @@
     return {'scope': None, 'cancelled': False}
 
 
+@contextmanager
+def cancellable(control: AttemptControl) -> Iterator[None]:
+    """Run an attempt, or a part of it, until it is cancelled."""
+    with trio.CancelScope() as scope:
+        control['scope'] = scope
+        yield
+    control['scope'] = None
+
+
 def cancel_attempt(control: AttemptControl) -> None:
     """Cancel an attempt in its current wait, or else at its next one."""
     control['cancelled'] = True
--- a/bluebellhub/adapters/node.py
+++ b/bluebellhub/adapters/node.py
@@ -12,6 +12,7 @@
     make_attempt_control,
 )
 from bluebellhub.adapters.exchange import Exchange
+from bluebellhub.adapters.sockets import refuses_connections
 from bluebellhub.clock import now_s
 from bluebellhub.contract import AccountLimits
 from bluebellhub.latencies import Latencies, make_latencies
@@ -19,12 +20,14 @@
 from bluebellhub.request import Request
 from bluebellhub.scheduler import (
     Cancel,
+    CheckCrash,
     Dispatch,
     Event,
     Probe,
     Refuse,
     Scheduler,
     caller_disconnected,
+    crash_checked,
     submit,
     tick,
 )
@@ -43,6 +46,8 @@
 ]
 
 TICK_S = 0.05
+# A process that crashes may close its connections before it stops listening.
+CRASH_CHECK_DELAY_S = 0.05
 
 log = logbook.Logger('bluebellhub.node')
 
@@ -168,6 +173,29 @@
         node.nursery.start_soon(node.probe, upstream.spec)
 
 
+@event_handlers.register('CheckCrash')
+def handle_check_crash(node: Node, event: CheckCrash) -> None:
+    """Start to find out whether an upstream has crashed."""
+    node.nursery.start_soon(_check_crash, node, event)
+
+
+async def _check_crash(node: Node, event: CheckCrash) -> None:
+    """Check whether anything listens where the upstream did."""
+    await trio.sleep(CRASH_CHECK_DELAY_S)
+    has_crashed = await refuses_connections(event.address)
+    parts = crash_checked(
+        node.scheduler, event, has_crashed=has_crashed, now_s=now_s()
+    )
+    log.info(
+        'crash checked',
+        extra={
+            'crash': event.crash,
+            'has_crashed': has_crashed,
+            'quarantined_parts': parts,
+        },
+    )
+
+
 async def run_ticks(node: Node) -> None:
     """Run the scheduler's periodic decisions until cancelled."""
     while True:
--- a/bluebellhub/adapters/proxy/gossip.py
+++ b/bluebellhub/adapters/proxy/gossip.py
@@ -1,5 +1,6 @@
 """Sends and receives the gossip between the VMs of a site."""
 
+import logbook
 import trio
 
 from bluebellhub.adapters.peer_link import (
@@ -10,17 +11,20 @@
 )
 from bluebellhub.adapters.proxy.state import Proxy
 from bluebellhub.clock import now_s
+from bluebellhub.site.crash_evidence import apply_crash_evidence
 from bluebellhub.site.domain_reports import apply_domain_report
 from bluebellhub.site.gossip import (
     make_gossip_state,
     make_multicasts,
 )
 from bluebellhub.site.grid import gossip_interval_s, local_vm_names
-from bluebellhub.site.reports import DomainReport, GossipBatch
+from bluebellhub.site.reports import CrashEvidence, DomainReport, GossipBatch
 from bluebellhub.site.vm_reports import apply_gossip, update_other_vms_load
 
 __all__ = ['receive_gossip', 'send_gossip']
 
+log = logbook.Logger('bluebellhub.gossip')
+
 
 async def send_gossip(proxy: Proxy, link: PeerLink) -> None:
     """Send this VM's reports to other VMs until cancelled."""
@@ -53,5 +57,16 @@
             apply_gossip(proxy.site, message.items, now_s())
         if isinstance(message, DomainReport):
             apply_domain_report(proxy.site, message, now_s())
+        if isinstance(message, CrashEvidence):
+            _apply_crash_evidence(proxy, message)
 
     await receive_all(link, apply_message)
+
+
+def _apply_crash_evidence(proxy: Proxy, evidence: CrashEvidence) -> None:
+    parts = apply_crash_evidence(proxy.site, evidence, now_s())
+    if parts:
+        log.info(
+            'parts of prompts quarantined by the evidence of other VMs',
+            extra={'quarantined_parts': parts},
+        )
--- a/bluebellhub/adapters/proxy/request_handling.py
+++ b/bluebellhub/adapters/proxy/request_handling.py
@@ -5,6 +5,7 @@
 import logbook
 import trio
 
+from bluebellhub.adapters.attempt_control import cancellable
 from bluebellhub.adapters.exchange import make_exchange
 from bluebellhub.adapters.node import (
     discard_attempt,
@@ -110,15 +111,25 @@
 async def _run_dispatch(
     proxy: Proxy, context: RequestContext, dispatch: Dispatch
 ) -> None:
-    """Run one attempt and report its result to the scheduler."""
+    """Run one attempt and report its result to the scheduler.
+
+    The result of an attempt that the scheduler has cancelled does not matter;
+    its next decision on the request follows.
+    """
     scheduler = proxy.node.scheduler
+    control = proxy.node.attempts.get((dispatch.request_id, dispatch.attempt))
+    if control is None:
+        return
     upstream = scheduler.upstreams.get(dispatch.upstream)
     failure: AttemptFailure | None = AttemptFailure('connect_failed', 'gone')
     if upstream is not None:
         context.progress['upstream'] = dispatch.upstream
         _log_sent(proxy, context, upstream)
-        failure = await run_attempt(proxy, context, upstream.spec)
+        with cancellable(control):
+            failure = await run_attempt(proxy, context, upstream.spec)
     discard_attempt(proxy.node, dispatch)
+    if control['cancelled']:
+        return
     if failure is None:
         events = response_ended(scheduler, dispatch.request_id, now_s())
         execute_events(proxy.node, events)
--- a/bluebellhub/adapters/sockets.py
+++ b/bluebellhub/adapters/sockets.py
@@ -10,6 +10,7 @@
     'has_disconnected',
     'is_reusable',
     'open_stream',
+    'refuses_connections',
     'set_socket_options',
 ]
 
@@ -17,6 +18,7 @@
 KEEPALIVE_INTERVAL_S: Final = 1
 KEEPALIVE_PROBES: Final = 2
 USER_TIMEOUT_MS: Final = 2500
+CHECK_TIMEOUT_S: Final = 1.0
 
 SOCKET_OPTIONS: Final = (
     (socket.IPPROTO_TCP, socket.TCP_NODELAY, 1),
@@ -52,6 +54,18 @@
     return stream
 
 
+async def refuses_connections(address: str) -> bool:
+    """Return whether a host responds but nothing listens at the address."""
+    try:
+        stream = await open_stream(address, CHECK_TIMEOUT_S)
+    except ConnectionRefusedError:
+        return True
+    except (OSError, trio.TooSlowError):
+        return False
+    await trio.aclose_forcefully(stream)
+    return False
+
+
 def is_reusable(stream: trio.SocketStream) -> bool:
     """Return whether an idle connection is open and has no unread data."""
     return _peek(stream) is None
--- /dev/null
+++ b/bluebellhub/quarantine/__init__.py
@@ -0,0 +1,35 @@
+"""Quarantine of parts of prompts that crash upstreams."""
+
+from bluebellhub.quarantine.quarantine import (
+    CrashReport,
+    Quarantine,
+    confirm_crash,
+    crash_reports,
+    discard_suspicion,
+    disputed_parts,
+    evidence_version,
+    has_passed,
+    make_quarantine,
+    merge_crash_reports,
+    quarantined_part,
+    record_passed,
+    release_s,
+    suspect,
+)
+
+__all__ = [
+    'CrashReport',
+    'Quarantine',
+    'confirm_crash',
+    'crash_reports',
+    'discard_suspicion',
+    'disputed_parts',
+    'evidence_version',
+    'has_passed',
+    'make_quarantine',
+    'merge_crash_reports',
+    'quarantined_part',
+    'record_passed',
+    'release_s',
+    'suspect',
+]
--- a/bluebellhub/request/refusal.py
+++ b/bluebellhub/request/refusal.py
@@ -26,6 +26,7 @@
     'NoUpstreamError',
     'NotAllowedError',
     'OrderUnknownError',
+    'PromptQuarantinedError',
     'QuotaError',
     'RateLimitError',
     'RefusalError',
@@ -167,6 +168,17 @@
     """No upstream of the model or service accepts requests now."""
 
 
+@_register_reason('prompt_quarantined', 503)
+class PromptQuarantinedError(RefusalError):
+    """Upstreams have crashed while they processed a part of the prompt."""
+
+    def __init__(self, part: str, retry_after_s: float) -> None:
+        super().__init__(
+            f'upstreams have crashed at the part {part} of the prompt',
+            retry_after_s=retry_after_s,
+        )
+
+
 @_register_reason('draining', 503)
 class DrainingError(RefusalError):
     """The VM is shutting down."""
--- a/bluebellhub/request/state.py
+++ b/bluebellhub/request/state.py
@@ -30,7 +30,8 @@
     are hashes of the leading blocks of the prompt.  Times are in seconds on the
     clock of the VM.  At most ``executions_max`` upstreams may execute the
     request.  ``time_limit_s`` limits the complete response, if the caller
-    states it.
+    states it.  ``prompt_parts`` are ids of parts of the prompt; one that
+    crashes upstreams is recognised by its id.
     """
 
     request_id: str
@@ -45,6 +46,7 @@
     idempotent: bool
     executions_max: int = 4
     time_limit_s: float | None = None
+    prompt_parts: tuple[str, ...] = ()
 
     @property
     def deadline_s(self) -> float:
--- a/bluebellhub/scheduler/__init__.py
+++ b/bluebellhub/scheduler/__init__.py
@@ -4,9 +4,11 @@
 events.  They do no input or output, so any front end can execute the events.
 """
 
+from bluebellhub.scheduler.crashes import crash_checked
 from bluebellhub.scheduler.dispatch import dispatch_queued
 from bluebellhub.scheduler.events import (
     Cancel,
+    CheckCrash,
     Dispatch,
     Event,
     Probe,
@@ -31,6 +33,7 @@
 
 __all__ = [
     'Cancel',
+    'CheckCrash',
     'Dispatch',
     'Event',
     'Probe',
@@ -40,6 +43,7 @@
     'apply_load_report',
     'attempt_failed',
     'caller_disconnected',
+    'crash_checked',
     'dispatch_queued',
     'make_scheduler',
     'remove_upstream',
--- a/bluebellhub/scheduler/eligibility.py
+++ b/bluebellhub/scheduler/eligibility.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable
 
+from bluebellhub.quarantine import quarantined_part
 from bluebellhub.rates import cold_wait_s
 from bluebellhub.registry import Registry, make_registry
 from bluebellhub.request import Request
@@ -59,6 +60,15 @@
     )
 
 
+@eligibility_rules.register('prompt')
+def is_prompt_allowed(
+    scheduler: Scheduler, request: Request, upstream: Upstream, now_s: float
+) -> bool:
+    """Return false if a part of the prompt crashes upstreams."""
+    parts = request.prompt_parts
+    return quarantined_part(scheduler.quarantine, parts, now_s) is None
+
+
 @eligibility_rules.register('version')
 def is_version_allowed(
     scheduler: Scheduler, request: Request, upstream: Upstream, now_s: float
--- a/bluebellhub/scheduler/events.py
+++ b/bluebellhub/scheduler/events.py
@@ -4,7 +4,7 @@
 
 from bluebellhub.request.refusal import RefusalError
 
-__all__ = ['Cancel', 'Dispatch', 'Event', 'Probe', 'Refuse']
+__all__ = ['Cancel', 'CheckCrash', 'Dispatch', 'Event', 'Probe', 'Refuse']
 
 
 class Dispatch(NamedTuple):
@@ -37,4 +37,15 @@
     upstream: str
 
 
-Event = Dispatch | Cancel | Refuse | Probe
+class CheckCrash(NamedTuple):
+    """Find out whether ``upstream`` at ``address`` has crashed.
+
+    ``crash`` identifies the crash, if there was one.
+    """
+
+    crash: str
+    upstream: str
+    address: str
+
+
+Event = Dispatch | Cancel | Refuse | Probe | CheckCrash
--- a/bluebellhub/scheduler/progress.py
+++ b/bluebellhub/scheduler/progress.py
@@ -4,6 +4,7 @@
 from typing import Final
 
 from bluebellhub.admission import put
+from bluebellhub.quarantine import record_passed
 from bluebellhub.request import (
     NOT_EXECUTED_KINDS,
     AttemptFailure,
@@ -19,6 +20,7 @@
 from bluebellhub.routing import correct_blocks
 from bluebellhub.routing.output_length import record_length
 from bluebellhub.routing.prefix import forget_upstream
+from bluebellhub.scheduler.crashes import suspect_prompt
 from bluebellhub.scheduler.dispatch import dispatch_queued
 from bluebellhub.scheduler.events import Event, Probe
 from bluebellhub.scheduler.finish import close_request, refuse, release_attempt
@@ -77,6 +79,8 @@
     """Record tokens sent to the caller; the first updates the estimates."""
     state = scheduler.requests[request_id]
     scheduler.requests[request_id] = record_tokens(state, offset, count, now_s)
+    if state.first_token_at_s is None:
+        record_passed(scheduler.quarantine, state.request.prompt_parts, now_s)
     if state.attempt is None:
         return []
     upstream = scheduler.upstreams.get(state.attempt.upstream)
@@ -188,6 +192,7 @@
         return []
     events: list[Event] = []
     _record_failure(scheduler, events, state, failure, now_s)
+    suspect_prompt(scheduler, events, state, failure, now_s)
     not_executed = failure.kind in NOT_EXECUTED_KINDS
     ended = release_attempt(scheduler, state, not_executed=not_executed)
     if _consume_retry(scheduler, ended, failure, now_s):
--- a/bluebellhub/scheduler/shedding.py
+++ b/bluebellhub/scheduler/shedding.py
@@ -19,6 +19,7 @@
 )
 from bluebellhub.scheduler.candidate import make_candidate
 from bluebellhub.scheduler.capacity import usable_slots
+from bluebellhub.scheduler.crashes import refuse_quarantined
 from bluebellhub.scheduler.dispatch import dispatch_queued
 from bluebellhub.scheduler.eligibility import is_eligible
 from bluebellhub.scheduler.events import Event
@@ -107,6 +108,7 @@
     """Do the periodic work: requeue, refuse and dispatch; return the events."""
     events: list[Event] = []
     requeue_expired(scheduler, events)
+    refuse_quarantined(scheduler, events, now_s)
     expire = expiries.find(scheduler.options.discipline)
     for target in scheduler.queues:
         expire(scheduler, events, target, now_s)
--- a/bluebellhub/scheduler/state.py
+++ b/bluebellhub/scheduler/state.py
@@ -9,6 +9,7 @@
 from bluebellhub.admission import Queue, make_queue
 from bluebellhub.contract import AccountUsage, Contract
 from bluebellhub.failure_domain import FailureDomain
+from bluebellhub.quarantine import Quarantine, make_quarantine
 from bluebellhub.rates import RetryBounds, RetryBudget, make_retry_budget
 from bluebellhub.request import RequestState
 from bluebellhub.routing import PrefixIndex, make_prefix_index
@@ -118,6 +119,7 @@
     upstreams: dict[str, Upstream]
     by_target: dict[str, list[str]]
     requests: dict[str, RequestState]
+    quarantine: Quarantine
     prefixes: PrefixIndex
     lengths: OutputLengths
     signals: dict[str, Signals]
@@ -171,6 +173,7 @@
         upstreams={},
         by_target={},
         requests={},
+        quarantine=make_quarantine(),
         prefixes=make_prefix_index(),
         lengths=make_lengths(),
         signals={},
--- a/bluebellhub/scheduler/submit.py
+++ b/bluebellhub/scheduler/submit.py
@@ -22,6 +22,7 @@
     UnknownTargetError,
 )
 from bluebellhub.scheduler.candidate import idle_first_token_s
+from bluebellhub.scheduler.crashes import check_prompt
 from bluebellhub.scheduler.dispatch import dispatch_queued
 from bluebellhub.scheduler.events import Event
 from bluebellhub.scheduler.finish import refuse
@@ -54,6 +55,7 @@
     scheduler.counters['requests', request.tier.name] += 1
     try:
         _check_accepting(scheduler, request)
+        check_prompt(scheduler, request, now_s)
         _charge_account(scheduler, request, limits, now_s)
     except RefusalError as error:
         refuse(scheduler, events, state, error, counted=False)
--- a/bluebellhub/site/gossip.py
+++ b/bluebellhub/site/gossip.py
@@ -2,6 +2,11 @@
 
 from typing import Final, NamedTuple
 
+from bluebellhub.site.crash_evidence import (
+    EvidenceSent,
+    make_crash_evidence,
+    make_evidence_sent,
+)
 from bluebellhub.site.domain_reports import make_domain_report
 from bluebellhub.site.grid import (
     REMOTE_INTERVAL_S,
@@ -12,6 +17,7 @@
 )
 from bluebellhub.site.liveness import live_vm_names
 from bluebellhub.site.reports import (
+    CrashEvidence,
     DomainReport,
     GossipBatch,
     GossipItem,
@@ -37,25 +43,27 @@
     ``last_report`` is this VM's newest report, sent at ``sent_at_s``; the
     newest one for remote failure domains was sent at ``remote_sent_at_s``.
     ``relayed`` holds, for each VM of the row, the start and the sequence number
-    of its newest report that went to this VM's column.
+    of its newest report that went to this VM's column. ``evidence_sent`` tells
+    which evidence of crashes the other VMs have.
     """
 
     last_report: VmReport | None
     sent_at_s: float
     remote_sent_at_s: float
     relayed: dict[str, tuple[int, int]]
+    evidence_sent: EvidenceSent
 
 
 class Multicast(NamedTuple):
     """One message for several VMs."""
 
     to: list[str]
-    message: GossipBatch | DomainReport
+    message: GossipBatch | DomainReport | CrashEvidence
 
 
 def make_gossip_state() -> GossipState:
     """Create the state of a VM that has sent nothing."""
-    return GossipState(None, 0.0, 0.0, {})
+    return GossipState(None, 0.0, 0.0, {}, make_evidence_sent())
 
 
 def make_multicasts(
@@ -84,9 +92,29 @@
         state = state._replace(remote_sent_at_s=now_s)
         remote = make_domain_report(site, report, now_s)
         multicasts.append(Multicast(remote_peers(grid, live), remote))
+    state = _add_evidence(site, state, multicasts, now_s)
     return state, [multicast for multicast in multicasts if multicast.to]
 
 
+def _add_evidence(
+    site: Site, state: GossipState, multicasts: list[Multicast], now_s: float
+) -> GossipState:
+    """Add the evidence of crashes to the messages; return the new state."""
+    sent, evidence = make_crash_evidence(site, state.evidence_sent, now_s)
+    state = state._replace(evidence_sent=sent)
+    if evidence is None:
+        return state
+    grid = site.flags['grid']
+    live = live_vm_names(site, now_s)
+    to = [
+        *row_peers(grid),
+        *column_peers(grid, live),
+        *remote_peers(grid, live),
+    ]
+    multicasts.append(Multicast(to, evidence))
+    return state
+
+
 def _is_due(state: GossipState, report: VmReport, now_s: float) -> bool:
     """Return whether the report differs from the last one or a refresh is due.
 
--- a/bluebellhub/site/reports.py
+++ b/bluebellhub/site/reports.py
@@ -3,10 +3,12 @@
 from typing import NamedTuple
 
 from bluebellhub.peer_messages import message_types
+from bluebellhub.quarantine import CrashReport
 from bluebellhub.upstream.speed import Speed
 from bluebellhub.version_move.comparison import RouteOutcomes
 
 __all__ = [
+    'CrashEvidence',
     'DomainReport',
     'GossipBatch',
     'GossipItem',
@@ -74,6 +76,17 @@
     items: list[GossipItem]
 
 
+@message_types.register('CrashEvidence')
+class CrashEvidence(NamedTuple):
+    """Crashes of upstreams by part of the prompt, and parts not to suspect.
+
+    Requests with ``passed_parts`` got tokens at the VM that sends this.
+    """
+
+    crashes: list[CrashReport]
+    passed_parts: list[str]
+
+
 @message_types.register('DomainNews')
 class DomainReport(NamedTuple):
     """A failure domain's state, summed up by one VM for another domain.
--- a/bluebellhub/site/tests/simulated_fleet.py
+++ b/bluebellhub/site/tests/simulated_fleet.py
@@ -7,13 +7,14 @@
 from bluebellhub.request.heads import TokenCounts
 from bluebellhub.request.refusal import QuotaError
 from bluebellhub.scheduler import caller_disconnected
+from bluebellhub.site.crash_evidence import apply_crash_evidence
 from bluebellhub.site.domain_reports import apply_domain_report
 from bluebellhub.site.gossip import (
     make_gossip_state,
     make_multicasts,
 )
 from bluebellhub.site.grid import gossip_interval_s
-from bluebellhub.site.reports import DomainReport
+from bluebellhub.site.reports import CrashEvidence, DomainReport
 from bluebellhub.site.state import Bounds, make_site, set_vms
 from bluebellhub.site.tests.small_site import (
     make_registration,
@@ -158,5 +159,7 @@
     message = decode_message(encode_message(message))
     if isinstance(message, DomainReport):
         apply_domain_report(site, message, now_s)
+    elif isinstance(message, CrashEvidence):
+        apply_crash_evidence(site, message, now_s)
     else:
         apply_gossip(site, message.items, now_s)
--- /dev/null
+++ b/bluebellhub/site/tests/test_crash_evidence.py
@@ -0,0 +1,113 @@
+"""Tests of the evidence of crashes that the VMs of a site share."""
+
+import pytest
+
+from bluebellhub.request import AttemptFailure
+from bluebellhub.request.refusal import PromptQuarantinedError
+from bluebellhub.scheduler import (
+    Cancel,
+    CheckCrash,
+    attempt_failed,
+    crash_checked,
+    request_sent,
+    tick,
+    tokens_arrived,
+)
+from bluebellhub.site.state import Bounds
+from bluebellhub.site.tests.simulated_fleet import (
+    make_fleet,
+    restart,
+    run_fleet,
+)
+from bluebellhub.site.tests.small_site import (
+    make_registration,
+    refusal_errors,
+    send,
+)
+from bluebellhub.site.upstreams import apply_registration
+
+PROMPT = ('sound', 'crashing')
+# Callers may not wait longer than this until all VMs know.
+SPREAD_S = 3.0
+
+
+def _crash(site, number, now_s):
+    """Let an upstream crash at a request of this VM."""
+    name = f'e{number}'
+    site.scheduler.upstreams.clear()
+    site.scheduler.by_target.clear()
+    apply_registration(site, make_registration(name), now_s)
+    admission, _ = send(site, f'r{number}', now_s, shared_parts=PROMPT)
+    request_id = admission.request.request_id
+    request_sent(site.scheduler, request_id)
+    failure = AttemptFailure('cut')
+    events = attempt_failed(site.scheduler, request_id, failure, now_s)
+    for event in events:
+        if isinstance(event, CheckCrash):
+            crash_checked(
+                site.scheduler,
+                event,
+                has_crashed=True,
+                now_s=now_s,
+            )
+
+
+def _is_refused(site, now_s, parts=PROMPT):
+    _, events = send(site, 'last', now_s, shared_parts=parts)
+    errors = refusal_errors(events)
+    return any(isinstance(error, PromptQuarantinedError) for error in errors)
+
+
+def _pass_sound_part(site, now_s):
+    admission, _ = send(site, 'first', now_s, shared_parts=PROMPT[:1])
+    tokens_arrived(site.scheduler, admission.request.request_id, 0, 1, now_s)
+
+
+@pytest.mark.parametrize(
+    ('count', 'domains'), [(1, 1), (8, 3), (17, 3), (60, 4)]
+)
+def test_all_vms_refuse_a_prompt_after_crashes_at_different_vms(count, domains):
+    fleet = make_fleet(count, domains, Bounds(), seed=1)
+    sites = list(fleet.sites.values())
+    now_s = run_fleet(fleet, 0.0, 1.5, 0.0)
+    _pass_sound_part(sites[-1], now_s)
+    for number in range(3):
+        _crash(sites[number * count // 3], number, now_s)
+    now_s = run_fleet(fleet, now_s, now_s + SPREAD_S, 0.0)
+    for site in sites:
+        assert _is_refused(site, now_s)
+        assert not _is_refused(site, now_s, PROMPT[:1])
+
+
+@pytest.mark.parametrize('count', [8, 60])
+def test_restarted_vm_learns_the_quarantine(count):
+    fleet = make_fleet(count, 3, Bounds(), seed=2)
+    now_s = run_fleet(fleet, 0.0, 1.5, 0.0)
+    for number in range(3):
+        _crash(next(iter(fleet.sites.values())), number, now_s)
+    now_s = run_fleet(fleet, now_s, now_s + 60.0, 0.0)
+    names = list(fleet.sites)[::2]
+    restart(fleet, names, now_s)
+    now_s = run_fleet(fleet, now_s, now_s + SPREAD_S, 0.0)
+    assert all(_is_refused(site, now_s) for site in fleet.sites.values())
+
+
+@pytest.mark.parametrize(
+    ('has_token', 'refused'), [(False, ['unknown']), (True, [])]
+)
+def test_request_at_an_upstream_is_cancelled_before_its_first_token(
+    has_token, refused
+):
+    fleet = make_fleet(1, 1, Bounds(), seed=3)
+    site = fleet.sites['hub-000']
+    admission, _ = send(site, 'running', 0.0, shared_parts=PROMPT)
+    request_id = admission.request.request_id
+    request_sent(site.scheduler, request_id)
+    for number in range(3):
+        _crash(site, number, 0.0)
+    if has_token:
+        tokens_arrived(site.scheduler, request_id, 0, 1, 0.0)
+    events = tick(site.scheduler, 0.1)
+    assert [error.run for error in refusal_errors(events)] == refused
+    cancelled = [event for event in events if isinstance(event, Cancel)]
+    assert len(cancelled) == len(refused)
--- a/bluebellhub/site/upstreams.py
+++ b/bluebellhub/site/upstreams.py
@@ -159,4 +159,7 @@
         cold_start_s=service.cold_start_s,
         tokens_per_event=max(1, service.tokens_per_event),
     )
-    add_upstream(site.scheduler, make_upstream(spec, warm=True))
+    upstream = make_upstream(spec, warm=True)
+    add_upstream(
+        site.scheduler, upstream._replace(incarnation=str(entry.started_at_ms))
+    )
--- a/bluebellhub/upstream/upstream.py
+++ b/bluebellhub/upstream/upstream.py
@@ -107,7 +107,8 @@
     for prefill at ``other_vms_at_s``, and ``other_vms_work`` the number of
     requests from other VMs in progress.  ``cold_rate`` limits the requests
     per second from this VM while the upstream is cold.  ``error_ratio`` is the
-    smoothed ratio of error responses.
+    smoothed ratio of error responses.  ``incarnation`` changes with each start
+    of an upstream that keeps its name.
     """
 
     spec: UpstreamSpec
@@ -122,6 +123,7 @@
     other_vms_work: int = 0
     cold_rate: ColdRate | None = None
     error_ratio: float = 0.0
+    incarnation: str = ''
 
 
 def make_upstream(spec: UpstreamSpec, *, warm: bool = False) -> Upstream:
