Compare versions by the time that their upstreams take for a step

Cause: a response counted as slow only beyond half of the latency objective or, between tokens, beyond half of the allowed pause, compared for each token with a pause allowed for each event. A version that is several times slower and still within its objective was no evidence at all. Where it was rolled back, a few long prompts on slow hardware had decided it, so it depended on the share, the route and luck. And a slow response counted at its end only.

Change: VMs sum up, by upstream, the time between events of streams, or of whole responses of services, while a service has a version move, and send the totals to the leader. It rolls a version back whose upstreams take more than 1.7 times as long in the geometric mean. Hardware of different speed evens out there.

Without the comparison the nine new cases of test_bad_version_is_rolled_back fail. test_good_version_gets_all_requests now also has 6, 10 and 12 upstreams.

--- a/bluebellhub/adapters/proxy/gossip.py
+++ b/bluebellhub/adapters/proxy/gossip.py
@@ -18,7 +18,13 @@
     make_multicasts,
 )
 from bluebellhub.site.grid import gossip_interval_s, local_vm_names
-from bluebellhub.site.reports import CrashEvidence, DomainReport, GossipBatch
+from bluebellhub.site.reports import (
+    CrashEvidence,
+    DomainReport,
+    GossipBatch,
+    StepReport,
+)
+from bluebellhub.site.step_reports import apply_step_report
 from bluebellhub.site.vm_reports import apply_gossip, update_other_vms_load
 
 __all__ = ['receive_gossip', 'send_gossip']
@@ -52,13 +58,15 @@
 async def receive_gossip(proxy: Proxy, link: PeerLink) -> None:
     """Apply the reports of other VMs until cancelled."""
 
-    def apply_message(_sender: str, message: object) -> None:
+    def apply_message(sender: str, message: object) -> None:
         if isinstance(message, GossipBatch):
             apply_gossip(proxy.site, message.items, now_s())
         if isinstance(message, DomainReport):
             apply_domain_report(proxy.site, message, now_s())
         if isinstance(message, CrashEvidence):
             _apply_crash_evidence(proxy, message)
+        if isinstance(message, StepReport):
+            apply_step_report(proxy.site, sender, message)
 
     await receive_all(link, apply_message)
 
--- a/bluebellhub/request/state.py
+++ b/bluebellhub/request/state.py
@@ -79,6 +79,7 @@
     ``sent_earlier`` states that an ended attempt may have reached an
     upstream.  ``executions`` counts those attempts, which may have been
     executed.  ``last_upstream`` is the upstream of the last ended attempt.
+    ``last_token_at_s`` is when the current attempt's last tokens arrived.
     """
 
     request: Request
@@ -90,6 +91,7 @@
     last_upstream: str = ''
     tokens: int = 0
     first_token_at_s: float | None = None
+    last_token_at_s: float | None = None
 
 
 def make_request(request_id: str, tier: Tier, target: str, **fields) -> Request:
@@ -167,6 +169,7 @@
         phase='streaming',
         tokens=state.tokens + count,
         first_token_at_s=now_s if first_s is None else first_s,
+        last_token_at_s=now_s,
     )
 
 
@@ -185,6 +188,7 @@
         sent_earlier=state.sent_earlier or sent,
         executions=state.executions + sent,
         last_upstream=state.attempt.upstream if state.attempt else '',
+        last_token_at_s=None,
     )
 
 
--- a/bluebellhub/scheduler/outcomes.py
+++ b/bluebellhub/scheduler/outcomes.py
@@ -7,8 +7,9 @@
 from bluebellhub.scheduler.state import Scheduler, upstreams_for
 from bluebellhub.upstream import Upstream, Work
 from bluebellhub.version_move.comparison import OutcomeCounts, RouteOutcomes
+from bluebellhub.version_move.step_times import StepTotal, add_step
 
-__all__ = ['record_outcome', 'route_outcomes', 'was_slow']
+__all__ = ['record_outcome', 'record_step', 'route_outcomes', 'was_slow']
 
 SLOW_RATIO: Final = 1.8
 SLOW_SLACK_S: Final = 0.1
@@ -30,6 +31,26 @@
     )
 
 
+def record_step(
+    scheduler: Scheduler, state: RequestState, now_s: float
+) -> None:
+    """Record a step if the request's model has a version move.
+
+    It is the time since the last tokens, or, for a service, since the request
+    was sent.  The first tokens of an engine depend on the prompt instead.
+    """
+    if state.attempt is None or state.request.target not in scheduler.moves:
+        return
+    name = state.attempt.upstream
+    upstream = scheduler.upstreams.get(name)
+    since_s = state.last_token_at_s
+    if upstream is not None and upstream.spec.kind == 'service':
+        since_s = state.attempt.started_at_s
+    if upstream is not None and since_s is not None:
+        total = scheduler.step_totals.get(name, StepTotal())
+        scheduler.step_totals[name] = add_step(total, now_s - since_s)
+
+
 def route_outcomes(
     scheduler: Scheduler, target: str, from_version: str, to_version: str
 ) -> list[RouteOutcomes]:
--- a/bluebellhub/scheduler/progress.py
+++ b/bluebellhub/scheduler/progress.py
@@ -24,7 +24,11 @@
 from bluebellhub.scheduler.dispatch import dispatch_queued
 from bluebellhub.scheduler.events import Event, Probe
 from bluebellhub.scheduler.finish import close_request, refuse, release_attempt
-from bluebellhub.scheduler.outcomes import record_outcome, was_slow
+from bluebellhub.scheduler.outcomes import (
+    record_outcome,
+    record_step,
+    was_slow,
+)
 from bluebellhub.scheduler.queued_request import make_queued_request
 from bluebellhub.scheduler.retry_budgets import earn_credit, retry_budgets
 from bluebellhub.scheduler.state import Scheduler, queue_of, signals_of
@@ -78,6 +82,7 @@
 ) -> list[Event]:
     """Record tokens sent to the caller; the first updates the estimates."""
     state = scheduler.requests[request_id]
+    record_step(scheduler, state, now_s)
     scheduler.requests[request_id] = record_tokens(state, offset, count, now_s)
     if state.first_token_at_s is None:
         record_passed(scheduler.quarantine, state.request.prompt_parts, now_s)
--- a/bluebellhub/scheduler/state.py
+++ b/bluebellhub/scheduler/state.py
@@ -18,6 +18,7 @@
 from bluebellhub.upstream import Upstream
 from bluebellhub.version_move.comparison import OutcomeCounts
 from bluebellhub.version_move.gate import MoveGate
+from bluebellhub.version_move.step_times import StepTotal
 
 __all__ = [
     'Flags',
@@ -95,7 +96,8 @@
     cold upstream.  ``by_target`` holds the names of the upstreams by target.
     ``ramping_domains`` holds the failure domains that returned to service,
     and when.  ``outcome_counts`` counts requests by model, route and
-    version.
+    version, and ``step_totals`` sums up step times by upstream, both for
+    models with a version move.
 
     Three fields hold the rank of a tier by target.  ``admission_floors`` is
     the lowest tier that is admitted now.  ``requested_floors`` is the floor
@@ -127,6 +129,7 @@
     ramping_domains: dict[str, tuple[FailureDomain, float]]
     moves: dict[str, MoveGate]
     outcome_counts: dict[tuple[str, str, str], OutcomeCounts]
+    step_totals: dict[str, StepTotal]
     admission_floors: dict[str, int]
     requested_floors: dict[str, tuple[int, float]]
     agreed_floors: dict[str, int]
@@ -181,6 +184,7 @@
         ramping_domains={},
         moves={},
         outcome_counts={},
+        step_totals={},
         admission_floors={},
         requested_floors={},
         agreed_floors={},
--- a/bluebellhub/site/gossip.py
+++ b/bluebellhub/site/gossip.py
@@ -21,9 +21,15 @@
     DomainReport,
     GossipBatch,
     GossipItem,
+    StepReport,
     VmReport,
 )
 from bluebellhub.site.state import Site
+from bluebellhub.site.step_reports import (
+    StepsSent,
+    make_step_report,
+    make_steps_sent,
+)
 from bluebellhub.site.vm_reports import make_vm_report
 
 __all__ = [
@@ -44,7 +50,8 @@
     newest one for remote failure domains was sent at ``remote_sent_at_s``.
     ``relayed`` holds, for each VM of the row, the start and the sequence number
     of its newest report that went to this VM's column. ``evidence_sent`` tells
-    which evidence of crashes the other VMs have.
+    which evidence of crashes the other VMs have, and ``steps_sent`` which step
+    times the leader of version moves has.
     """
 
     last_report: VmReport | None
@@ -52,18 +59,21 @@
     remote_sent_at_s: float
     relayed: dict[str, tuple[int, int]]
     evidence_sent: EvidenceSent
+    steps_sent: StepsSent
 
 
 class Multicast(NamedTuple):
     """One message for several VMs."""
 
     to: list[str]
-    message: GossipBatch | DomainReport | CrashEvidence
+    message: GossipBatch | DomainReport | CrashEvidence | StepReport
 
 
 def make_gossip_state() -> GossipState:
     """Create the state of a VM that has sent nothing."""
-    return GossipState(None, 0.0, 0.0, {}, make_evidence_sent())
+    return GossipState(
+        None, 0.0, 0.0, {}, make_evidence_sent(), make_steps_sent()
+    )
 
 
 def make_multicasts(
@@ -93,6 +103,7 @@
         remote = make_domain_report(site, report, now_s)
         multicasts.append(Multicast(remote_peers(grid, live), remote))
     state = _add_evidence(site, state, multicasts, now_s)
+    state = _add_step_report(site, state, multicasts, now_s)
     return state, [multicast for multicast in multicasts if multicast.to]
 
 
@@ -115,6 +126,16 @@
     return state
 
 
+def _add_step_report(
+    site: Site, state: GossipState, multicasts: list[Multicast], now_s: float
+) -> GossipState:
+    """Add a report to the leader of version moves; return the new state."""
+    sent, report = make_step_report(site, state.steps_sent, now_s)
+    if report is not None:
+        multicasts.append(Multicast([sent.leader], report))
+    return state._replace(steps_sent=sent)
+
+
 def _is_due(state: GossipState, report: VmReport, now_s: float) -> bool:
     """Return whether the report differs from the last one or a refresh is due.
 
--- a/bluebellhub/site/reports.py
+++ b/bluebellhub/site/reports.py
@@ -6,6 +6,7 @@
 from bluebellhub.quarantine import CrashReport
 from bluebellhub.upstream.speed import Speed
 from bluebellhub.version_move.comparison import RouteOutcomes
+from bluebellhub.version_move.step_times import StepTotal
 
 __all__ = [
     'CrashEvidence',
@@ -15,6 +16,7 @@
     'MoveDecision',
     'Peer',
     'RemoteDomain',
+    'StepReport',
     'VmReport',
 ]
 
@@ -87,6 +89,13 @@
     passed_parts: list[str]
 
 
+@message_types.register('StepReport')
+class StepReport(NamedTuple):
+    """A VM's running totals of step times, by upstream, for the leader."""
+
+    totals: dict[str, StepTotal]
+
+
 @message_types.register('DomainNews')
 class DomainReport(NamedTuple):
     """A failure domain's state, summed up by one VM for another domain.
--- a/bluebellhub/site/state.py
+++ b/bluebellhub/site/state.py
@@ -22,7 +22,7 @@
 from bluebellhub.site.reports import Peer, RemoteDomain
 from bluebellhub.site.vm_location import VmLocation
 from bluebellhub.upstream import Upstream
-from bluebellhub.version_move import LeaderState, MoveCommand
+from bluebellhub.version_move import LeaderState, MoveCommand, StepTotal
 
 __all__ = ['Bounds', 'Site', 'SiteFlags', 'SiteMove', 'make_site', 'set_vms']
 
@@ -40,14 +40,16 @@
     """A version move as this VM sees it.
 
     ``leader_state`` collects the evidence on every VM, so that any of them can
-    become the leader. ``full_since_s`` is when the leader gave the new version
-    all requests.
+    become the leader. ``step_totals`` holds the step times that VMs report to
+    this one while it leads, by upstream and VM. ``full_since_s`` is when the
+    leader gave the new version all requests.
     """
 
     command: MoveCommand
     from_version: str
     started_at_s: float
     leader_state: LeaderState
+    step_totals: dict[str, dict[str, StepTotal]]
     full_since_s: float | None = None
 
 
--- a/bluebellhub/site/tests/test_version_moves.py
+++ b/bluebellhub/site/tests/test_version_moves.py
@@ -21,6 +21,11 @@
     make_registration,
     make_request_head,
 )
+from bluebellhub.site.step_reports import (
+    apply_step_report,
+    make_step_report,
+    make_steps_sent,
+)
 from bluebellhub.site.upstreams import apply_registration, apply_routing_table
 from bluebellhub.site.version_moves import apply_move_commands, lead_moves
 from bluebellhub.site.vm_location import VmLocation
@@ -37,17 +42,20 @@
 ROLLBACK_S = 5.0
 USUAL_BAD_SHARE = 0.02
 NEVER = 1e9
+# Response times of upstreams on different hardware, in turn.
+HARDWARE_S = (0.012, 0.022, 0.06)
+SLOWER_RATIO = 2.5
 
 
-def _make_vm(name):
+def _make_vm(name, count=4):
     site = make_site(name, 'd', Bounds(QuotaBounds()), -60.0, seed=7)
     set_vms(site, dict.fromkeys(VMS, VmLocation()))
     routes = [
         Route(path, 'a.example', path, (Split('s', 1.0),)) for path in ROUTES
     ]
     apply_routing_table(site, make_table(1, routes, [Service('s')]))
-    for number in range(4):
-        version = 'v2' if number > 1 else 'v1'
+    for number in range(count):
+        version = 'v2' if number >= count / 2 else 'v1'
         entry = make_registration(f'u{number}', version=version, slots=50)
         apply_registration(site, entry, 0.0)
     return site
@@ -76,9 +84,20 @@
         failure = AttemptFailure('answered_error')
         attempt_failed(site.scheduler, request.request_id, failure, now_s)
     else:
-        tokens_arrived(site.scheduler, request.request_id, 0, 1, now_s)
-        response_ended(site.scheduler, request.request_id, now_s)
-    return version, is_bad
+        ended_s = now_s + _response_s(case, version, sent[0].upstream)
+        tokens_arrived(site.scheduler, request.request_id, 0, 1, ended_s)
+        response_ended(site.scheduler, request.request_id, ended_s)
+    is_slow = version == 'v2' and case.get('is_slow', False)
+    return version, is_bad or is_slow
+
+
+def _response_s(case, version, upstream):
+    """Return how long an upstream takes for a response."""
+    ratio = 1.0
+    if case.get('is_slow') and version == 'v2':
+        ratio = SLOWER_RATIO
+    hardware_s = HARDWARE_S[int(upstream[1:]) % len(HARDWARE_S)]
+    return hardware_s * ratio
 
 
 def _exchange_reports(sites, command, now_s):
@@ -91,13 +110,23 @@
     for site in sites:
         for sender, report in zip(VMS, reports, strict=True):
             apply_vm_report(site, sender, report, now_s)
+    _report_steps(sites, now_s)
     return [write for site in sites for write in lead_moves(site, now_s)]
 
 
+def _report_steps(sites, now_s):
+    """Report the step times of all VMs to the leader."""
+    leader = sites[0]
+    for site in sites:
+        _, report = make_step_report(site, make_steps_sent(), now_s)
+        if report is not None:
+            apply_step_report(leader, site.vm, report)
+
+
 def _simulate(case, seed):
     """Return the state, when it was written, and the requests by version."""
     random = Random(seed)
-    sites = [_make_vm(name) for name in VMS]
+    sites = [_make_vm(name, case.get('upstreams', 4)) for name in VMS]
     command = MoveCommand('s', 'v2', DURATION_S, None, 1)
     served = []
     state_at_s = None
@@ -116,11 +145,15 @@
 
 
 GOOD = {'bad_from_s': NEVER, 'bad_routes': ROUTES, 'bad_share': 0.0}
+# Slower, but well within the latency objective.
+SLOW = {**GOOD, 'is_slow': True}
 
 
 @pytest.mark.parametrize('seed', [1, 2, 3])
-def test_good_version_gets_all_requests(seed):
-    state, state_at_s, served = _simulate(GOOD, seed)
+@pytest.mark.parametrize('upstreams', [4, 6, 10, 12])
+def test_good_version_gets_all_requests(upstreams, seed):
+    case = {**GOOD, 'upstreams': upstreams}
+    state, state_at_s, served = _simulate(case, seed)
     assert state == 'done'
     assert state_at_s <= 1.2 * DURATION_S
     later = {version for at_s, version, _ in served if at_s > state_at_s}
@@ -135,6 +168,9 @@
         {'bad_from_s': 0.0, 'bad_routes': ROUTES, 'bad_share': 1.0},
         {'bad_from_s': 6.0, 'bad_routes': ROUTES, 'bad_share': 0.6},
         {'bad_from_s': 0.0, 'bad_routes': ('/b/',), 'bad_share': 0.9},
+        {**SLOW, 'upstreams': 6},
+        {**SLOW, 'upstreams': 10},
+        {**SLOW, 'upstreams': 12},
     ],
 )
 def test_bad_version_is_rolled_back(case, seed):
--- a/bluebellhub/site/version_moves.py
+++ b/bluebellhub/site/version_moves.py
@@ -15,6 +15,7 @@
 from typing import Final, NamedTuple
 
 from bluebellhub.scheduler.outcomes import route_outcomes
+from bluebellhub.scheduler.state import upstreams_for
 from bluebellhub.site.liveness import (
     LIVENESS_TIMEOUT_S,
     first_live_vm,
@@ -27,6 +28,7 @@
     MoveCommand,
     MoveState,
     RouteOutcomes,
+    StepTotal,
     VersionMove,
     initial_status,
     make_gate,
@@ -35,6 +37,7 @@
     set_share,
 )
 from bluebellhub.version_move.comparison import is_bad, is_good
+from bluebellhub.version_move.step_times import is_slower, sum_step_totals
 
 __all__ = [
     'StateWrite',
@@ -113,7 +116,7 @@
         command.model, command.to_version, now_s
     )._replace(largest_unproven=UNPROVEN_SHARE)
     leader_state = make_leader_state(move, initial_status(move, None), 0, now_s)
-    return SiteMove(command, move.from_version, now_s, leader_state)
+    return SiteMove(command, move.from_version, now_s, leader_state, {})
 
 
 def _old_version(site: Site, command: MoveCommand) -> str:
@@ -220,6 +223,7 @@
     if (
         gate.bad
         or timed_out
+        or _is_slower(site, model)
         or any(is_bad(comparison) for comparison in comparisons)
     ):
         site.scheduler.moves[model] = gate._replace(bad=True)
@@ -238,6 +242,17 @@
     return 'running'
 
 
+def _is_slower(site: Site, model: str) -> bool:
+    """Return whether the new version's upstreams take longer for a step."""
+    move = site.moves[model]
+    totals: dict[bool, list[StepTotal]] = {False: [], True: []}
+    for upstream in upstreams_for(site.scheduler, model):
+        is_new = upstream.spec.version == move.command.to_version
+        by_vm = move.step_totals.get(upstream.spec.name, {})
+        totals[is_new].append(sum_step_totals(by_vm.values()))
+    return is_slower(totals[False], totals[True])
+
+
 def _has_passed_probation(move: SiteMove, now_s: float) -> bool:
     """Return whether the move is nearly due and the new version looks good."""
     if now_s < move.started_at_s + move.command.duration_s * PROBATION_RATIO:
--- a/bluebellhub/version_move/__init__.py
+++ b/bluebellhub/version_move/__init__.py
@@ -24,6 +24,7 @@
     MoveStatus,
     VersionMove,
 )
+from bluebellhub.version_move.step_times import StepTotal
 
 __all__ = [
     'LeaderState',
@@ -33,6 +34,7 @@
     'MoveStatus',
     'OutcomeCounts',
     'RouteOutcomes',
+    'StepTotal',
     'VersionMove',
     'advance_move',
     'allows_new',
