Take a stream that ends inside an event as truncated

What callers saw: the start of an event at the end of a stream that looked complete, when an upstream without length and chunks closed its connection in the middle of an event. Such a stream was not resumed either.

Cause: h11 takes the end of such a connection for the end of the message, and what was left of an event was forwarded.

Change: what is left after the last event must be empty lines; else the attempt ends as 'cut' and is resumed or the response is truncated. An event ends with an empty line, whichever way its lines end: a stream with CR LF had no event before and was held back until its end.

Three new cases of test_streamed_response_body_and_end fail on the code before (a stream without a length, one in chunks, one that may be resumed). The two for CR LF and for an empty line at the end pass on both; the first was forwarded as one piece.

--- a/bluebellhub/adapters/proxy/attempt.py
+++ b/bluebellhub/adapters/proxy/attempt.py
@@ -12,6 +12,7 @@
 from bluebellhub.adapters.proxy.event_stream import (
     EventIdError,
     EventTooLargeError,
+    EventTruncatedError,
 )
 from bluebellhub.adapters.proxy.response_forwarding import (
     ErrorTooLargeError,
@@ -56,6 +57,7 @@
         ErrorTooLargeError: 'cut',
         EventIdError: 'cut',
         EventTooLargeError: 'cut',
+        EventTruncatedError: 'cut',
         h11.RemoteProtocolError: 'cut',
         trio.BrokenResourceError: 'cut',
         trio.ClosedResourceError: 'cut',
--- a/bluebellhub/adapters/proxy/event_stream.py
+++ b/bluebellhub/adapters/proxy/event_stream.py
@@ -1,5 +1,6 @@
 """Splits a stream of server-sent events, so that no truncated one is sent."""
 
+import re
 from typing import Final, NamedTuple
 
 from bluebellhub.errors import HubError
@@ -7,13 +8,17 @@
 __all__ = [
     'EventIdError',
     'EventTooLargeError',
+    'EventTruncatedError',
     'SplitEvents',
+    'check_complete',
     'event_id',
     'skip_forwarded',
     'split_events',
 ]
 
-SEPARATOR: Final = b'\n\n'
+# An empty line ends an event; a line may end in CR, LF or both.
+SEPARATOR: Final = re.compile(rb'\r\n\r\n|\n\n|\r\r')
+LINE_ENDS: Final = b'\r\n'
 ID_FIELD: Final = b'id:'
 EVENT_MAX_BYTES: Final = 1_048_576
 
@@ -32,6 +37,13 @@
         )
 
 
+class EventTruncatedError(HubError):
+    """The stream has ended in the middle of an event."""
+
+    def __init__(self, got_bytes: int) -> None:
+        super().__init__(f'got {got_bytes} bytes of an event without its end')
+
+
 class SplitEvents(NamedTuple):
     """Complete events, and the bytes of an incomplete one."""
 
@@ -44,10 +56,24 @@
 
     Raises `EventTooLargeError` if the next one is too long already.
     """
-    *complete, remainder = received.split(SEPARATOR)
+    complete = []
+    start = 0
+    for separator in SEPARATOR.finditer(received):
+        complete.append(received[start : separator.end()])
+        start = separator.end()
+    remainder = received[start:]
     if len(remainder) > EVENT_MAX_BYTES:
         raise EventTooLargeError(len(remainder))
-    return SplitEvents([event + SEPARATOR for event in complete], remainder)
+    return SplitEvents(complete, remainder)
+
+
+def check_complete(remainder: bytes) -> None:
+    """Raise `EventTruncatedError` if a stream ends in the middle of an event.
+
+    ``remainder`` is what follows the last complete event; empty lines may.
+    """
+    if remainder.strip(LINE_ENDS):
+        raise EventTruncatedError(len(remainder))
 
 
 def event_id(event: bytes) -> int | None:
--- a/bluebellhub/adapters/proxy/response_forwarding.py
+++ b/bluebellhub/adapters/proxy/response_forwarding.py
@@ -11,6 +11,7 @@
     send_response_head,
 )
 from bluebellhub.adapters.proxy.event_stream import (
+    check_complete,
     event_id,
     skip_forwarded,
     split_events,
@@ -142,6 +143,7 @@
         if new_events:
             resume_after = None
             await _forward_new(context, response, new_events, on_event)
+    check_complete(remainder)
     await _send_head_once(context, response)
     if remainder:
         await send_chunk(context.connection, remainder)
--- a/bluebellhub/adapters/proxy/tests/scripted_upstreams.py
+++ b/bluebellhub/adapters/proxy/tests/scripted_upstreams.py
@@ -12,11 +12,17 @@
 from bluebellhub.adapters.proxy.state import Proxy
 from bluebellhub.clock import now_s
 from bluebellhub.settings import Settings
-from bluebellhub.site.tests.small_site import make_registration, make_small_site
+from bluebellhub.site.admission import admit_request
+from bluebellhub.site.tests.small_site import (
+    make_registration,
+    make_request_head,
+    make_small_site,
+)
 from bluebellhub.site.upstreams import apply_registration
 
 __all__ = [
     'RunningHub',
+    'fill_retry_budget',
     'running_hub',
     'send_and_receive',
     'send_without_end',
@@ -94,6 +100,13 @@
             nursery.cancel_scope.cancel()
 
 
+def fill_retry_budget(hub):
+    """Admit requests, so that the retry budget allows retries."""
+    for number in range(60):
+        head = make_request_head(f'other-{number}')
+        admit_request(hub.proxy.site, head, now_s())
+
+
 async def _probe(spec):
     """Fail: a site does not probe its upstreams."""
     raise AssertionError(spec.name)
--- a/bluebellhub/adapters/proxy/tests/test_crashing_prompts.py
+++ b/bluebellhub/adapters/proxy/tests/test_crashing_prompts.py
@@ -6,13 +6,12 @@
 import trio
 
 from bluebellhub.adapters.proxy.tests.scripted_upstreams import (
+    fill_retry_budget,
     running_hub,
     send_and_receive,
 )
 from bluebellhub.clock import now_s
 from bluebellhub.platform.tests.wire import SIGNATURE, request
-from bluebellhub.site.admission import admit_request
-from bluebellhub.site.tests.small_site import make_request_head
 from bluebellhub.site.upstreams import apply_removal
 
 CRASHING_PART = b'c0ffee'
@@ -62,13 +61,6 @@
     return request(headers=b'Connection: close\r\n' + header)
 
 
-def _fill_retry_budget(hub):
-    """Admit requests, so that the retry budget allows retries."""
-    for number in range(60):
-        head = make_request_head(f'other-{number}')
-        admit_request(hub.proxy.site, head, now_s())
-
-
 @pytest.mark.parametrize('route', [STREAM, RESUMABLE])
 async def test_prompt_part_that_crashes_upstreams_is_stopped(route):
     crashed = []
@@ -78,7 +70,7 @@
             for _ in range(UPSTREAM_COUNT)
         ]
         async with running_hub(addresses=addresses, **route) as hub:
-            _fill_retry_budget(hub)
+            fill_retry_budget(hub)
             await send_and_receive(hub, _request(b'5c1e', b'f0'))
             for number in range(REQUEST_COUNT):
                 own_part = b'a%d' % number
--- a/bluebellhub/adapters/proxy/tests/test_responses.py
+++ b/bluebellhub/adapters/proxy/tests/test_responses.py
@@ -3,10 +3,10 @@
 import pytest
 
 from bluebellhub.adapters.proxy.tests.scripted_upstreams import (
+    fill_retry_budget,
     running_hub,
     send_and_receive,
 )
-from bluebellhub.clock import now_s
 from bluebellhub.platform.tests.wire import (
     NOT_EXECUTED,
     OTHER_REQUEST_ID,
@@ -14,8 +14,6 @@
     SIGNATURE_NAME,
     request,
 )
-from bluebellhub.site.admission import admit_request
-from bluebellhub.site.tests.small_site import make_request_head
 
 OK = b'HTTP/1.1 200 OK\r\n' + SIGNATURE
 COMPLETE = OK + b'Content-Length: 4\r\n\r\nbody'
@@ -40,13 +38,6 @@
     return b'%x\r\n%s\r\n' % (len(part), part)
 
 
-def _fill_retry_budget(hub):
-    """Admit requests, so that the retry budget allows retries."""
-    for number in range(60):
-        head = make_request_head(f'other-{number}')
-        admit_request(hub.proxy.site, head, now_s())
-
-
 def _status(response):
     return int(response.split(b' ')[1])
 
@@ -179,7 +170,7 @@
 ):
     scripts = [[first, second or first]]
     async with running_hub(*scripts, **route) as hub:
-        _fill_retry_budget(hub)
+        fill_retry_budget(hub)
         response = await send_and_receive(hub, request(headers=CLOSE))
     assert _status(response) == status
     is_signed = SIGNATURE_NAME in response.lower()
@@ -247,13 +238,49 @@
             _event(1) + _event(2),
             False,
         ),
+        # Without a length, the end of the connection ends the stream.
+        (
+            NOT_RESUMABLE,
+            (STREAM + b'\r\n' + _event(1) + _event(2) + b'id: 3\nda', 'close'),
+            None,
+            _event(1) + _event(2),
+            False,
+        ),
+        (
+            NOT_RESUMABLE,
+            (STREAM + CHUNKED + TWO_EVENTS + _chunk(b'id: 3') + LAST, 'keep'),
+            None,
+            _event(1) + _event(2),
+            False,
+        ),
+        (
+            RESUMABLE,
+            (STREAM + b'\r\n' + _event(1) + _event(2) + b'id: 3\nda', 'close'),
+            (STREAM + CHUNKED + _chunk(_event(3)) + LAST, 'keep'),
+            ALL,
+            True,
+        ),
+        (
+            NOT_RESUMABLE,
+            (STREAM + b'\r\n' + ALL.replace(b'\n', b'\r\n'), 'close'),
+            None,
+            ALL.replace(b'\n', b'\r\n'),
+            True,
+        ),
+        (
+            NOT_RESUMABLE,
+            (STREAM + b'\r\n' + ALL + b'\n', 'close'),
+            None,
+            ALL + b'\n',
+            True,
+        ),
     ],
 )
 async def test_streamed_response_body_and_end(
     route, first, second, body, is_complete
 ):
     async with running_hub([first, second or first], **route) as hub:
-        _fill_retry_budget(hub)
+        fill_retry_budget(hub)
         response = await send_and_receive(hub, request(headers=CLOSE))
         received = list(hub.received)
     assert _status(response) == 200
@@ -281,7 +308,7 @@
 )
 async def test_completed_request_leaves_no_state(route, first, second):
     async with running_hub([first, second], **route) as hub:
-        _fill_retry_budget(hub)
+        fill_retry_budget(hub)
         await send_and_receive(hub, request(headers=CLOSE))
         node = hub.proxy.node
         assert not node.attempts
