Let only a stream go on with a stream that has begun

What callers saw: the text of another response in the middle of their stream, which ended as if it were complete.

Cause: after a stream was cut, the next upstream's response was checked like a first one. A status below 500 passed, and a body above the buffer's size was forwarded as it came, since the head had been sent. A smaller one tried to send a second head, which the protocol state refused: the request ended with an unexpected error.

Change: once a stream has begun, a response that is no successful stream is a failed attempt of kind 'mismatch'; its body is not read.

Two cases of test_stream_gets_no_part_of_another_response fail on the code before (404 and 200 with 1.2 MB); the other eight pass on both. The scripted upstream of the tests now bears that a VM closes while it writes.

--- a/bluebellhub/adapters/proxy/attempt.py
+++ b/bluebellhub/adapters/proxy/attempt.py
@@ -236,11 +236,18 @@
         return AttemptFailure('misdirected', status)
     if response.not_executed:
         return AttemptFailure('refused', status)
+    if context.progress['has_begun'] and not _is_stream(response):
+        return AttemptFailure('mismatch', f'{status}, expected a stream')
+    return _find_error(response)
+
+
+def _find_error(response: ResponseHead) -> AttemptFailure | None:
+    """Return how an upstream failed that has executed the request."""
     if (
         response.status >= SERVER_ERROR_MIN
         or response.status in NOT_EXECUTED_STATUSES
     ):
-        return AttemptFailure('answered_error', status)
+        return AttemptFailure('answered_error', f'status {response.status}')
     if response.is_encoded or (
         response.status < REDIRECT_MIN and not response.is_signed
     ):
@@ -250,6 +257,11 @@
     return None
 
 
+def _is_stream(response: ResponseHead) -> bool:
+    """Return whether the response may go on with a stream that has begun."""
+    return response.is_event_stream and response.status < REDIRECT_MIN
+
+
 def _record_progress(
     proxy: Proxy, context: RequestContext, connection: UpstreamConnection
 ) -> None:
--- a/bluebellhub/adapters/proxy/tests/scripted_upstreams.py
+++ b/bluebellhub/adapters/proxy/tests/scripted_upstreams.py
@@ -54,7 +54,10 @@
                 return
             head += part
         received.append(head)
-        await stream.send_all(response)
+        try:
+            await stream.send_all(response)
+        except trio.BrokenResourceError:
+            return
         if ending == 'keep':
             await _read_to_end(stream)
         if ending == 'reset':
--- a/bluebellhub/adapters/proxy/tests/test_responses.py
+++ b/bluebellhub/adapters/proxy/tests/test_responses.py
@@ -28,6 +28,14 @@
 NOT_RESUMABLE = {'is_stream': True, 'is_resumable': False, 'attempts_max': 1}
 RESUMABLE = {'is_stream': True, 'is_resumable': True, 'attempts_max': 2}
 CHUNKED = b'Transfer-Encoding: chunked\r\n\r\n'
+# Above what is buffered of a response.
+LARGE_BYTES = 1_200_000
+LARGE_ERROR = (
+    b'HTTP/1.1 500 No\r\n'
+    + SIGNATURE
+    + b'Content-Length: %d\r\n\r\n' % LARGE_BYTES
+    + b'x' * LARGE_BYTES
+)
 
 
 def _event(number):
@@ -290,6 +298,32 @@
         assert b'last-event-id: 2\r\n' in received[1].lower()
 
 
+@pytest.mark.parametrize(
+    'second',
+    [
+        ERROR,
+        REFUSED,
+        COMPLETE,
+        ERROR.replace(b'500', b'404'),
+        ERROR.replace(b'500', b'503'),
+        ERROR.replace(b'500 No', b'404 No\r\nContent-Type: text/event-stream'),
+        LARGE_ERROR,
+        LARGE_ERROR.replace(b'500', b'404'),
+        OK + b'\r\n' + b'x' * LARGE_BYTES,
+        STREAM.replace(SIGNATURE, b'') + CHUNKED + _chunk(_event(3)) + LAST,
+    ],
+)
+async def test_stream_gets_no_part_of_another_response(second):
+    first = STREAM + CHUNKED + TWO_EVENTS
+    script = [(first, 'close'), (second, 'close')]
+    async with running_hub(script, **RESUMABLE) as hub:
+        fill_retry_budget(hub)
+        response = await send_and_receive(hub, request(headers=CLOSE))
+        assert len(hub.received) > 1
+    assert _body(response) == _event(1) + _event(2)
+    assert not response.endswith(LAST)
+
+
 async def test_event_is_forwarded_before_the_next_one_arrives():
     first_event = STREAM + CHUNKED + _chunk(_event(1))
     async with running_hub([(first_event, 'keep')], **NOT_RESUMABLE) as hub:
