Believe a response on a used connection only with the request's id

What callers saw: 'not run, try again' for a request that the upstream was running, or the response to another request, after a faulty upstream had written a former response once more on a kept connection.

Cause: a response without an id counted as the one expected, on any connection.

Change: it does so on a new connection only; elsewhere it is a failed attempt of kind 'mismatch', which says nothing on whether the request was executed. Requests that may run once always got a new connection, and a connection on which a request was refused is closed, so a copy of that refusal never meets the same request again.

Three of six cases of test_repeated_response_is_not_taken_for_the_next_one fail on the code before (a refusal, a 421 and a success, each without an id; with another id all passed). The tests of a connection of one's own and of a refusal on a new connection pass on both.

--- a/bluebellhub/adapters/proxy/attempt.py
+++ b/bluebellhub/adapters/proxy/attempt.py
@@ -209,7 +209,7 @@
 
     An error response is buffered in case no other attempt succeeds.
     """
-    failure = _find_failure(context, response)
+    failure = _find_failure(context, connection, response)
     if failure is None:
         return
     if (
@@ -223,15 +223,14 @@
 
 
 def _find_failure(
-    context: RequestContext, response: ResponseHead
+    context: RequestContext,
+    connection: UpstreamConnection,
+    response: ResponseHead,
 ) -> AttemptFailure | None:
     """Return why the response is no success, or ``None`` if it is one."""
     status = f'status {response.status}'
-    expected_id = context.received.head.request_id
-    if response.request_id not in {None, expected_id}:
-        return AttemptFailure(
-            'mismatch', 'the response has the id of another request'
-        )
+    if not _belongs_to_request(context, connection, response):
+        return AttemptFailure('mismatch', 'not the response to this request')
     if response.is_misdirected:
         return AttemptFailure('misdirected', status)
     if response.not_executed:
@@ -241,6 +240,21 @@
     return _find_error(response)
 
 
+def _belongs_to_request(
+    context: RequestContext,
+    connection: UpstreamConnection,
+    response: ResponseHead,
+) -> bool:
+    """Return whether the response is to this request, as far as it states.
+
+    An upstream may write a former response once more. On a connection that has
+    served other requests, only the request id tells it from the one expected.
+    """
+    if response.request_id is None:
+        return not connection.is_reused
+    return response.request_id == context.received.head.request_id
+
+
 def _find_error(response: ResponseHead) -> AttemptFailure | None:
     """Return how an upstream failed that has executed the request."""
     if (
--- a/bluebellhub/adapters/proxy/upstream_connection.py
+++ b/bluebellhub/adapters/proxy/upstream_connection.py
@@ -53,12 +53,16 @@
 
 
 class UpstreamConnection(NamedTuple):
-    """A connection in use by one request."""
+    """A connection in use by one request.
+
+    If it ``is_reused``, it has served other requests before.
+    """
 
     spec: UpstreamSpec
     stream: trio.SocketStream
     protocol: h11.Connection
     state: ConnectionState
+    is_reused: bool
 
 
 @asynccontextmanager
@@ -71,10 +75,13 @@
     closed on exit, unless it was released for reuse.
     """
     stream = None if force_new else _pop_idle(idle_connections, spec)
+    is_reused = stream is not None
     if stream is None:
         stream = await _open(spec)
     protocol = h11.Connection(h11.CLIENT)
-    connection = UpstreamConnection(spec, stream, protocol, {'is_kept': False})
+    connection = UpstreamConnection(
+        spec, stream, protocol, {'is_kept': False}, is_reused
+    )
     try:
         yield connection
     finally:
