Quarantine prompts that crash engines on the product's own interface too

The same cause stands there: an engine that crashes at a prompt loses all its streams, and the same prompt is sent to the next. A prompt is identified by the hash of its complete blocks, so the quarantine stops one that is repeated. Two prompts that share a part and go on differently are not recognised, and each VM learns alone there: its fleet exchanges no evidence.

--- a/bluebellhub/adapters/front_end.py
+++ b/bluebellhub/adapters/front_end.py
@@ -23,6 +23,7 @@
 from bluebellhub.adapters.http_server import HttpApp, make_http_app, read_body
 from bluebellhub.adapters.node import Node, start_request
 from bluebellhub.adapters.orders import OrderCoordinator, place_order
+from bluebellhub.adapters.prompt import identify_prompt
 from bluebellhub.adapters.response_stream import stream_response
 from bluebellhub.adapters.status import describe
 from bluebellhub.clock import now_s
@@ -186,6 +187,7 @@
         prompt_tokens=tokens,
         output_tokens=output,
         prefix_blocks=blocks,
+        prompt_parts=identify_prompt(blocks),
         arrived_at_s=now_s(),
     )
     exchange = make_exchange(request.request_id, engine_body(raw_body))
--- a/bluebellhub/adapters/prompt.py
+++ b/bluebellhub/adapters/prompt.py
@@ -10,7 +10,7 @@
 
 from bluebellhub.routing.prefix import BLOCK_TOKENS
 
-__all__ = ['estimate_tokens', 'hash_prefix']
+__all__ = ['estimate_tokens', 'hash_prefix', 'identify_prompt']
 
 BYTES_PER_TOKEN: Final = 4
 BLOCK_BYTES: Final = BLOCK_TOKENS * BYTES_PER_TOKEN
@@ -35,3 +35,12 @@
         digest.update(prompt[start : start + BLOCK_BYTES])
         hashes.append(digest.intdigest())
     return tuple(hashes)
+
+
+def identify_prompt(blocks: tuple[int, ...]) -> tuple[str, ...]:
+    """Return the id of a prompt, which is the hash of its complete blocks.
+
+    It is empty for a prompt without a complete block, and equal for prompts
+    that differ after their last complete block only.
+    """
+    return tuple(f'{block:x}' for block in blocks[-1:])
--- a/bluebellhub/adapters/tests/test_chat.py
+++ b/bluebellhub/adapters/tests/test_chat.py
@@ -5,6 +5,11 @@
 import pytest
 
 from bluebellhub.adapters.chat import join_frames, models_body
+from bluebellhub.adapters.prompt import (
+    BLOCK_BYTES,
+    hash_prefix,
+    identify_prompt,
+)
 
 TOKEN = b'data: {"choices":[{"delta":{"content":"a"}}]}\n\n'
 DONE = b'data: [DONE]\n\n'
@@ -47,3 +52,17 @@
     body = json.loads(models_body(models))
     assert body['object'] == 'list'
     assert [model['id'] for model in body['data']] == ids
+
+
+@pytest.mark.parametrize(
+    ('first', 'second', 'are_equal'),
+    [
+        (b'a' * BLOCK_BYTES * 2, b'a' * BLOCK_BYTES * 2 + b'b', True),
+        (b'a' * BLOCK_BYTES * 2, b'a' * BLOCK_BYTES, False),
+        (b'a' * BLOCK_BYTES * 2, b'b' * BLOCK_BYTES * 2, False),
+    ],
+)
+def test_prompt_is_identified_by_its_blocks(first, second, are_equal):
+    ids = [identify_prompt(hash_prefix(prompt)) for prompt in (first, second)]
+    assert (ids[0] == ids[1]) is are_equal
+    assert not identify_prompt(hash_prefix(b'short'))
