Keep the quarantine of prompts in the store

What callers saw: after all VMs had been killed at once, the part that crashes upstreams crashed three or four more before it was in quarantine again.

Cause: the evidence was kept on VMs only, and nothing on a VM outlives it.

Change: the first live VM writes each part in quarantine to the store, with the times of its crashes, and deletes it when the quarantine ends. All VMs watch these objects, so one that starts knows them before it admits a request.

--- a/bluebellhub/adapters/proxy/object_handlers.py
+++ b/bluebellhub/adapters/proxy/object_handlers.py
@@ -8,22 +8,26 @@
 
 from bluebellhub.adapters.peer_link import PeerLink, set_peer_address
 from bluebellhub.adapters.proxy.state import Proxy
-from bluebellhub.clock import now_s
+from bluebellhub.clock import now_epoch_s, now_s
 from bluebellhub.errors import ObjectError
 from bluebellhub.platform.object_codec import (
     CONFIG_KIND,
     CONFIG_NAME,
     EVACUATION_KIND,
     MOVE_KIND,
+    QUARANTINE_KIND,
     UPSTREAM_KIND,
     VM_KIND,
     read_move,
+    read_quarantine,
     read_registration,
     read_table,
     read_vm,
 )
 from bluebellhub.platform.store import Change, Store, StoredEntry
 from bluebellhub.registry import Registry, make_registry
+from bluebellhub.site.crash_evidence import apply_crash_evidence
+from bluebellhub.site.reports import CrashEvidence
 from bluebellhub.site.state import set_vms
 from bluebellhub.site.upstreams import (
     apply_registration,
@@ -133,6 +137,24 @@
     apply_move_commands(watcher.proxy.site, commands, now_s())
 
 
+@_register_combined(QUARANTINE_KIND)
+def apply_quarantine(watcher: Watcher, entries: list[StoredEntry]) -> None:
+    """Apply the stored evidence against parts of prompts."""
+    reports = []
+    for entry in entries:
+        try:
+            reports.extend(read_quarantine(entry, now_epoch_s()))
+        except ObjectError as error:
+            log.warning('quarantine not valid, ignored: {}', error)
+    evidence = CrashEvidence(reports, [])
+    parts = apply_crash_evidence(watcher.proxy.site, evidence, now_s())
+    if parts:
+        log.info(
+            'parts of prompts quarantined by stored evidence',
+            extra={'quarantined_parts': parts},
+        )
+
+
 @_register_combined(VM_KIND)
 def apply_vms(watcher: Watcher, entries: list[StoredEntry]) -> None:
     """Set the addresses at which the VMs listen for each other."""
--- a/bluebellhub/adapters/proxy/run.py
+++ b/bluebellhub/adapters/proxy/run.py
@@ -34,6 +34,9 @@
     expire_upstreams,
     watch_store,
 )
+from bluebellhub.adapters.proxy.stored_quarantine import (
+    run_stored_quarantine,
+)
 from bluebellhub.adapters.proxy.upstream_connection import close_expired
 from bluebellhub.adapters.proxy.vm_announcement import (
     announce_vm,
@@ -137,6 +140,7 @@
     nursery.start_soon(expire_upstreams, watcher)
     nursery.start_soon(close_expired, proxy.idle_connections)
     nursery.start_soon(run_moves, proxy, watcher.store)
+    nursery.start_soon(run_stored_quarantine, watcher)
     nursery.start_soon(receive_gossip, proxy, watcher.link)
     nursery.start_soon(send_gossip, proxy, watcher.link)
     _start_servers(settings, nursery, proxy)
--- a/bluebellhub/adapters/proxy/store_watch.py
+++ b/bluebellhub/adapters/proxy/store_watch.py
@@ -17,6 +17,7 @@
     CONFIG_KIND,
     EVACUATION_KIND,
     MOVE_KIND,
+    QUARANTINE_KIND,
     UPSTREAM_KIND,
     VM_KIND,
 )
@@ -41,6 +42,7 @@
         EVACUATION_KIND: 10.0,
         MOVE_KIND: 10.0,
         VM_KIND: 10.0,
+        QUARANTINE_KIND: 25.0,
     }
 )
 RETRY_MIN_S: Final = 0.1
--- /dev/null
+++ b/bluebellhub/adapters/proxy/stored_quarantine.py
@@ -0,0 +1,71 @@
+"""Keeps the quarantine in the store, for VMs that start when no other runs."""
+
+from typing import Final
+
+import logbook
+import trio
+
+from bluebellhub.adapters.proxy.object_handlers import Watcher
+from bluebellhub.clock import now_epoch_s, now_s
+from bluebellhub.errors import ConflictError, StoreError
+from bluebellhub.platform.object_codec import (
+    QUARANTINE_KIND,
+    quarantine_name,
+    quarantine_spec,
+)
+from bluebellhub.platform.store import create_entry, delete_entry
+from bluebellhub.quarantine import CrashReport, quarantine_reports
+from bluebellhub.site.liveness import first_live_vm
+
+__all__ = ['run_stored_quarantine']
+
+STORE_INTERVAL_S: Final = 0.5
+
+log = logbook.Logger('bluebellhub.quarantine')
+
+
+async def run_stored_quarantine(watcher: Watcher) -> None:
+    """Write changes of the quarantine while this VM leads, until cancelled.
+
+    The watch of the store tells all VMs, this one included, what was written.
+    """
+    site = watcher.proxy.site
+    while True:
+        if first_live_vm(site, now_s()) == site.vm:
+            try:
+                await _store_changes(watcher)
+            except StoreError as error:
+                log.info(
+                    'quarantine not written to the store',
+                    extra={'cause': str(error)},
+                )
+        await trio.sleep(STORE_INTERVAL_S)
+
+
+async def _store_changes(watcher: Watcher) -> None:
+    """Store the parts that are new in quarantine; delete those released."""
+    quarantine = watcher.proxy.site.scheduler.quarantine
+    stored = watcher.objects.get(QUARANTINE_KIND)
+    if stored is None:
+        return
+    current = {
+        quarantine_name(part): reports
+        for part, reports in quarantine_reports(quarantine, now_s()).items()
+    }
+    for name in current.keys() - stored.keys():
+        await _create(watcher, name, current[name])
+    for released in stored.keys() - current.keys():
+        await delete_entry(watcher.store, QUARANTINE_KIND, released)
+        log.info('quarantine ended', extra={'object': released})
+
+
+async def _create(
+    watcher: Watcher, name: str, reports: list[CrashReport]
+) -> None:
+    spec = quarantine_spec(reports, now_epoch_s())
+    try:
+        await create_entry(watcher.store, QUARANTINE_KIND, name, spec)
+    except ConflictError as error:
+        log.debug('another VM has stored a quarantine: {}', error)
+        return
+    log.info('quarantine stored', extra={'object': name, **spec})
--- a/bluebellhub/adapters/proxy/tests/test_store_watch.py
+++ b/bluebellhub/adapters/proxy/tests/test_store_watch.py
@@ -18,6 +18,7 @@
     CONFIG_KIND,
     EVACUATION_KIND,
     MOVE_KIND,
+    QUARANTINE_KIND,
     UPSTREAM_KIND,
     VM_KIND,
 )
@@ -49,11 +50,18 @@
 
 
 def test_every_watched_kind_is_tested():
-    kinds = {CONFIG_KIND, EVACUATION_KIND, MOVE_KIND, UPSTREAM_KIND, VM_KIND}
+    kinds = {
+        CONFIG_KIND,
+        EVACUATION_KIND,
+        MOVE_KIND,
+        QUARANTINE_KIND,
+        UPSTREAM_KIND,
+        VM_KIND,
+    }
     assert set(object_handlers.names()) == kinds
 
 
-@pytest.mark.parametrize('kind', [EVACUATION_KIND, MOVE_KIND])
+@pytest.mark.parametrize('kind', [EVACUATION_KIND, MOVE_KIND, QUARANTINE_KIND])
 async def test_no_request_is_sent_before_all_kinds_are_listed(kind):
     """Else it could reach an upstream that was taken out of service."""
     async with running_hub([(ANSWER, 'close')], **ROUTE) as hub:
--- a/bluebellhub/clock.py
+++ b/bluebellhub/clock.py
@@ -6,9 +6,14 @@
 
 import time
 
-__all__ = ['now_s']
+__all__ = ['now_epoch_s', 'now_s']
 
 
 def now_s() -> float:
     """Return the seconds since the VM's boot, including suspension."""
     return time.clock_gettime(time.CLOCK_BOOTTIME)
+
+
+def now_epoch_s() -> float:
+    """Return the Unix time in seconds, for what outlives a VM's uptime."""
+    return time.time()
--- a/bluebellhub/platform/store.py
+++ b/bluebellhub/platform/store.py
@@ -28,6 +28,7 @@
     'StoredEntry',
     'close_store',
     'create_entry',
+    'delete_entry',
     'list_objects',
     'make_store',
     'replace_entry',
@@ -203,6 +204,11 @@
     _check(kind, await _call(store, 'PUT', f'{kind}/{name}', body=body))
 
 
+async def delete_entry(store: Store, kind: str, name: str) -> None:
+    """Delete an object; raises `StoreUnavailableError`."""
+    _check(kind, await _call(store, 'DELETE', f'{kind}/{name}'))
+
+
 async def write_status(
     store: Store, kind: str, name: str, status: Mapping[str, Any], revision: int
 ) -> None:
--- a/bluebellhub/platform/wire.py
+++ b/bluebellhub/platform/wire.py
@@ -9,6 +9,7 @@
     'WireLimits',
     'WireMove',
     'WireMoveStatus',
+    'WireQuarantine',
     'WireRegistration',
     'WireRoute',
     'WireService',
@@ -132,3 +133,13 @@
 
     address: str
     failure_domain: NotRequired[str]
+
+
+class WireQuarantine(TypedDict):
+    """A part of a prompt, and when upstreams crashed at it, by crash.
+
+    The times are in Unix milliseconds.
+    """
+
+    part: str
+    crashes: dict[str, int]
--- a/bluebellhub/quarantine/quarantine.py
+++ b/bluebellhub/quarantine/quarantine.py
@@ -30,6 +30,7 @@
     'has_passed',
     'make_quarantine',
     'merge_crash_reports',
+    'quarantine_reports',
     'quarantined_part',
     'record_passed',
     'release_s',
@@ -256,6 +257,21 @@
     ]
 
 
+def quarantine_reports(
+    quarantine: Quarantine, now_s: float
+) -> dict[str, list[CrashReport]]:
+    """Return the evidence against the parts in quarantine, by part."""
+    found = {}
+    for part in quarantine.crashed_at_s:
+        crashes = _valid_crashes(quarantine, part, now_s)
+        if len(crashes) >= CRASHES_MIN:
+            found[part] = [
+                CrashReport(part, crash, now_s - at_s)
+                for crash, at_s in crashes.items()
+            ]
+    return found
+
+
 def disputed_parts(quarantine: Quarantine, now_s: float) -> list[str]:
     """Return the parts that other VMs suspect though they have passed here."""
     disputed_at_s = quarantine.disputed_at_s
