Leave out cold upstreams when versions are compared by their step times

An upstream that has just started or was cold again is slower than its version; those of a new version are cold in the first seconds. Their steps are no longer counted while they are marked as cold. The totals are dropped when no version move is left.

--- a/bluebellhub/scheduler/outcomes.py
+++ b/bluebellhub/scheduler/outcomes.py
@@ -5,7 +5,7 @@
 
 from bluebellhub.request import RequestState
 from bluebellhub.scheduler.state import Scheduler, upstreams_for
-from bluebellhub.upstream import Upstream, Work
+from bluebellhub.upstream import Upstream, Work, is_cold
 from bluebellhub.version_move.comparison import OutcomeCounts, RouteOutcomes
 from bluebellhub.version_move.step_times import StepTotal, add_step
 
@@ -37,16 +37,19 @@
     """Record a step if the request's model has a version move.
 
     It is the time since the last tokens, or, for a service, since the request
-    was sent.  The first tokens of an engine depend on the prompt instead.
+    was sent.  The first tokens of an engine depend on the prompt instead, and
+    an upstream that is cold is slower than its version.
     """
     if state.attempt is None or state.request.target not in scheduler.moves:
         return
     name = state.attempt.upstream
     upstream = scheduler.upstreams.get(name)
     since_s = state.last_token_at_s
-    if upstream is not None and upstream.spec.kind == 'service':
+    if upstream is None or is_cold(upstream, now_s):
+        return
+    if upstream.spec.kind == 'service':
         since_s = state.attempt.started_at_s
-    if upstream is not None and since_s is not None:
+    if since_s is not None:
         total = scheduler.step_totals.get(name, StepTotal())
         scheduler.step_totals[name] = add_step(total, now_s - since_s)
 
--- a/bluebellhub/site/tests/test_version_moves.py
+++ b/bluebellhub/site/tests/test_version_moves.py
@@ -204,6 +204,23 @@
         assert version == allowed
 
 
+@pytest.mark.parametrize(('cold_s', 'steps'), [(0.0, 1), (60.0, 0)])
+def test_cold_upstream_tells_nothing_of_its_version(cold_s, steps):
+    site = _make_vm('hub-1')
+    for number in range(2):
+        entry = make_registration(
+            f'u{number}', version='v1', slots=50, cold_s=cold_s
+        )
+        apply_registration(site, entry, 0.0)
+    command = MoveCommand('s', 'v2', DURATION_S, None, 1)
+    apply_move_commands(site, [command], 0.0)
+    _serve(site, GOOD, Random(5), 1, 1.0)
+    totals = site.scheduler.step_totals.values()
+    assert sum(total.steps for total in totals) == steps
+    apply_move_commands(site, [], 2.0)
+    assert not site.scheduler.step_totals
+
+
 def test_vm_without_leader_keeps_old_version():
     site = _make_vm('hub-2')
     apply_move_commands(
--- a/bluebellhub/site/version_moves.py
+++ b/bluebellhub/site/version_moves.py
@@ -82,6 +82,8 @@
     for model in ended:
         site.moves.pop(model)
         site.scheduler.moves.pop(model, None)
+    if not site.moves:
+        site.scheduler.step_totals.clear()
     for command in found.values():
         _apply_command(site, command, now_s)
 
--- a/bluebellhub/upstream/__init__.py
+++ b/bluebellhub/upstream/__init__.py
@@ -1,6 +1,7 @@
 """Upstreams: settings, speed, window, load reports, requests in progress."""
 
 from bluebellhub.upstream.speed import Speed, make_speed, observe_prefill
+from bluebellhub.upstream.straggler import is_straggler
 from bluebellhub.upstream.upstream import (
     LoadReport,
     Upstream,
@@ -9,7 +10,7 @@
     add_work,
     backlog_tokens,
     finish_prefill,
-    is_straggler,
+    is_cold,
     make_upstream,
     mark_cold,
     pending_tokens,
@@ -36,6 +37,7 @@
     'add_work',
     'backlog_tokens',
     'finish_prefill',
+    'is_cold',
     'is_straggler',
     'make_speed',
     'make_upstream',
--- a/bluebellhub/upstream/upstream.py
+++ b/bluebellhub/upstream/upstream.py
@@ -1,7 +1,5 @@
 """Aggregate of one upstream, as one VM knows it."""
 
-from collections.abc import Iterable
-from statistics import median
 from typing import Annotated, Final, Literal, NamedTuple
 
 import msgspec
@@ -19,7 +17,7 @@
     'add_work',
     'backlog_tokens',
     'finish_prefill',
-    'is_straggler',
+    'is_cold',
     'make_upstream',
     'mark_cold',
     'pending_tokens',
@@ -29,9 +27,6 @@
     'remove_work',
 ]
 
-STRAGGLER_SHARE: Final = 0.4
-STRAGGLER_DELAY_RATIO: Final = 3.0
-STRAGGLER_OBSERVATIONS_MIN: Final = 8
 BACKOFF_BASE_S: Final = 0.25
 BACKOFF_MAX_S: Final = 8.0
 
@@ -277,23 +272,7 @@
     )
 
 
-def is_straggler(upstream: Upstream, peers: Iterable[Upstream]) -> bool:
-    """Return whether the upstream is a straggler.
-
-    It is a straggler if it is much slower than the median of its peers, or
-    than its predictions.  ``peers`` serve the same target; those on other
-    hardware are left out.  With too few observations or fewer than three
-    peers, no upstream is a straggler.
-    """
-    speed = upstream.speed
-    if speed.observations < STRAGGLER_OBSERVATIONS_MIN:
-        return False
-    rates = [
-        peer.speed.prefill_tokens_per_s
-        for peer in peers
-        if peer.spec.hardware == upstream.spec.hardware
-    ]
-    if len(rates) < 3:
-        return False
-    slow = speed.prefill_tokens_per_s < STRAGGLER_SHARE * median(rates)
-    return slow or speed.delay_ratio > STRAGGLER_DELAY_RATIO
+def is_cold(upstream: Upstream, now_s: float) -> bool:
+    """Return whether the upstream was marked as cold and still is."""
+    cold_rate = upstream.cold_rate
+    return cold_rate is not None and now_s < cold_rate.until_s
