Send the age of a success along with it

A VM that had learned of a success from another took it for one of now and passed it on as such. As long as crashes were reported, a part that had once passed could not be suspected, even if it had crashed upstreams ever since, as it may after a new version. Successes now carry their age, like crashes.

test_success_that_goes_round_does_not_become_younger covers it; it uses the new message and was not run on the code before.

--- a/bluebellhub/quarantine/__init__.py
+++ b/bluebellhub/quarantine/__init__.py
@@ -2,6 +2,7 @@
 
 from bluebellhub.quarantine.quarantine import (
     CrashReport,
+    PassedPart,
     Quarantine,
     confirm_crash,
     crash_reports,
@@ -20,6 +21,7 @@
 
 __all__ = [
     'CrashReport',
+    'PassedPart',
     'Quarantine',
     'confirm_crash',
     'crash_reports',
--- a/bluebellhub/quarantine/quarantine.py
+++ b/bluebellhub/quarantine/quarantine.py
@@ -21,6 +21,7 @@
     'PASSED_S',
     'SHARING_S',
     'CrashReport',
+    'PassedPart',
     'Quarantine',
     'confirm_crash',
     'crash_reports',
@@ -61,6 +62,13 @@
     age_s: float
 
 
+class PassedPart(NamedTuple):
+    """A part with which a request got a token ``age_s`` seconds ago."""
+
+    part: str
+    age_s: float
+
+
 class QuarantineFlags(TypedDict):
     """``version`` grows whenever there is something new to tell other VMs."""
 
@@ -90,13 +98,12 @@
 
 
 def record_passed(
-    quarantine: Quarantine, parts: Iterable[str], now_s: float
+    quarantine: Quarantine, parts: Iterable[str], at_s: float
 ) -> None:
-    """Record that upstreams have processed these parts of a prompt."""
+    """Record that upstreams processed these parts of a prompt at ``at_s``."""
     passed_at_s = quarantine.passed_at_s
     for part in parts:
-        passed_at_s.pop(part, None)
-        passed_at_s[part] = now_s
+        passed_at_s[part] = max(at_s, passed_at_s.pop(part, -inf))
         quarantine.crashed_at_s.pop(part, None)
     while len(passed_at_s) > PASSED_PARTS_MAX:
         passed_at_s.pop(next(iter(passed_at_s)))
@@ -272,10 +279,14 @@
     return found
 
 
-def disputed_parts(quarantine: Quarantine, now_s: float) -> list[str]:
-    """Return the parts that other VMs suspect though they have passed here."""
+def disputed_parts(quarantine: Quarantine, now_s: float) -> list[PassedPart]:
+    """Return the parts that other VMs suspect though they have passed."""
     disputed_at_s = quarantine.disputed_at_s
     for part, at_s in list(disputed_at_s.items()):
-        if now_s - at_s > SHARING_S:
+        is_over = now_s - at_s > SHARING_S
+        if is_over or not has_passed(quarantine, part, now_s):
             disputed_at_s.pop(part)
-    return sorted(disputed_at_s)[:SHARED_PARTS_MAX]
+    return [
+        PassedPart(part, now_s - quarantine.passed_at_s[part])
+        for part in sorted(disputed_at_s)[:SHARED_PARTS_MAX]
+    ]
--- a/bluebellhub/quarantine/tests/test_quarantine.py
+++ b/bluebellhub/quarantine/tests/test_quarantine.py
@@ -4,6 +4,7 @@
 
 from bluebellhub.quarantine import (
     CrashReport,
+    PassedPart,
     confirm_crash,
     crash_reports,
     discard_suspicion,
@@ -148,11 +149,29 @@
     quarantine = make_quarantine()
     record_passed(quarantine, 'a', 0.0)
     merge_crash_reports(quarantine, [CrashReport('a', 'u1', 0.0)], 1.0)
-    assert disputed_parts(quarantine, 1.0) == ['a']
+    assert disputed_parts(quarantine, 1.5) == [PassedPart('a', 1.5)]
     assert not disputed_parts(quarantine, 1.1 + SHARING_S)
     assert not crash_reports(quarantine, 1.0)
 
 
+def test_success_that_goes_round_does_not_become_younger():
+    """Else a part that crashes upstreams since a change is never suspected."""
+    first, second = make_quarantine(), make_quarantine()
+    record_passed(first, 'a', 0.0)
+    now_s = 0.0
+    while now_s <= PASSED_S:
+        now_s += 1.0
+        report = CrashReport('a', f'u{now_s}', 0.0)
+        for quarantine, other in ((first, second), (second, first)):
+            merge_crash_reports(quarantine, [report], now_s)
+            for passed in disputed_parts(quarantine, now_s):
+                record_passed(other, [passed.part], now_s - passed.age_s)
+    for quarantine in (first, second):
+        for name in ('u1', 'u2', 'u3'):
+            _apply(quarantine, ('crash', 'a', name), now_s)
+        assert quarantined_part(quarantine, 'a', now_s) == 'a'
+
+
 def test_memory_is_bounded():
     quarantine = make_quarantine()
     for number in range(PASSED_PARTS_MAX + 10):
--- a/bluebellhub/site/crash_evidence.py
+++ b/bluebellhub/site/crash_evidence.py
@@ -65,5 +65,6 @@
     tick of the scheduler refuses the requests with them.
     """
     quarantine = site.scheduler.quarantine
-    record_passed(quarantine, evidence.passed_parts, now_s)
+    for passed in evidence.passed:
+        record_passed(quarantine, [passed.part], now_s - passed.age_s)
     return merge_crash_reports(quarantine, evidence.crashes, now_s)
--- a/bluebellhub/site/reports.py
+++ b/bluebellhub/site/reports.py
@@ -3,7 +3,7 @@
 from typing import NamedTuple
 
 from bluebellhub.peer_messages import message_types
-from bluebellhub.quarantine import CrashReport
+from bluebellhub.quarantine import CrashReport, PassedPart
 from bluebellhub.upstream.speed import Speed
 from bluebellhub.version_move.comparison import RouteOutcomes
 from bluebellhub.version_move.step_times import StepTotal
@@ -82,11 +82,11 @@
 class CrashEvidence(NamedTuple):
     """Crashes of upstreams by part of the prompt, and parts not to suspect.
 
-    Requests with ``passed_parts`` got tokens at the VM that sends this.
+    Requests with the ``passed`` parts got tokens, at any VM.
     """
 
     crashes: list[CrashReport]
-    passed_parts: list[str]
+    passed: list[PassedPart]
 
 
 @message_types.register('StepReport')
