Split the tests of responses; share the parts of the scripted upstreams

The streams have a file of their own, and the parts of responses that both use another. The reading of a request's head and the start of a server on the loopback interface stood three times, and names of headers outside the platform's folder.

--- a/bluebellhub/adapters/proxy/tests/scripted_upstreams.py
+++ b/bluebellhub/adapters/proxy/tests/scripted_upstreams.py
@@ -23,6 +23,8 @@
 __all__ = [
     'RunningHub',
     'fill_retry_budget',
+    'listen',
+    'read_head',
     'running_hub',
     'send_and_receive',
     'send_without_end',
@@ -47,12 +49,9 @@
     """
     response, ending = script.pop(0) if len(script) > 1 else script[0]
     async with stream:
-        head = b''
-        while b'\r\n\r\n' not in head:
-            part = await stream.receive_some()
-            if not part:
-                return
-            head += part
+        head = await read_head(stream)
+        if not head:
+            return
         received.append(head)
         try:
             await stream.send_all(response)
@@ -65,6 +64,17 @@
             stream.setsockopt(1, 13, b'\x01\0\0\0\0\0\0\0')
 
 
+async def read_head(stream):
+    """Return a request's head and what came with it; empty at the end."""
+    head = b''
+    while b'\r\n\r\n' not in head:
+        part = await stream.receive_some()
+        if not part:
+            return b''
+        head += part
+    return head
+
+
 async def _read_to_end(stream):
     received = b'x'
     while received:
@@ -84,7 +94,7 @@
         async with trio.open_nursery() as nursery:
             site = make_small_site(**fields)
             for number, script in enumerate(scripts):
-                port = await _listen(
+                port = await listen(
                     nursery, partial(_play_script, list(script), received)
                 )
                 entry = make_registration(
@@ -98,7 +108,7 @@
             node = make_node(settings, site.scheduler, _probe, nursery)
             proxy = Proxy(node, site, {}, {})
             nursery.start_soon(run_ticks, node)
-            port = await _listen(nursery, partial(serve_connection, proxy))
+            port = await listen(nursery, partial(serve_connection, proxy))
             yield RunningHub(proxy, port, received)
             nursery.cancel_scope.cancel()
 
@@ -115,7 +125,8 @@
     raise AssertionError(spec.name)
 
 
-async def _listen(nursery, handler):
+async def listen(nursery, handler):
+    """Serve connections on the loopback interface; return the port."""
     listeners = await nursery.start(
         partial(trio.serve_tcp, handler, 0, host='127.0.0.1')
     )
--- a/bluebellhub/adapters/proxy/tests/test_crashing_prompts.py
+++ b/bluebellhub/adapters/proxy/tests/test_crashing_prompts.py
@@ -7,11 +7,12 @@
 
 from bluebellhub.adapters.proxy.tests.scripted_upstreams import (
     fill_retry_budget,
+    read_head,
     running_hub,
     send_and_receive,
 )
 from bluebellhub.clock import now_s
-from bluebellhub.platform.tests.wire import SIGNATURE, request
+from bluebellhub.platform.tests.wire import SIGNATURE, prompt_header, request
 from bluebellhub.site.upstreams import apply_removal
 
 CRASHING_PART = b'c0ffee'
@@ -31,12 +32,9 @@
 async def _serve_until_crash(crashed, address, scope, stream):
     """Answer a request, or end the upstream's process at the crashing part."""
     async with stream:
-        head = b''
-        while b'\r\n\r\n' not in head:
-            part = await stream.receive_some()
-            if not part:
-                return
-            head += part
+        head = await read_head(stream)
+        if not head:
+            return
         if CRASHING_PART in head:
             crashed.append(address)
             scope.cancel()
@@ -56,8 +54,7 @@
 
 
 def _request(*parts):
-    prompt = b','.join(b'%s:9' % part for part in parts)
-    header = b'X-Bluebellhub-Prompt-Prefix: %s\r\n' % prompt
+    header = prompt_header(*parts)
     return request(headers=b'Connection: close\r\n' + header)
 
 
--- a/bluebellhub/adapters/proxy/tests/test_endless_responses.py
+++ b/bluebellhub/adapters/proxy/tests/test_endless_responses.py
@@ -7,6 +7,7 @@
 import trio
 
 from bluebellhub.adapters.proxy.tests.scripted_upstreams import (
+    listen,
     running_hub,
     send_and_receive,
     send_without_end,
@@ -33,10 +34,7 @@
     sent_bytes = []
     handler = partial(send_without_end, start, part, sent_bytes)
     async with trio.open_nursery() as nursery:
-        listeners = await nursery.start(
-            partial(trio.serve_tcp, handler, 0, host='127.0.0.1')
-        )
-        port = listeners[0].socket.getsockname()[1]
+        port = await listen(nursery, handler)
         async with running_hub(
             addresses=(f'127.0.0.1:{port}',), **route
         ) as hub:
--- a/bluebellhub/adapters/proxy/tests/test_repeated_responses.py
+++ b/bluebellhub/adapters/proxy/tests/test_repeated_responses.py
@@ -8,19 +8,20 @@
 
 from bluebellhub.adapters.proxy.tests.scripted_upstreams import (
     fill_retry_budget,
+    listen,
     running_hub,
     send_and_receive,
 )
 from bluebellhub.platform.tests.wire import (
     NOT_EXECUTED,
     OTHER_REQUEST_ID,
+    REQUEST_ID,
     SIGNATURE,
     request,
 )
 
 IDEMPOTENT = {'repeat': 'idempotent', 'attempts_max': 1}
 ONCE = {'repeat': 'once', 'attempts_max': 2}
-REQUEST_ID = b'X-Bluebellhub-Request-Id: r1\r\n'
 NO_BODY = b'Content-Length: 0\r\n\r\n'
 COMPLETE = (
     b'HTTP/1.1 200 OK\r\nKeep-Alive: timeout=5\r\n'
@@ -55,15 +56,8 @@
 async def _repeating_hub(repeated, route):
     received = []
     async with trio.open_nursery() as nursery:
-        listeners = await nursery.start(
-            partial(
-                trio.serve_tcp,
-                partial(_serve, repeated, received),
-                0,
-                host='127.0.0.1',
-            )
-        )
-        port = listeners[0].socket.getsockname()[1]
+        handler = partial(_serve, repeated, received)
+        port = await listen(nursery, handler)
         async with running_hub(
             addresses=(f'127.0.0.1:{port}',), **route
         ) as hub:
--- /dev/null
+++ b/bluebellhub/adapters/proxy/tests/test_streams.py
@@ -0,0 +1,176 @@
+"""Streams that callers receive, by the bytes that upstreams send."""
+
+import pytest
+
+from bluebellhub.adapters.proxy.tests.response_parts import (
+    CHUNKED,
+    CLOSE,
+    COMPLETE,
+    ERROR,
+    LAST,
+    NOT_RESUMABLE,
+    OK,
+    REFUSED,
+    RESUMABLE,
+    STREAM,
+    TWO_EVENTS,
+    body_of,
+    chunk,
+    event,
+    status_of,
+)
+from bluebellhub.adapters.proxy.tests.scripted_upstreams import (
+    fill_retry_budget,
+    running_hub,
+    send_and_receive,
+)
+from bluebellhub.platform.tests.wire import SIGNATURE, request
+
+# Above what is buffered of a response.
+LARGE_BYTES = 1_200_000
+LARGE_ERROR = (
+    b'HTTP/1.1 500 No\r\n'
+    + SIGNATURE
+    + b'Content-Length: %d\r\n\r\n' % LARGE_BYTES
+    + b'x' * LARGE_BYTES
+)
+THREE_EVENTS = b''.join(chunk(event(number)) for number in (1, 2, 3))
+ALL = event(1) + event(2) + event(3)
+
+
+@pytest.mark.parametrize(
+    ('route', 'first', 'second', 'body', 'is_complete'),
+    [
+        (
+            NOT_RESUMABLE,
+            (STREAM + CHUNKED + THREE_EVENTS + LAST, 'keep'),
+            None,
+            ALL,
+            True,
+        ),
+        (NOT_RESUMABLE, (STREAM + b'\r\n' + ALL, 'close'), None, ALL, True),
+        (
+            NOT_RESUMABLE,
+            (STREAM + CHUNKED + TWO_EVENTS, 'close'),
+            None,
+            event(1) + event(2),
+            False,
+        ),
+        (
+            NOT_RESUMABLE,
+            (STREAM + CHUNKED + TWO_EVENTS + chunk(b'id: 3\nda'), 'reset'),
+            None,
+            event(1) + event(2),
+            False,
+        ),
+        (
+            RESUMABLE,
+            (STREAM + CHUNKED + TWO_EVENTS, 'close'),
+            (STREAM + CHUNKED + chunk(event(3)) + LAST, 'keep'),
+            ALL,
+            True,
+        ),
+        (
+            RESUMABLE,
+            (STREAM + CHUNKED + TWO_EVENTS + chunk(b'id: 3\nda'), 'close'),
+            (STREAM + CHUNKED + chunk(event(3)) + LAST, 'keep'),
+            ALL,
+            True,
+        ),
+        (
+            RESUMABLE,
+            (STREAM + CHUNKED + TWO_EVENTS, 'close'),
+            (STREAM + CHUNKED + THREE_EVENTS + LAST, 'keep'),
+            ALL,
+            True,
+        ),
+        (
+            RESUMABLE,
+            (STREAM + CHUNKED + TWO_EVENTS, 'close'),
+            (STREAM + CHUNKED + chunk(event(4)) + LAST, 'keep'),
+            event(1) + event(2),
+            False,
+        ),
+        # Without a length, the end of the connection ends the stream.
+        (
+            NOT_RESUMABLE,
+            (STREAM + b'\r\n' + event(1) + event(2) + b'id: 3\nda', 'close'),
+            None,
+            event(1) + event(2),
+            False,
+        ),
+        (
+            NOT_RESUMABLE,
+            (STREAM + CHUNKED + TWO_EVENTS + chunk(b'id: 3') + LAST, 'keep'),
+            None,
+            event(1) + event(2),
+            False,
+        ),
+        (
+            RESUMABLE,
+            (STREAM + b'\r\n' + event(1) + event(2) + b'id: 3\nda', 'close'),
+            (STREAM + CHUNKED + chunk(event(3)) + LAST, 'keep'),
+            ALL,
+            True,
+        ),
+        (
+            NOT_RESUMABLE,
+            (STREAM + b'\r\n' + ALL.replace(b'\n', b'\r\n'), 'close'),
+            None,
+            ALL.replace(b'\n', b'\r\n'),
+            True,
+        ),
+        (
+            NOT_RESUMABLE,
+            (STREAM + b'\r\n' + ALL + b'\n', 'close'),
+            None,
+            ALL + b'\n',
+            True,
+        ),
+    ],
+)
+async def test_streamed_response_body_and_end(
+    route, first, second, body, is_complete
+):
+    async with running_hub([first, second or first], **route) as hub:
+        fill_retry_budget(hub)
+        response = await send_and_receive(hub, request(headers=CLOSE))
+        received = list(hub.received)
+    assert status_of(response) == 200
+    assert body_of(response) == body
+    assert response.endswith(LAST) is is_complete
+    if second is not None:
+        assert b'last-event-id: 2\r\n' in received[1].lower()
+
+
+@pytest.mark.parametrize(
+    'second',
+    [
+        ERROR,
+        REFUSED,
+        COMPLETE,
+        ERROR.replace(b'500', b'404'),
+        ERROR.replace(b'500', b'503'),
+        ERROR.replace(b'500 No', b'404 No\r\nContent-Type: text/event-stream'),
+        LARGE_ERROR,
+        LARGE_ERROR.replace(b'500', b'404'),
+        OK + b'\r\n' + b'x' * LARGE_BYTES,
+        STREAM.replace(SIGNATURE, b'') + CHUNKED + chunk(event(3)) + LAST,
+    ],
+)
+async def test_stream_gets_no_part_of_another_response(second):
+    first = STREAM + CHUNKED + TWO_EVENTS
+    script = [(first, 'close'), (second, 'close')]
+    async with running_hub(script, **RESUMABLE) as hub:
+        fill_retry_budget(hub)
+        response = await send_and_receive(hub, request(headers=CLOSE))
+        assert len(hub.received) > 1
+    assert body_of(response) == event(1) + event(2)
+    assert not response.endswith(LAST)
+
+
+async def test_event_is_forwarded_before_the_next_one_arrives():
+    first_event = STREAM + CHUNKED + chunk(event(1))
+    async with running_hub([(first_event, 'keep')], **NOT_RESUMABLE) as hub:
+        response = await send_and_receive(hub, request(), until=event(1))
+    assert event(1) in response
--- a/bluebellhub/platform/tests/wire.py
+++ b/bluebellhub/platform/tests/wire.py
@@ -5,14 +5,17 @@
     'NOT_EXECUTED',
     'OTHER_REQUEST_ID',
     'RECEIVED_HEADERS',
+    'REQUEST_ID',
     'SIGNATURE',
     'SIGNATURE_NAME',
+    'prompt_header',
     'request',
 ]
 
 SIGNATURE_NAME = b'x-bluebellhub-response-signature'
 SIGNATURE = b'X-Bluebellhub-Response-Signature: p\r\n'
 NOT_EXECUTED = b'X-Bluebellhub-Not-Executed: 1\r\n'
+REQUEST_ID = b'X-Bluebellhub-Request-Id: r1\r\n'
 OTHER_REQUEST_ID = b'X-Bluebellhub-Request-Id: r2\r\n'
 
 # A header that callers may not set, and the headers that an upstream
@@ -29,6 +32,12 @@
 ]
 
 
+def prompt_header(*parts):
+    """Return the header line for a prompt with these parts."""
+    prompt = b','.join(b'%s:9' % part for part in parts)
+    return b'X-Bluebellhub-Prompt-Prefix: %s\r\n' % prompt
+
+
 def request(body=b'', path=b'/a/x', method=b'POST', headers=b''):
     """Return a caller's request; ``headers`` are lines that end in CRLF."""
     return (
