--- a/bluebellhub/membership/__init__.py
+++ b/bluebellhub/membership/__init__.py
@@ -1,8 +1,8 @@
 """Fleet membership: heartbeats, failure detection and the shard map."""
 
+from bluebellhub.membership.heartbeat import Heartbeat
 from bluebellhub.membership.members import (
     CONFIRMATION_TIMEOUT_S,
-    Heartbeat,
     Members,
     Peer,
     adopt_map,
--- a/bluebellhub/membership/members.py
+++ b/bluebellhub/membership/members.py
@@ -3,12 +3,11 @@
 from typing import Final, NamedTuple, TypedDict
 
 from bluebellhub.invariants import check_invariant
+from bluebellhub.membership.heartbeat import Heartbeat
 from bluebellhub.membership.shard_map import ShardMap
-from bluebellhub.peer_messages import message_types
 
 __all__ = [
     'CONFIRMATION_TIMEOUT_S',
-    'Heartbeat',
     'Members',
     'Peer',
     'adopt_map',
@@ -33,29 +32,6 @@
 NUMBERS_PER_INCARNATION: Final = 1_000_000_000
 
 
-@message_types.register('Heartbeat')
-class Heartbeat(NamedTuple):
-    """The state that a VM sends to each other VM several times a second.
-
-    ``number`` counts the sender's heartbeats and ``echo`` is the number of
-    the newest heartbeat that it received from the recipient.
-    ``admission_floors`` are the highest tier ranks that the sender admits,
-    by model or service, and ``requested_floors`` the floors that it needs.
-    ``bad`` lists the versions known to be bad as ``model/version``.
-    """
-
-    vm: str
-    failure_domain: str
-    number: int
-    echo: int
-    map_version: int
-    revision: int
-    leaving: bool
-    admission_floors: dict[str, int]
-    requested_floors: dict[str, int]
-    bad: list[str]
-
-
 class Peer(NamedTuple):
     """Another VM's last heartbeat and the time when it was received.
 
--- a/bluebellhub/order/__init__.py
+++ b/bluebellhub/order/__init__.py
@@ -1,10 +1,7 @@
 """Orders: non-idempotent requests, dispatched at most once per key."""
 
 from bluebellhub.order.ledger import (
-    Claim,
-    ClaimAnswer,
     Ledger,
-    OrderOutcome,
     ShardWrite,
     begin_write,
     confirm_write,
@@ -17,6 +14,7 @@
     reconcile,
     shard_of,
 )
+from bluebellhub.order.messages import Claim, ClaimAnswer, OrderOutcome
 from bluebellhub.order.record import OrderRecord
 
 __all__ = [
--- a/bluebellhub/order/ledger.py
+++ b/bluebellhub/order/ledger.py
@@ -6,12 +6,18 @@
 the shard's owner only reduces conflicts between writers.
 """
 
-from typing import Any, Final, Literal, NamedTuple, TypedDict
+from typing import Any, Final, NamedTuple, TypedDict
 
 from xxhash import xxh3_64_intdigest
 
 from bluebellhub.errors import ConflictError
 from bluebellhub.invariants import check_invariant
+from bluebellhub.order.messages import (
+    Claim,
+    ClaimAnswer,
+    ClaimState,
+    OrderOutcome,
+)
 from bluebellhub.order.record import (
     BODY_MAX_BYTES,
     RECORDS_MAX,
@@ -21,13 +27,9 @@
     drop_expired,
     encode_records,
 )
-from bluebellhub.peer_messages import message_types
 
 __all__ = [
-    'Claim',
-    'ClaimAnswer',
     'Ledger',
-    'OrderOutcome',
     'ShardWrite',
     'begin_write',
     'confirm_write',
@@ -42,36 +44,6 @@
 ]
 
 SHARD_COUNT: Final = 64
-ClaimState = Literal['granted', 'done', 'unknown', 'reused', 'full']
-
-
-@message_types.register('Claim')
-class Claim(NamedTuple):
-    """A request to dispatch the order with ``key``; claim ids are unique."""
-
-    claim_id: str
-    key: str
-    body_hash: str
-
-
-@message_types.register('ClaimAnswer')
-class ClaimAnswer(NamedTuple):
-    """The result of a claim; ``record`` is that of an earlier claim."""
-
-    claim_id: str
-    state: ClaimState
-    record: OrderRecord | None = None
-
-
-@message_types.register('Outcome')
-class OrderOutcome(NamedTuple):
-    """The response to a dispatched order."""
-
-    claim_id: str
-    key: str
-    status: int
-    content_type: str
-    body: str
 
 
 class ShardWrite(NamedTuple):
