--- a/bluebellhub/quarantine/quarantine.py
+++ b/bluebellhub/quarantine/quarantine.py
@@ -70,7 +70,7 @@
 
 
 class QuarantineFlags(TypedDict):
-    """``version`` grows whenever there is something new to tell other VMs."""
+    """``version`` grows whenever there is something new for other VMs."""
 
     version: int
 
@@ -237,7 +237,7 @@
 
 
 def evidence_version(quarantine: Quarantine) -> int:
-    """Return a number that grows with each change to tell other VMs."""
+    """Return a number that grows with each change that concerns other VMs."""
     return quarantine.flags['version']
 
 
