Log and count the rate limits that upstreams state

Change: the limit is decoded with the response head, recorded by upstream, and each change is logged and counted. A malformed one, one of another upstream at the address, or in a response to another request, changes nothing. No request is routed otherwise.

--- a/bluebellhub/adapters/proxy/attempt.py
+++ b/bluebellhub/adapters/proxy/attempt.py
@@ -21,6 +21,7 @@
     read_response,
 )
 from bluebellhub.adapters.proxy.state import Proxy, RequestContext
+from bluebellhub.adapters.proxy.statements import apply_rate_limit
 from bluebellhub.adapters.proxy.upstream_connection import (
     ConnectError,
     UpstreamConnection,
@@ -167,6 +168,8 @@
     apply_response_status(
         proxy.site, connection.spec.name, is_error=_is_error(response)
     )
+    if _belongs_to_request(context, connection, response):
+        apply_rate_limit(proxy, connection.spec.name, response)
     await _check_response(context, connection, response)
     if response.is_event_stream:
         await forward_events(
--- /dev/null
+++ b/bluebellhub/adapters/proxy/statements.py
@@ -0,0 +1,41 @@
+"""Applies what an upstream states about its load in a response head."""
+
+import logbook
+
+from bluebellhub.adapters.proxy.state import Proxy
+from bluebellhub.clock import now_s
+from bluebellhub.request.heads import ResponseHead
+from bluebellhub.site.upstreams import apply_stated_limit
+
+__all__ = ['apply_rate_limit']
+
+log = logbook.Logger('bluebellhub.statements')
+
+
+def apply_rate_limit(proxy: Proxy, name: str, response: ResponseHead) -> None:
+    """Apply the rate limit in a response, or that there is none.
+
+    A malformed one changes nothing, and neither does a response of another
+    upstream that has the address now.
+    """
+    if response.is_misdirected:
+        return
+    malformed = response.malformed_rate_limit
+    if malformed is not None:
+        log.warning(
+            'malformed rate limit ignored',
+            extra={'upstream': name, 'stated': malformed.decode('latin-1')},
+        )
+        _count(proxy, 'malformed')
+        return
+    per_s = response.rate_limit_per_s
+    if apply_stated_limit(proxy.site, name, per_s, now_s()):
+        log.info(
+            'upstream changed its rate limit',
+            extra={'upstream': name, 'per_s': per_s, 'source': 'response'},
+        )
+        _count(proxy, 'lifted' if per_s is None else 'stated')
+
+
+def _count(proxy: Proxy, change: str) -> None:
+    proxy.node.scheduler.counters['stated_limits', change] += 1
--- a/bluebellhub/metrics.py
+++ b/bluebellhub/metrics.py
@@ -31,6 +31,7 @@
     'moves': 'outcome',
     'refused_reports': 'upstream',
     'reports': 'upstream',
+    'stated_limits': 'change',
 }
 
 
--- a/bluebellhub/platform/header_names.py
+++ b/bluebellhub/platform/header_names.py
@@ -10,6 +10,7 @@
     'LAST_EVENT_ID',
     'NOT_EXECUTED',
     'PROMPT_PARTS',
+    'RATE_LIMIT',
     'REQUEST_ID',
     'RESPONSE_SIGNATURE',
     'RESTRICTED',
@@ -31,6 +32,8 @@
 RESPONSE_SIGNATURE: Final = b'x-bluebellhub-response-signature'
 NOT_EXECUTED: Final = b'x-bluebellhub-not-executed'
 SERVER_LOAD: Final = b'x-bluebellhub-server-load'
+# The requests per second that the upstream takes from all VMs together.
+RATE_LIMIT: Final = b'server-limit'
 LAST_EVENT_ID: Final = b'last-event-id'
 
 # Headers that apply to a single connection only.
--- a/bluebellhub/platform/headers.py
+++ b/bluebellhub/platform/headers.py
@@ -1,5 +1,6 @@
 """Decodes and encodes the heads of requests and responses."""
 
+import re
 from collections.abc import Iterable, Mapping
 from typing import Final
 
@@ -11,6 +12,7 @@
     LAST_EVENT_ID,
     NOT_EXECUTED,
     PROMPT_PARTS,
+    RATE_LIMIT,
     REQUEST_ID,
     RESPONSE_SIGNATURE,
     RESTRICTED,
@@ -37,6 +39,7 @@
 CLOSE: Final = b'close'
 # Used if an upstream does not state how long it keeps an idle connection.
 IDLE_DEFAULT_S: Final = 2.0
+DECIMAL_NUMBER: Final = re.compile(rb'\d{1,9}(\.\d{1,9})?')
 
 
 def read_request_head(
@@ -95,6 +98,8 @@
     by_name = dict(headers)
     request_id = by_name.get(REQUEST_ID)
     media_type = by_name.get(b'content-type', b'').lower()
+    rate_limit = by_name.get(RATE_LIMIT)
+    rate_limit_per_s = _read_decimal(rate_limit)
     return ResponseHead(
         status=status,
         request_id=request_id.decode('latin-1') if request_id else None,
@@ -106,6 +111,8 @@
         load=_read_load(by_name.get(SERVER_LOAD)),
         idle_s=_read_idle_s(by_name),
         forwarded_headers=_without(headers, _hop_by_hop(by_name)),
+        rate_limit_per_s=rate_limit_per_s,
+        malformed_rate_limit=rate_limit if rate_limit_per_s is None else None,
     )
 
 
@@ -156,6 +163,13 @@
     return tuple(ids[:-1])
 
 
+def _read_decimal(field: bytes | None) -> float | None:
+    """Return a decimal number; ``None`` if it is absent or malformed."""
+    if field is None or not DECIMAL_NUMBER.fullmatch(field):
+        return None
+    return float(field)
+
+
 def _read_load(field: bytes | None) -> UpstreamLoad | None:
     """Return the upstream's load; ``None`` if absent or malformed."""
     counts = (field or b'').split(b',')
--- a/bluebellhub/platform/tests/test_headers.py
+++ b/bluebellhub/platform/tests/test_headers.py
@@ -148,6 +148,16 @@
         (200, (b'keep-alive', b'timeout=5, max=3'), 'idle_s', 5.0),
         (200, (b'connection', b'close'), 'idle_s', 0.0),
         (200, (b'x-bluebellhub-request-id', b'77'), 'request_id', '77'),
+        (200, (b'server-limit', b'4.5'), 'rate_limit_per_s', 4.5),
+        (503, (b'server-limit', b'0'), 'rate_limit_per_s', 0.0),
+        (200, (b'x', b'y'), 'rate_limit_per_s', None),
+        (200, (b'x', b'y'), 'malformed_rate_limit', None),
+        (200, (b'server-limit', b'4.5'), 'malformed_rate_limit', None),
+        (200, (b'server-limit', b'-1'), 'malformed_rate_limit', b'-1'),
+        (200, (b'server-limit', b'nan'), 'malformed_rate_limit', b'nan'),
+        (200, (b'server-limit', b'1e9'), 'malformed_rate_limit', b'1e9'),
+        (200, (b'server-limit', b''), 'malformed_rate_limit', b''),
+        (200, (b'server-limit', b'9' * 400), 'rate_limit_per_s', None),
     ],
 )
 def test_response_head_is_decoded(status, pair, field, expected):
--- a/bluebellhub/request/heads.py
+++ b/bluebellhub/request/heads.py
@@ -62,7 +62,9 @@
     encoding, so that it is not the body that the upstream produced.  The
     upstream keeps an idle connection open for ``idle_s`` seconds; 0 means
     that it closes the connection.  ``forwarded_headers`` are sent on to the
-    caller.
+    caller.  ``rate_limit_per_s`` is the number of requests per second that the
+    upstream takes from all VMs together; ``None`` means no limit, unless
+    ``malformed_rate_limit`` has what the upstream stated instead of a number.
     """
 
     status: int
@@ -75,3 +77,5 @@
     load: UpstreamLoad | None
     idle_s: float
     forwarded_headers: Headers
+    rate_limit_per_s: float | None = None
+    malformed_rate_limit: bytes | None = None
--- a/bluebellhub/scheduler/state.py
+++ b/bluebellhub/scheduler/state.py
@@ -7,6 +7,7 @@
 from typing import NamedTuple, TypedDict
 
 from bluebellhub.admission import Queue, make_queue
+from bluebellhub.backpressure import RateLimits, make_rate_limits
 from bluebellhub.contract import AccountUsage, Contract
 from bluebellhub.failure_domain import FailureDomain
 from bluebellhub.quarantine import Quarantine, make_quarantine
@@ -122,6 +123,7 @@
     by_target: dict[str, list[str]]
     requests: dict[str, RequestState]
     quarantine: Quarantine
+    rate_limits: RateLimits
     prefixes: PrefixIndex
     lengths: OutputLengths
     signals: dict[str, Signals]
@@ -177,6 +179,7 @@
         by_target={},
         requests={},
         quarantine=make_quarantine(),
+        rate_limits=make_rate_limits(),
         prefixes=make_prefix_index(),
         lengths=make_lengths(),
         signals={},
