Show what VMs miss after the store was restored from a copy

A store in memory is away, comes back from a copy, and gives out revisions again.

The address of a VM that the copy lacks is never written again.

--- /dev/null
+++ b/bluebellhub/adapters/proxy/tests/test_restored_store.py
@@ -0,0 +1,131 @@
+"""A store that comes back from a copy some seconds old."""
+
+from collections import Counter
+from contextlib import asynccontextmanager
+from functools import partial
+
+import pytest
+import trio
+
+from bluebellhub.adapters.peer_link import close_link, make_peer_link
+from bluebellhub.adapters.proxy.object_handlers import Watcher
+from bluebellhub.adapters.proxy.store_watch import watch_store
+from bluebellhub.adapters.proxy.tests.restorable_store import (
+    copy_of,
+    make_client,
+    make_restorable_store,
+    restore,
+    set_away,
+    write_object,
+)
+from bluebellhub.adapters.proxy.tests.scripted_upstreams import running_hub
+from bluebellhub.adapters.proxy.vm_announcement import keep_announcing
+from bluebellhub.platform.object_codec import (
+    CONFIG_KIND,
+    EVACUATION_KIND,
+    UPSTREAM_KIND,
+    VM_KIND,
+)
+from bluebellhub.settings import Settings
+
+LIMIT_S = 3.0
+PEER_ADDRESS = '127.0.0.1:0'
+SETTINGS = Settings('hub-1', 'd', '127.0.0.1:1', peer_listen='10.0.0.9:7600')
+UPSTREAM = {
+    'service': 's',
+    'address': '10.0.0.1:1',
+    'zone': 'd',
+    'version': 'v1',
+    'slots': 2,
+    'state': 'ready',
+    'coldRemainingMs': 0,
+    'born': 1_790_000_000_000,
+}
+DRAINING = {**UPSTREAM, 'state': 'draining'}
+
+
+def _config(version):
+    return {'version': version, 'routes': [], 'services': []}
+
+
+def _has_version(site):
+    return site.active_config['table'].version == 30
+
+
+def _is_evacuated(site):
+    return 'd' in site.scheduler.domains_out
+
+
+def _is_draining(site):
+    upstream = site.scheduler.upstreams.get('u9')
+    return upstream is not None and upstream.spec.leaving
+
+
+CHANGES = {
+    CONFIG_KIND: ('config/main', _config(20), _config(30), _has_version),
+    EVACUATION_KIND: ('evacuations/other', {}, {}, _is_evacuated),
+    UPSTREAM_KIND: ('servers/u9', UPSTREAM, DRAINING, _is_draining),
+}
+WRITTEN_TO = {EVACUATION_KIND: 'evacuations/d'}
+
+
+@asynccontextmanager
+async def _watching_vm(store, *kinds):
+    """Run a VM that watches these kinds, once it has listed them."""
+    async with running_hub() as hub:
+        site = hub.proxy.site
+        site.flags['unread_kinds'].update(kinds)
+        link = make_peer_link('hub-1', PEER_ADDRESS, Counter())
+        watcher = Watcher(hub.proxy, make_client(store), link, {}, {})
+        async with trio.open_nursery() as nursery:
+            for kind in kinds:
+                nursery.start_soon(watch_store, watcher, kind)
+            await _until(lambda: not site.flags['unread_kinds'])
+            yield watcher
+            nursery.cancel_scope.cancel()
+        close_link(link)
+
+
+async def _until(condition):
+    with trio.fail_after(LIMIT_S):
+        while not condition():
+            await trio.sleep(0.01)
+
+
+@pytest.mark.parametrize(
+    'writes_after', [0, pytest.param(4, marks=pytest.mark.known_red)]
+)
+@pytest.mark.parametrize('kind', CHANGES)
+async def test_change_is_not_missed_after_a_restore(kind, writes_after):
+    """The store has given out the revision again that the VM watches from."""
+    path, before, after, is_applied = CHANGES[kind]
+    store = make_restorable_store()
+    write_object(store, path, before)
+    copy = copy_of(store)
+    for _ in range(3):
+        write_object(store, 'other/x', {})
+    async with _watching_vm(store, kind) as watcher:
+        set_away(store, is_away=True)
+        await trio.sleep(0.1)
+        restore(store, copy)
+        write_object(store, WRITTEN_TO.get(kind, path), after)
+        for _ in range(writes_after):
+            write_object(store, 'other/x', {})
+        await _until(partial(is_applied, watcher.proxy.site))
+
+
+@pytest.mark.known_red
+async def test_vm_is_known_again_after_a_restore_without_its_address():
+    """All requests are refused while the list of VMs is empty."""
+    store = make_restorable_store()
+    copy = copy_of(store)
+    async with _watching_vm(store, VM_KIND) as watcher:
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(keep_announcing, watcher.store, SETTINGS)
+            await _until(lambda: 'hub-1' in watcher.proxy.site.vms)
+            set_away(store, is_away=True)
+            await trio.sleep(0.1)
+            restore(store, copy)
+            await _until(lambda: 'hub-vms/hub-1' in store.state['objects'])
+            await _until(lambda: 'hub-1' in watcher.proxy.site.vms)
+            nursery.cancel_scope.cancel()
