Write a VM's address again when the store has lost it

Cause: a VM wrote its address once, at its start. After a restore from a copy without it the list of VMs stayed empty, and without that list no request is admitted. The class: what a process writes into the store once and never checks.

Change: a VM checks twice a second whether the list of VMs that it has read has its address, and writes it if not.

--- a/bluebellhub/adapters/proxy/run.py
+++ b/bluebellhub/adapters/proxy/run.py
@@ -2,6 +2,7 @@
 
 import secrets
 import signal
+from functools import partial
 from pathlib import Path
 from typing import Final
 
@@ -98,8 +99,9 @@
     link = make_peer_link(settings.vm, settings.peer_listen or '', counters)
     watcher = Watcher(proxy, store, link, {}, {})
     _start_tasks(settings, nursery, watcher)
-    if not announced:
-        nursery.start_soon(keep_announcing, store, settings)
+    nursery.start_soon(
+        partial(keep_announcing, watcher, settings, announced=announced)
+    )
     return watcher
 
 
--- a/bluebellhub/adapters/proxy/tests/test_restored_store.py
+++ b/bluebellhub/adapters/proxy/tests/test_restored_store.py
@@ -112,14 +112,15 @@
         await _until(partial(is_applied, watcher.proxy.site))
 
 
-@pytest.mark.known_red
 async def test_vm_is_known_again_after_a_restore_without_its_address():
     """All requests are refused while the list of VMs is empty."""
     store = make_restorable_store()
     copy = copy_of(store)
     async with _watching_vm(store, VM_KIND) as watcher:
         async with trio.open_nursery() as nursery:
-            nursery.start_soon(keep_announcing, watcher.store, SETTINGS)
+            nursery.start_soon(
+                partial(keep_announcing, watcher, SETTINGS, announced=False)
+            )
             await _until(lambda: 'hub-1' in watcher.proxy.site.vms)
             set_away(store, is_away=True)
             await trio.sleep(0.1)
--- a/bluebellhub/adapters/proxy/vm_announcement.py
+++ b/bluebellhub/adapters/proxy/vm_announcement.py
@@ -5,6 +5,7 @@
 import logbook
 import trio
 
+from bluebellhub.adapters.proxy.object_handlers import Watcher
 from bluebellhub.errors import ConflictError, ObjectError, StoreError
 from bluebellhub.platform.object_codec import VM_KIND, read_vm, vm_spec
 from bluebellhub.platform.store import (
@@ -19,15 +20,27 @@
 
 __all__ = ['announce_vm', 'keep_announcing']
 
-RETRY_S: Final = 0.5
+CHECK_INTERVAL_S: Final = 0.5
 
 log = logbook.Logger('bluebellhub.announcing')
 
 
-async def keep_announcing(store: Store, settings: Settings) -> None:
-    """Retry until this VM's address is written to the store."""
-    while not await announce_vm(store, settings):
-        await trio.sleep(RETRY_S)
+async def keep_announcing(
+    watcher: Watcher, settings: Settings, *, announced: bool
+) -> None:
+    """Write this VM's address to the store whenever it is not there.
+
+    A store that was restored from a copy may not have it any more.
+    ``announced`` tells whether it was written before the VMs were listed.
+    """
+    while True:
+        found = watcher.objects.get(VM_KIND)
+        is_missing = (
+            not announced if found is None else settings.vm not in found
+        )
+        if is_missing:
+            announced = await announce_vm(watcher.store, settings)
+        await trio.sleep(CHECK_INTERVAL_S)
 
 
 async def announce_vm(store: Store, settings: Settings) -> bool:
