Keep an upstream that left out after the store was restored

What would be seen: requests at an upstream that drains or is gone (DRAIN), from the time a VM lists a copy of the store that has it as ready until it has written again or its registration has expired.

Cause: a listing was taken for the newest state. A restored store has older registrations of the same incarnation.

Change: for five seconds after a restore, a registration as ready of an incarnation that was draining or removed is held back; what is known goes on. If the store still has it after that, it counts. Registrations that the copy lacks have the two seconds that they have after an outage.

--- a/bluebellhub/adapters/proxy/object_handlers.py
+++ b/bluebellhub/adapters/proxy/object_handlers.py
@@ -26,6 +26,7 @@
 )
 from bluebellhub.platform.store import Change, StoredEntry
 from bluebellhub.platform.store_calls import Store
+from bluebellhub.registration import record_restore
 from bluebellhub.registry import Registry, make_registry
 from bluebellhub.site.crash_evidence import apply_crash_evidence
 from bluebellhub.site.reports import CrashEvidence
@@ -39,7 +40,7 @@
 )
 from bluebellhub.site.version_moves import apply_move_commands
 
-__all__ = ['ObjectHandler', 'Watcher', 'object_handlers']
+__all__ = ['ObjectHandler', 'Watcher', 'make_watcher', 'object_handlers']
 
 log = logbook.Logger('bluebellhub.watching')
 
@@ -48,7 +49,8 @@
     """The root: what the watches read from and apply changes to.
 
     ``objects`` holds by kind and name the objects of kinds that are applied
-    together, and ``waits`` the cancel scope of each kind's current call.
+    together, ``waits`` the cancel scope of each kind's current call, and
+    ``eras`` the era of the store that each kind was listed in.
     """
 
     proxy: Proxy
@@ -56,13 +58,23 @@
     link: PeerLink
     objects: dict[str, dict[str, StoredEntry]]
     waits: dict[str, trio.CancelScope]
+    eras: dict[str, int | None]
+
+
+def make_watcher(proxy: Proxy, store: Store, link: PeerLink) -> Watcher:
+    """Create a watcher that has read nothing yet."""
+    return Watcher(proxy, store, link, {}, {}, {})
 
 
 class ObjectHandler(NamedTuple):
-    """How a kind's listing and its later changes are applied."""
+    """How a kind's listing and its later changes are applied.
+
+    ``record_restore`` is called before the first listing of a new era.
+    """
 
     apply_listing: Callable[[Watcher, list[StoredEntry]], None]
     apply_change: Callable[[Watcher, Change], None]
+    record_restore: Callable[[Watcher], None]
 
 
 object_handlers: Registry[ObjectHandler] = make_registry('watched kind')
@@ -85,7 +97,11 @@
             found[change.entry.name] = change.entry
         apply(watcher, list(found.values()))
 
-    return ObjectHandler(apply_listing, apply_change)
+    return ObjectHandler(apply_listing, apply_change, _ignore_restore)
+
+
+def _ignore_restore(watcher: Watcher) -> None:
+    """Take what a restored store has."""
 
 
 def _register_combined(
@@ -207,6 +223,11 @@
         )
 
 
+def record_upstreams_restore(watcher: Watcher) -> None:
+    """Expect registrations that are older than what this VM knows."""
+    record_restore(watcher.proxy.site.registrations, now_s())
+
+
 object_handlers.register(UPSTREAM_KIND)(
-    ObjectHandler(apply_all_upstreams, apply_upstream)
+    ObjectHandler(apply_all_upstreams, apply_upstream, record_upstreams_restore)
 )
--- a/bluebellhub/adapters/proxy/run.py
+++ b/bluebellhub/adapters/proxy/run.py
@@ -15,6 +15,7 @@
 from bluebellhub.adapters.proxy.moves import run_moves
 from bluebellhub.adapters.proxy.object_handlers import (
     Watcher,
+    make_watcher,
     object_handlers,
 )
 from bluebellhub.adapters.proxy.readiness import (
@@ -97,7 +98,7 @@
     announced = await announce_vm(store, settings)
     counters = proxy.node.scheduler.counters
     link = make_peer_link(settings.vm, settings.peer_listen or '', counters)
-    watcher = Watcher(proxy, store, link, {}, {})
+    watcher = make_watcher(proxy, store, link)
     _start_tasks(settings, nursery, watcher)
     nursery.start_soon(
         partial(keep_announcing, watcher, settings, announced=announced)
--- a/bluebellhub/adapters/proxy/store_watch.py
+++ b/bluebellhub/adapters/proxy/store_watch.py
@@ -115,7 +115,12 @@
 
 def _apply_listing(watcher: Watcher, kind: str, listing: Listing) -> Position:
     """Apply all objects of a kind; return the position to watch from."""
-    object_handlers.find(kind).apply_listing(watcher, listing.entries)
+    handler = object_handlers.find(kind)
+    era = listing.position.era
+    if watcher.eras.get(kind, era) != era:
+        handler.record_restore(watcher)
+    watcher.eras[kind] = era
+    handler.apply_listing(watcher, listing.entries)
     watcher.proxy.site.flags['unread_kinds'].discard(kind)
     return listing.position
 
--- a/bluebellhub/adapters/proxy/tests/test_restored_store.py
+++ b/bluebellhub/adapters/proxy/tests/test_restored_store.py
@@ -8,12 +8,13 @@
 import trio
 
 from bluebellhub.adapters.peer_link import close_link, make_peer_link
-from bluebellhub.adapters.proxy.object_handlers import Watcher
+from bluebellhub.adapters.proxy.object_handlers import make_watcher
 from bluebellhub.adapters.proxy.store_watch import watch_store
 from bluebellhub.adapters.proxy.tests.restorable_store import (
     copy_of,
     make_client,
     make_restorable_store,
+    remove_object,
     restore,
     set_away,
     write_object,
@@ -76,7 +77,7 @@
         site = hub.proxy.site
         site.flags['unread_kinds'].update(kinds)
         link = make_peer_link('hub-1', PEER_ADDRESS, Counter())
-        watcher = Watcher(hub.proxy, make_client(store), link, {}, {})
+        watcher = make_watcher(hub.proxy, make_client(store), link)
         async with trio.open_nursery() as nursery:
             for kind in kinds:
                 nursery.start_soon(watch_store, watcher, kind)
@@ -128,3 +129,48 @@
             await _until(lambda: 'hub-vms/hub-1' in store.state['objects'])
             await _until(lambda: 'hub-1' in watcher.proxy.site.vms)
             nursery.cancel_scope.cancel()
+
+
+def _drain(store):
+    write_object(store, 'servers/u9', DRAINING)
+
+
+def _remove(store):
+    remove_object(store, 'servers/u9')
+
+
+def _may_be_used(site):
+    upstream = site.scheduler.upstreams.get('u9')
+    return upstream is not None and not upstream.spec.leaving
+
+
+@pytest.mark.parametrize('leaves', [_drain, _remove])
+async def test_upstream_that_left_is_not_used_after_a_restore(leaves):
+    """The copy has it as ready."""
+    store = make_restorable_store()
+    write_object(store, 'servers/u9', UPSTREAM)
+    copy = copy_of(store)
+    async with _watching_vm(store, UPSTREAM_KIND) as watcher:
+        site = watcher.proxy.site
+        await _until(lambda: _may_be_used(site))
+        leaves(store)
+        await _until(lambda: not _may_be_used(site))
+        restore(store, copy)
+        await _until(lambda: watcher.store.era['number'] == 2)
+        for _ in range(50):
+            assert not _may_be_used(site)
+            await trio.sleep(0.01)
+
+
+async def test_upstream_that_the_copy_lacks_has_time_to_register_again():
+    store = make_restorable_store()
+    copy = copy_of(store)
+    async with _watching_vm(store, UPSTREAM_KIND) as watcher:
+        site = watcher.proxy.site
+        write_object(store, 'servers/u9', UPSTREAM)
+        await _until(lambda: _may_be_used(site))
+        restore(store, copy)
+        await _until(lambda: watcher.store.era['number'] == 2)
+        for _ in range(50):
+            assert _may_be_used(site)
+            await trio.sleep(0.01)
--- a/bluebellhub/adapters/proxy/tests/test_store_watch.py
+++ b/bluebellhub/adapters/proxy/tests/test_store_watch.py
@@ -7,7 +7,10 @@
 import pytest
 import trio
 
-from bluebellhub.adapters.proxy.object_handlers import Watcher, object_handlers
+from bluebellhub.adapters.proxy.object_handlers import (
+    make_watcher,
+    object_handlers,
+)
 from bluebellhub.adapters.proxy.readiness import is_ready
 from bluebellhub.adapters.proxy.store_watch import watch_store
 from bluebellhub.adapters.proxy.tests.scripted_upstreams import (
@@ -71,7 +74,7 @@
         store = Store(
             'http://store', SlowConnections(kind, released), make_era()
         )
-        watcher = Watcher(hub.proxy, store, None, {}, {})
+        watcher = make_watcher(hub.proxy, store, None)
         async with trio.open_nursery() as nursery:
             nursery.start_soon(watch_store, watcher, kind)
             sent = request(headers=CLOSE)
--- a/bluebellhub/adapters/proxy/tests/test_stored_quarantine.py
+++ b/bluebellhub/adapters/proxy/tests/test_stored_quarantine.py
@@ -7,7 +7,10 @@
 import pytest
 import trio
 
-from bluebellhub.adapters.proxy.object_handlers import Watcher, object_handlers
+from bluebellhub.adapters.proxy.object_handlers import (
+    make_watcher,
+    object_handlers,
+)
 from bluebellhub.adapters.proxy.stored_quarantine import (
     STORE_INTERVAL_S,
     run_stored_quarantine,
@@ -52,7 +55,7 @@
 
 def _watcher(hub, memory):
     store = Store('http://store', memory, make_era())
-    return Watcher(hub.proxy, store, None, {}, {})
+    return make_watcher(hub.proxy, store, None)
 
 
 def _list(watcher, memory):
--- a/bluebellhub/registration/registration.py
+++ b/bluebellhub/registration/registration.py
@@ -6,9 +6,13 @@
 __all__ = [
     'Registration',
     'RegistrationTable',
+    'current_registration',
+    'current_registrations',
     'make_registration_table',
     'record_outage',
+    'record_restore',
     'register',
+    'release_held',
     'remove_expired',
     'replace_all',
     'unregister',
@@ -17,6 +21,10 @@
 # After an outage of the store, upstreams whose registration expired meanwhile
 # have registered again within this time.
 REREGISTRATION_S: Final = 2.0
+# After the store was restored from a copy, upstreams have written again within
+# this time, and the registrations of those that are gone have expired.
+RESTORE_S: Final = 5.0
+DEPARTURES_MAX: Final = 1024
 
 
 class Registration(NamedTuple):
@@ -45,22 +53,39 @@
     ended_at_s: float
 
 
+class Restore(TypedDict):
+    """Until when registrations may be those of an older copy of the store."""
+
+    ends_at_s: float
+
+
 class RegistrationTable(NamedTuple):
     """The root: registrations by name.
 
     ``deadlines`` holds, by name, the time by which an upstream whose
     registration vanished around an outage of the store has to register again.
+    ``departed`` holds the incarnations that were draining or removed, the
+    latest last, and ``held`` the registrations that are not believed because
+    they may be older than that.
     """
 
     entries: dict[str, Registration]
     deadlines: dict[str, float]
     outage: Outage
+    departed: dict[str, int]
+    held: dict[str, Registration]
+    restore: Restore
 
 
 def make_registration_table() -> RegistrationTable:
     """Create a table without registrations."""
     return RegistrationTable(
-        {}, {}, {'is_on': False, 'ended_at_s': -REREGISTRATION_S}
+        {},
+        {},
+        {'is_on': False, 'ended_at_s': -REREGISTRATION_S},
+        {},
+        {},
+        {'ends_at_s': 0.0},
     )
 
 
@@ -74,9 +99,64 @@
         return False
     registrations.deadlines.pop(entry.name, None)
     registrations.entries[entry.name] = entry
+    if entry.state == 'draining':
+        _record_departure(registrations, entry)
+    else:
+        registrations.departed.pop(entry.name, None)
     return known != entry
 
 
+def current_registration(
+    registrations: RegistrationTable, entry: Registration, now_s: float
+) -> Registration | None:
+    """Return the entry, or what is known to be newer than it.
+
+    Just after a restore of the store, an upstream that has left may look ready
+    again: its registration is then held back.  ``None`` means that the
+    upstream was removed.
+    """
+    registrations.held.pop(entry.name, None)
+    has_departed = registrations.departed.get(entry.name) == entry.started_at_ms
+    is_restoring = now_s < registrations.restore['ends_at_s']
+    if is_restoring and has_departed and entry.state == 'ready':
+        registrations.held[entry.name] = entry
+        return registrations.entries.get(entry.name)
+    return entry
+
+
+def current_registrations(
+    registrations: RegistrationTable,
+    listed: Iterable[Registration],
+    now_s: float,
+) -> list[Registration]:
+    """Return what `current_registration` returns for all listed entries."""
+    registrations.held.clear()
+    found = [
+        current_registration(registrations, entry, now_s) for entry in listed
+    ]
+    return [entry for entry in found if entry is not None]
+
+
+def release_held(
+    registrations: RegistrationTable, now_s: float
+) -> list[Registration]:
+    """Return the entries held back that the store still has after a restore."""
+    if now_s < registrations.restore['ends_at_s']:
+        return []
+    released = list(registrations.held.values())
+    registrations.held.clear()
+    return released
+
+
+def record_restore(registrations: RegistrationTable, now_s: float) -> None:
+    """Record that the store was restored from an older copy.
+
+    Registrations that it lacks have the time that they have after an outage.
+    """
+    registrations.restore['ends_at_s'] = now_s + RESTORE_S
+    registrations.outage['ended_at_s'] = now_s
+
+
 def unregister(
     registrations: RegistrationTable, name: str, now_s: float
 ) -> bool:
@@ -86,6 +166,7 @@
     removal of a ready upstream then takes effect only if it does not register
     again in time.
     """
+    registrations.held.pop(name, None)
     entry = registrations.entries.get(name)
     if entry is None:
         return False
@@ -96,6 +177,7 @@
         return False
     registrations.entries.pop(name)
     registrations.deadlines.pop(name, None)
+    _record_departure(registrations, entry)
     return True
 
 
@@ -143,6 +225,16 @@
     return changed
 
 
+def _record_departure(
+    registrations: RegistrationTable, entry: Registration
+) -> None:
+    departed = registrations.departed
+    departed.pop(entry.name, None)
+    departed[entry.name] = entry.started_at_ms
+    if len(departed) > DEPARTURES_MAX:
+        departed.pop(next(iter(departed)))
+
+
 def _is_around_outage(registrations: RegistrationTable, now_s: float) -> bool:
     """Return whether the store fails or has only just recovered."""
     outage = registrations.outage
--- a/bluebellhub/registration/tests/test_registration.py
+++ b/bluebellhub/registration/tests/test_registration.py
@@ -4,9 +4,13 @@
 
 from bluebellhub.registration import (
     Registration,
+    current_registration,
+    current_registrations,
     make_registration_table,
     record_outage,
+    record_restore,
     register,
+    release_held,
     remove_expired,
     replace_all,
     unregister,
@@ -112,3 +116,74 @@
     assert sorted(registrations.entries) == sorted(
         entry.name for entry in listed
     )
+
+
+@pytest.mark.parametrize(
+    ('entry', 'at_s', 'expected'),
+    [
+        # What a copy may have of an upstream that drains.
+        (_entry('drains'), 10.1, _entry('drains', state='draining')),
+        (_entry('drains'), 15.1, _entry('drains')),
+        (
+            _entry('drains', started_at_ms=9),
+            10.1,
+            _entry('drains', started_at_ms=9),
+        ),
+        (
+            _entry('drains', state='draining', slots=1),
+            10.1,
+            _entry('drains', state='draining', slots=1),
+        ),
+        # And of one that was removed, or is new.
+        (_entry('gone'), 10.1, None),
+        (_entry('gone'), 15.1, _entry('gone')),
+        (_entry('gone', started_at_ms=9), 10.1, _entry('gone', 9)),
+        (_entry('new'), 10.1, _entry('new')),
+        (_entry('back'), 10.1, _entry('back')),
+    ],
+)
+def test_upstream_that_left_is_not_ready_again_after_a_restore(
+    entry, at_s, expected
+):
+    registrations = make_registration_table()
+    register(registrations, _entry('drains', state='draining'))
+    for name in ('gone', 'back'):
+        register(registrations, _entry(name))
+        assert unregister(registrations, name, 9.0)
+    register(registrations, _entry('back'))
+    record_restore(registrations, 10.0)
+    assert current_registration(registrations, entry, at_s) == expected
+
+
+@pytest.mark.parametrize(
+    ('removes', 'lists', 'at_s', 'released'),
+    [
+        (False, False, 14.9, []),
+        (False, False, 15.0, [_entry()]),
+        # It has expired, or a later listing lacks it.
+        (True, False, 15.0, []),
+        (False, True, 15.0, []),
+    ],
+)
+def test_registration_held_back_is_released_if_the_store_keeps_it(
+    removes, lists, at_s, released
+):
+    registrations = make_registration_table()
+    register(registrations, _entry())
+    unregister(registrations, 'u1', 5.0)
+    record_restore(registrations, 10.0)
+    assert current_registrations(registrations, [_entry()], 10.0) == []
+    if removes:
+        unregister(registrations, 'u1', 12.0)
+    if lists:
+        assert current_registrations(registrations, [], 12.0) == []
+    assert release_held(registrations, at_s) == released
+
+
+def test_registration_that_the_copy_lacks_has_time_to_return():
+    registrations = make_registration_table()
+    register(registrations, _entry())
+    record_restore(registrations, 10.0)
+    assert replace_all(registrations, [], 10.1) == []
+    assert remove_expired(registrations, 11.9) == []
+    assert remove_expired(registrations, 12.1) == ['u1']
--- a/bluebellhub/site/upstreams.py
+++ b/bluebellhub/site/upstreams.py
@@ -5,7 +5,10 @@
 
 from bluebellhub.registration import (
     Registration,
+    current_registration,
+    current_registrations,
     register,
+    release_held,
     remove_expired,
     replace_all,
     unregister,
@@ -51,6 +54,11 @@
     A new incarnation of an upstream replaces the old one and the estimates
     that were learned for it.
     """
+    current = current_registration(site.registrations, entry, now_s)
+    return current is not None and _apply_current(site, current, now_s)
+
+
+def _apply_current(site: Site, entry: Registration, now_s: float) -> bool:
     known = site.registrations.entries.get(entry.name)
     if not register(site.registrations, entry):
         return False
@@ -81,10 +89,11 @@
     site: Site, entries: Iterable[Registration], now_s: float
 ) -> list[str]:
     """Replace all registrations; returns the names of the removed upstreams."""
-    listed = list(entries)
+    registrations = site.registrations
+    listed = current_registrations(registrations, entries, now_s)
     for entry in listed:
-        apply_registration(site, entry, now_s)
-    gone = replace_all(site.registrations, listed, now_s)
+        _apply_current(site, entry, now_s)
+    gone = replace_all(registrations, listed, now_s)
     for name in gone:
         remove_upstream(site.scheduler, name)
     return gone
@@ -93,8 +102,10 @@
 def remove_expired_upstreams(site: Site, now_s: float) -> list[str]:
     """Remove upstreams that did not register again in time.
 
-    Returns their names.
+    Returns their names.  Registrations that were held back are applied.
     """
+    for entry in release_held(site.registrations, now_s):
+        _apply_current(site, entry, now_s)
     gone = remove_expired(site.registrations, now_s)
     for name in gone:
         remove_upstream(site.scheduler, name)
