Let objects count that a restored store lacks until they are written again

What would be seen: requests at an evacuated failure domain (EVAC), a version move that starts anew with what it had learned lost, requests refused for want of the list of VMs, from the listing of a restored store until its authors have written again.

Change: what a VM knew of evacuations, version moves, addresses of VMs and quarantines before a restore counts for five seconds more, unless the store tells what became of it. The aggregate Retention decides, the handlers of kinds apply.

--- a/bluebellhub/adapters/proxy/object_handlers.py
+++ b/bluebellhub/adapters/proxy/object_handlers.py
@@ -28,6 +28,13 @@
 from bluebellhub.platform.store_calls import Store
 from bluebellhub.registration import record_restore
 from bluebellhub.registry import Registry, make_registry
+from bluebellhub.retention import (
+    Retention,
+    discard_object,
+    make_retention,
+    retain_objects,
+    retained_objects,
+)
 from bluebellhub.site.crash_evidence import apply_crash_evidence
 from bluebellhub.site.reports import CrashEvidence
 from bluebellhub.site.state import set_vms
@@ -36,6 +43,7 @@
     apply_registrations,
     apply_removal,
     apply_routing_table,
+    remove_expired_upstreams,
     set_evacuated,
 )
 from bluebellhub.site.version_moves import apply_move_commands
@@ -50,7 +58,8 @@
 
     ``objects`` holds by kind and name the objects of kinds that are applied
     together, ``waits`` the cancel scope of each kind's current call, and
-    ``eras`` the era of the store that each kind was listed in.
+    ``eras`` the era of the store that each kind was listed in. ``retention``
+    holds the objects that a restored store lacks.
     """
 
     proxy: Proxy
@@ -59,22 +68,25 @@
     objects: dict[str, dict[str, StoredEntry]]
     waits: dict[str, trio.CancelScope]
     eras: dict[str, int | None]
+    retention: Retention[StoredEntry]
 
 
 def make_watcher(proxy: Proxy, store: Store, link: PeerLink) -> Watcher:
     """Create a watcher that has read nothing yet."""
-    return Watcher(proxy, store, link, {}, {}, {})
+    return Watcher(proxy, store, link, {}, {}, {}, make_retention())
 
 
 class ObjectHandler(NamedTuple):
     """How a kind's listing and its later changes are applied.
 
-    ``record_restore`` is called before the first listing of a new era.
+    ``record_restore`` is called before the first listing of a new era, and
+    ``apply_again`` when objects that the store lacks do not count any more.
     """
 
     apply_listing: Callable[[Watcher, list[StoredEntry]], None]
     apply_change: Callable[[Watcher, Change], None]
     record_restore: Callable[[Watcher], None]
+    apply_again: Callable[[Watcher], None]
 
 
 object_handlers: Registry[ObjectHandler] = make_registry('watched kind')
@@ -86,22 +98,29 @@
     """Return the handler of a kind whose few objects apply together."""
 
     def apply_listing(watcher: Watcher, entries: list[StoredEntry]) -> None:
-        found = {entry.name: entry for entry in entries}
-        watcher.objects[kind] = found
-        apply(watcher, list(found.values()))
+        watcher.objects[kind] = {entry.name: entry for entry in entries}
+        apply_all(watcher)
 
     def apply_change(watcher: Watcher, change: Change) -> None:
         found = watcher.objects.setdefault(kind, {})
         found.pop(change.entry.name, None)
         if not change.is_removed:
             found[change.entry.name] = change.entry
-        apply(watcher, list(found.values()))
+        discard_object(watcher.retention, kind, change.entry.name)
+        apply_all(watcher)
 
-    return ObjectHandler(apply_listing, apply_change, _ignore_restore)
+    def apply_all(watcher: Watcher) -> None:
+        found = watcher.objects[kind]
+        lost = retained_objects(watcher.retention, kind, found)
+        apply(watcher, [*found.values(), *lost.values()])
 
+    def record_restored(watcher: Watcher) -> None:
+        known = watcher.objects.get(kind, {})
+        retain_objects(watcher.retention, kind, known, now_s())
 
-def _ignore_restore(watcher: Watcher) -> None:
-    """Take what a restored store has."""
+    return ObjectHandler(
+        apply_listing, apply_change, record_restored, apply_all
+    )
 
 
 def _register_combined(
@@ -228,6 +247,18 @@
     record_restore(watcher.proxy.site.registrations, now_s())
 
 
+def remove_missing_upstreams(watcher: Watcher) -> None:
+    """Remove the upstreams that did not register again in time."""
+    gone = remove_expired_upstreams(watcher.proxy.site, now_s())
+    if gone:
+        log.info('upstreams removed after an outage', extra={'gone': gone})
+
+
 object_handlers.register(UPSTREAM_KIND)(
-    ObjectHandler(apply_all_upstreams, apply_upstream, record_upstreams_restore)
+    ObjectHandler(
+        apply_all_upstreams,
+        apply_upstream,
+        record_upstreams_restore,
+        remove_missing_upstreams,
+    )
 )
--- a/bluebellhub/adapters/proxy/run.py
+++ b/bluebellhub/adapters/proxy/run.py
@@ -33,7 +33,7 @@
 )
 from bluebellhub.adapters.proxy.state import Proxy
 from bluebellhub.adapters.proxy.store_watch import (
-    expire_upstreams,
+    expire_objects,
     watch_store,
 )
 from bluebellhub.adapters.proxy.stored_quarantine import (
@@ -140,7 +140,7 @@
     nursery.start_soon(run_ticks, proxy.node)
     for kind in object_handlers.names():
         nursery.start_soon(watch_store, watcher, kind)
-    nursery.start_soon(expire_upstreams, watcher)
+    nursery.start_soon(expire_objects, watcher)
     nursery.start_soon(close_expired, proxy.idle_connections)
     nursery.start_soon(run_moves, proxy, watcher.store)
     nursery.start_soon(run_stored_quarantine, watcher)
--- a/bluebellhub/adapters/proxy/store_watch.py
+++ b/bluebellhub/adapters/proxy/store_watch.py
@@ -29,10 +29,10 @@
 )
 from bluebellhub.platform.store_calls import HistoryGoneError
 from bluebellhub.registration import record_outage
+from bluebellhub.retention import end_retention
 from bluebellhub.site.pacing import watch_delay_s, watch_timeout_s
-from bluebellhub.site.upstreams import remove_expired_upstreams
 
-__all__ = ['expire_upstreams', 'watch_store']
+__all__ = ['expire_objects', 'watch_store']
 
 # How long a watch waits; one without changes shows that the store responds.
 # When the watch of upstreams starts to fail or recovers, slower ones restart.
@@ -171,10 +171,10 @@
         )
 
 
-async def expire_upstreams(watcher: Watcher) -> None:
-    """Remove upstreams not registered again after a store outage."""
+async def expire_objects(watcher: Watcher) -> None:
+    """End what counts for a while after an outage or a restore."""
     while True:
-        gone = remove_expired_upstreams(watcher.proxy.site, now_s())
-        if gone:
-            log.info('upstreams removed after an outage', extra={'gone': gone})
+        ended = end_retention(watcher.retention, now_s())
+        for kind in (UPSTREAM_KIND, *ended):
+            object_handlers.find(kind).apply_again(watcher)
         await trio.sleep(EXPIRY_INTERVAL_S)
--- a/bluebellhub/adapters/proxy/tests/test_restored_store.py
+++ b/bluebellhub/adapters/proxy/tests/test_restored_store.py
@@ -9,7 +9,10 @@
 
 from bluebellhub.adapters.peer_link import close_link, make_peer_link
 from bluebellhub.adapters.proxy.object_handlers import make_watcher
-from bluebellhub.adapters.proxy.store_watch import watch_store
+from bluebellhub.adapters.proxy.store_watch import (
+    expire_objects,
+    watch_store,
+)
 from bluebellhub.adapters.proxy.tests.restorable_store import (
     copy_of,
     make_client,
@@ -24,9 +27,11 @@
 from bluebellhub.platform.object_codec import (
     CONFIG_KIND,
     EVACUATION_KIND,
+    MOVE_KIND,
     UPSTREAM_KIND,
     VM_KIND,
 )
+from bluebellhub.retention import retention
 from bluebellhub.settings import Settings
 
 LIMIT_S = 3.0
@@ -62,6 +67,14 @@
     return upstream is not None and upstream.spec.leaving
 
 
+async def _holds(condition, for_s):
+    """Assert that a condition holds all the time."""
+    with trio.move_on_after(for_s):
+        while True:
+            assert condition()
+            await trio.sleep(0.01)
+
+
 CHANGES = {
     CONFIG_KIND: ('config/main', _config(20), _config(30), _has_version),
     EVACUATION_KIND: ('evacuations/other', {}, {}, _is_evacuated),
@@ -78,13 +91,16 @@
         site.flags['unread_kinds'].update(kinds)
         link = make_peer_link('hub-1', PEER_ADDRESS, Counter())
         watcher = make_watcher(hub.proxy, make_client(store), link)
-        async with trio.open_nursery() as nursery:
-            for kind in kinds:
-                nursery.start_soon(watch_store, watcher, kind)
-            await _until(lambda: not site.flags['unread_kinds'])
-            yield watcher
-            nursery.cancel_scope.cancel()
-        close_link(link)
+        try:
+            async with trio.open_nursery() as nursery:
+                for kind in kinds:
+                    nursery.start_soon(watch_store, watcher, kind)
+                nursery.start_soon(expire_objects, watcher)
+                await _until(lambda: not site.flags['unread_kinds'])
+                yield watcher
+                nursery.cancel_scope.cancel()
+        finally:
+            close_link(link)
 
 
 async def _until(condition):
@@ -157,9 +173,7 @@
         await _until(lambda: not _may_be_used(site))
         restore(store, copy)
         await _until(lambda: watcher.store.era['number'] == 2)
-        for _ in range(50):
-            assert not _may_be_used(site)
-            await trio.sleep(0.01)
+        await _holds(lambda: not _may_be_used(site), 0.5)
 
 
 async def test_upstream_that_the_copy_lacks_has_time_to_register_again():
@@ -171,6 +185,60 @@
         await _until(lambda: _may_be_used(site))
         restore(store, copy)
         await _until(lambda: watcher.store.era['number'] == 2)
-        for _ in range(50):
-            assert _may_be_used(site)
-            await trio.sleep(0.01)
+        await _holds(lambda: _may_be_used(site), 0.5)
+
+
+def _has_vm(site):
+    return 'hub-2' in site.vms
+
+
+def _moves(site):
+    return 's' in site.moves
+
+
+LOST = {
+    EVACUATION_KIND: ('evacuations/d', {}, _is_evacuated),
+    VM_KIND: ('hub-vms/hub-2', {'address': '10.0.0.8:7600'}, _has_vm),
+    MOVE_KIND: (
+        'rollouts/s',
+        {'service': 's', 'target': 'v2', 'durationS': 60},
+        _moves,
+    ),
+}
+
+
+@asynccontextmanager
+async def _vm_after_restore_without(kind, store):
+    """Run a VM that has read an object; then the store loses it."""
+    path, spec, counts = LOST[kind]
+    copy = copy_of(store)
+    async with _watching_vm(store, kind) as watcher:
+        site = watcher.proxy.site
+        write_object(store, path, spec)
+        await _until(lambda: counts(site))
+        restore(store, copy)
+        await _until(lambda: watcher.store.era['number'] == 2)
+        await _holds(lambda: counts(site), 0.5)
+        yield partial(counts, site)
+
+
+@pytest.mark.parametrize('kind', LOST)
+async def test_object_that_the_copy_lacks_counts_for_a_while(kind, monkeypatch):
+    monkeypatch.setattr(retention, 'RETENTION_S', 1.0)
+    store = make_restorable_store()
+    async with _vm_after_restore_without(kind, store) as counts:
+        await _until(lambda: not counts())
+
+
+@pytest.mark.parametrize('kind', LOST)
+async def test_object_written_again_counts_until_it_is_removed(
+    kind, monkeypatch
+):
+    monkeypatch.setattr(retention, 'RETENTION_S', 1.0)
+    store = make_restorable_store()
+    path, spec, _ = LOST[kind]
+    async with _vm_after_restore_without(kind, store) as counts:
+        write_object(store, path, spec)
+        await _holds(counts, 1.0)
+        remove_object(store, path)
+        await _until(lambda: not counts())
