Ignore an odd entry in the store without losing the others

Cause: a page was decoded as a whole, so one object decided over all; and an address was used without a check.

--- a/bluebellhub/platform/object_codec.py
+++ b/bluebellhub/platform/object_codec.py
@@ -7,7 +7,8 @@
 import msgspec
 import xxhash
 
-from bluebellhub.errors import ObjectError
+from bluebellhub.configuration.addresses import check_address
+from bluebellhub.errors import ObjectError, SettingsError
 from bluebellhub.platform.store import StoredEntry
 from bluebellhub.platform.wire import (
     WireAccount,
@@ -159,7 +160,8 @@
     """
     try:
         wire = msgspec.convert(entry.spec, WireRegistration)
-    except msgspec.ValidationError as error:
+        check_address(wire['address'], 'address')
+    except (msgspec.ValidationError, SettingsError) as error:
         raise ObjectError(UPSTREAM_KIND, entry.name, str(error)) from None
     if wire['slots'] < 1:
         raise ObjectError(
@@ -228,7 +230,8 @@
     """
     try:
         wire = msgspec.convert(entry.spec, WireVm)
-    except msgspec.ValidationError as error:
+        check_address(wire['address'], 'address')
+    except (msgspec.ValidationError, SettingsError) as error:
         raise ObjectError(VM_KIND, entry.name, str(error)) from None
     return VmLocation(wire['address'], wire.get('failure_domain', ''))
 
--- a/bluebellhub/platform/store.py
+++ b/bluebellhub/platform/store.py
@@ -1,6 +1,6 @@
 """Client of the platform's object store."""
 
-from collections.abc import Mapping
+from collections.abc import Iterable, Mapping
 from typing import Any, Final, NamedTuple, NotRequired, TypedDict, TypeVar
 from urllib.parse import urlencode
 
@@ -8,6 +8,7 @@
 import msgspec
 
 from bluebellhub.errors import StoreUnavailableError
+from bluebellhub.platform.nesting import bound_nesting
 from bluebellhub.platform.store_calls import (
     CALL_TIMEOUT_S,
     HistoryGoneError,
@@ -77,6 +78,12 @@
     revision: NotRequired[int]
 
 
+class NamedObject(TypedDict):
+    """An object on the wire of which only the name is read."""
+
+    metadata: Metadata
+
+
 class StoredObject(TypedDict):
     """An object on the wire."""
 
@@ -86,9 +93,12 @@
 
 
 class Page(TypedDict):
-    """One page of a listing; ``at`` is the store's revision."""
+    """One page of a listing; ``at`` is the store's revision.
 
-    items: list[Any]
+    Each object is decoded by itself, so that an odd one hides no other.
+    """
+
+    items: list[msgspec.Raw]
     at: int
     more: NotRequired[bool]
 
@@ -96,14 +106,14 @@
 class Event(TypedDict):
     """A change on the wire."""
 
-    object: Any
+    object: StoredObject
     deleted: NotRequired[bool]
 
 
 class Events(TypedDict):
     """The changes up to the revision ``at``."""
 
-    events: list[Event]
+    events: list[msgspec.Raw]
     at: int
 
 
@@ -121,14 +131,15 @@
     query = options
     while True:
         page, era = await _get(store, kind, query, CALL_TIMEOUT_S, Page)
-        entries.extend(_read_entries(page['items']))
+        found = _decode_each(page['items'], StoredObject)
+        entries.extend(_read_entry(stored) for stored in found)
         positions.append(Position(page['at'], era))
         if era != positions[0].era:
             raise StoreUnavailableError(kind, 'restored during the listing')
         if not page.get('more') or not page['items']:
             # The watch repeats changes that happened between two pages.
             return Listing(entries, positions[0])
-        query = {**options, 'after': _read_entry(page['items'][-1]).name}
+        query = {**options, 'after': _last_name(kind, page['items'])}
 
 
 async def watch_objects(
@@ -149,9 +160,9 @@
     if era != since.era:
         raise HistoryGoneError(f'{kind}: the store was restored from a copy')
     changes = []
-    for event in page['events']:
-        for entry in _read_entries([event['object']]):
-            changes.append(Change(entry, event.get('deleted', False)))
+    for event in _decode_each(page['events'], Event):
+        entry = _read_entry(event['object'])
+        changes.append(Change(entry, event.get('deleted', False)))
     return changes, Position(page['at'], era)
 
 
@@ -204,25 +215,43 @@
     path = f'{kind}?{urlencode(query)}' if query else kind
     response = await call_store(store, 'GET', path, timeout_s=timeout_s)
     try:
-        page = msgspec.json.decode(response.content, type=response_type)
+        page = _decode_page(response.content, response_type)
     except msgspec.MsgspecError as error:
         raise StoreUnavailableError(kind, str(error)) from None
     return page, read_era(response)
 
 
-def _read_entries(items: list[Any]) -> list[StoredEntry]:
-    """Decode objects; skip those that are not valid and log them."""
-    entries = []
+def _decode_page(content: bytes, page_type: type[Decoded]) -> Decoded:
+    try:
+        return msgspec.json.decode(content, type=page_type)
+    except RecursionError as error:
+        log.warning('object nested too deeply in the store: {}', error)
+        return msgspec.json.decode(bound_nesting(content), type=page_type)
+
+
+def _last_name(kind: str, items: list[msgspec.Raw]) -> str:
+    """Return the name of the last object of a page."""
+    try:
+        last = msgspec.json.decode(items[-1], type=NamedObject)
+    except msgspec.MsgspecError as error:
+        raise StoreUnavailableError(kind, str(error)) from None
+    return last['metadata']['name']
+
+
+def _decode_each(
+    items: Iterable[msgspec.Raw], item_type: type[Decoded]
+) -> list[Decoded]:
+    """Decode objects or events; skip those that are not valid and log them."""
+    found = []
     for item in items:
         try:
-            entries.append(_read_entry(item))
-        except msgspec.MsgspecError as error:
+            found.append(msgspec.json.decode(item, type=item_type))
+        except (msgspec.MsgspecError, RecursionError) as error:
             log.warning('object in the store not valid, ignored: {}', error)
-    return entries
+    return found
 
 
-def _read_entry(item: Any) -> StoredEntry:
-    stored = msgspec.convert(item, StoredObject)
+def _read_entry(stored: StoredObject) -> StoredEntry:
     metadata = stored['metadata']
     return StoredEntry(
         metadata['name'],
--- a/bluebellhub/platform/wire.py
+++ b/bluebellhub/platform/wire.py
@@ -1,6 +1,8 @@
 """Types of the store's objects, with the field names used on the wire."""
 
-from typing import Literal, NotRequired, TypedDict
+from typing import Annotated, Final, Literal, NotRequired, TypedDict
+
+import msgspec
 
 __all__ = [
     'WireAccount',
@@ -17,6 +19,8 @@
     'WireVm',
 ]
 
+SLOTS_MAX: Final = 1_000_000
+
 
 class WireSplit(TypedDict):
     """A service of a route with its weight."""
@@ -106,7 +110,7 @@
     service: str
     address: str
     zone: str
-    slots: int
+    slots: Annotated[int, msgspec.Meta(le=SLOTS_MAX)]
     state: Literal['ready', 'draining']
     version: NotRequired[str]
     coldRemainingMs: NotRequired[float]
