Write the state of a version move again after the store was restored

What would be seen: the state of a move is never in the store again (a duty missed), and after a restore that lost a move's end, VMs that did not lead give the new version its unproven share again while the old one is gone. Shown by a test.

Cause: a state counted as written for the revision of its command, which a restored store has again without the state; and the stored state overwrote what was known to be final.

Change: what was written is forgotten when the era rises; a move that is done stays so, as one that is bad did before.

--- a/bluebellhub/adapters/proxy/moves.py
+++ b/bluebellhub/adapters/proxy/moves.py
@@ -27,7 +27,12 @@
     state.  A conflict means that another VM's write came first.
     """
     written: set[StateWrite] = set()
+    era = store.era['number']
     while True:
+        if store.era['number'] != era:
+            # A restored store has lost states, at revisions that it has again.
+            era = store.era['number']
+            written.clear()
         for state_write in lead_moves(proxy.site, now_s()):
             if state_write not in written and await _write(store, state_write):
                 written.add(state_write)
--- a/bluebellhub/adapters/proxy/tests/test_restored_store.py
+++ b/bluebellhub/adapters/proxy/tests/test_restored_store.py
@@ -8,6 +8,7 @@
 import trio
 
 from bluebellhub.adapters.peer_link import close_link, make_peer_link
+from bluebellhub.adapters.proxy.moves import run_moves
 from bluebellhub.adapters.proxy.object_handlers import make_watcher
 from bluebellhub.adapters.proxy.store_watch import (
     expire_objects,
@@ -242,3 +243,53 @@
         await _holds(counts, 1.0)
         remove_object(store, path)
         await _until(lambda: not counts())
+
+
+MOVE_SPEC = {'service': 's', 'target': 'v2', 'durationS': 60}
+
+
+@asynccontextmanager
+async def _moving_vm(store, state):
+    """Run a VM that leads a move and has written its state."""
+    async with _watching_vm(store, MOVE_KIND) as watcher:
+        site = watcher.proxy.site
+        await _until(lambda: _moves(site))
+        _decide(site, state)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(run_moves, watcher.proxy, watcher.store)
+            await _until(lambda: _stored_state(store) == state)
+            yield site
+            nursery.cancel_scope.cancel()
+
+
+@pytest.mark.parametrize('state', ['running', 'succeeded', 'rolled_back'])
+async def test_state_of_a_move_is_written_again_after_a_restore(state):
+    store = make_restorable_store()
+    write_object(store, 'rollouts/s', MOVE_SPEC)
+    copy = copy_of(store)
+    async with _moving_vm(store, state) as site:
+        await trio.sleep(0.1)
+        _forget_decision(site)
+        set_away(store, is_away=True)
+        await trio.sleep(0.1)
+        restore(store, copy)
+        assert _stored_state(store) is None
+        await _until(lambda: _stored_state(store) == state)
+
+
+def _decide(site, state):
+    """Let the move be at its end, with the new version good or bad."""
+    gate = site.scheduler.moves['s']
+    site.scheduler.moves['s'] = gate._replace(bad=state == 'rolled_back')
+    if state == 'succeeded':
+        site.moves['s'] = site.moves['s']._replace(full_since_s=-100.0)
+
+
+def _forget_decision(site):
+    """Let another VM have led: this one knows only the stored state."""
+    site.moves['s'] = site.moves['s']._replace(full_since_s=None)
+
+
+def _stored_state(store):
+    status = store.state['objects']['rollouts/s'].get('status')
+    return status and status['state']
--- a/bluebellhub/site/version_moves.py
+++ b/bluebellhub/site/version_moves.py
@@ -89,14 +89,17 @@
 
 
 def _apply_command(site: Site, command: MoveCommand, now_s: float) -> None:
-    """Start or update a move and set its gate to the state in the store."""
+    """Start or update a move and set its gate to the state in the store.
+
+    A move that has ended stays so, also if a restored store does not know it.
+    """
     known = site.moves.get(command.model)
     if known is None or known.command.to_version != command.to_version:
         known = _start_move(site, command, now_s)
     site.moves[command.model] = known._replace(command=command)
     gates = site.scheduler.moves
     gates[command.model] = gates[command.model]._replace(
-        done=command.state == 'done',
+        done=gates[command.model].done or command.state == 'done',
         bad=gates[command.model].bad or command.state == 'taken_back',
     )
 
@@ -220,6 +223,8 @@
     move = site.moves[model]
     comparisons = move.leader_state.comparisons.values()
     gate = site.scheduler.moves[model]
+    if gate.done:
+        return 'done'
     deadline_s = move.started_at_s + move.command.duration_s * OVERDUE_RATIO
     timed_out = move.full_since_s is None and now_s > deadline_s
     if (
