Forget what was sent of the limits of upstreams that are gone

Cause: found on reading the change once more: a VM kept what it had sent of every upstream that ever stated a limit, and built a set of all registrations at each gossip round, also where no upstream states one.

Change: both only while limits are known.

Measured: the extended test passes; its new assertion failed before by reading.

--- a/bluebellhub/site/stated_limits.py
+++ b/bluebellhub/site/stated_limits.py
@@ -90,7 +90,9 @@
     New ones go first, then those that were sent the longest ago.
     """
     limits = site.scheduler.rate_limits
-    forget_limits(limits, site.registrations.entries)
+    if not limits.stated:
+        return None
+    _forget_removed(site, sent)
     due = [
         name
         for name, stated in limits.stated.items()
@@ -106,6 +108,14 @@
     return LimitReport(entries) if entries else None
 
 
+def _forget_removed(site: Site, sent: LimitsSent) -> None:
+    """Remove what is known and was sent of upstreams that are gone."""
+    limits = site.scheduler.rate_limits
+    forget_limits(limits, site.registrations.entries)
+    for name in sent.limits.keys() - limits.stated.keys():
+        sent.limits.pop(name)
+
+
 def _reported_limit(
     name: str, stated: StatedLimit, now_s: float
 ) -> ReportedLimit:
--- a/bluebellhub/site/tests/test_stated_limits.py
+++ b/bluebellhub/site/tests/test_stated_limits.py
@@ -97,9 +97,12 @@
 def test_limit_of_an_upstream_that_is_gone_is_not_reported():
     fleet = make_fleet(2, 1, Bounds(), seed=4)
     site = fleet.sites['hub-000']
+    sent = make_limits_sent()
     apply_stated_limit(site, UPSTREAM, LIMIT_PER_S, 0.0)
+    assert make_limit_report(site, sent, 0.0) is not None
     assert apply_removal(site, UPSTREAM, 10.0)
-    assert make_limit_report(site, make_limits_sent(), 10.0) is None
+    assert make_limit_report(site, sent, 10.0) is None
+    assert not sent.limits
 
 
 @pytest.mark.parametrize(
