--- a/bluebellhub/adapters/proxy/tests/test_restored_store.py
+++ b/bluebellhub/adapters/proxy/tests/test_restored_store.py
@@ -224,7 +224,7 @@
         for era in (2, 3):
             restore(store, copy)
             await _until(partial(_is_in_era, watcher, era))
-            await _holds(lambda: counts(site), 0.3)
+            await _holds(partial(counts, site), 0.3)
         yield partial(counts, site)
 
 
