Keep the platform's names of two test modules in its folder

Cause: the tests of the restored store and of odd entries spelled paths and fields of the store outside platform/, and a registration stood there twice.

Change: both use STORE_PATH, STORE_URL and REGISTRATION of platform/tests/wire.py.

--- a/bluebellhub/adapters/proxy/tests/restorable_store.py
+++ b/bluebellhub/adapters/proxy/tests/restorable_store.py
@@ -10,6 +10,7 @@
 import trio
 
 from bluebellhub.platform.store_calls import Store, make_era
+from bluebellhub.platform.tests.wire import STORE_PATH, STORE_URL
 
 __all__ = [
     'RestorableStore',
@@ -49,7 +50,7 @@
         if self.state['is_away']:
             raise httpcore.ConnectError
         parts = urlsplit(url)
-        path = parts.path.removeprefix('/api/objects/')
+        path = parts.path.removeprefix(STORE_PATH)
         self.calls.append((method, path))
         body = msgspec.json.decode(content) if content else None
         query = {
@@ -82,7 +83,7 @@
 
 def make_client(store):
     """Return a client of the store."""
-    return Store('http://store/api/objects', store, make_era())
+    return Store(STORE_URL, store, make_era())
 
 
 def write_object(store, path, spec, status=None):
--- a/bluebellhub/adapters/proxy/tests/test_odd_entries.py
+++ b/bluebellhub/adapters/proxy/tests/test_odd_entries.py
@@ -3,6 +3,7 @@
 from contextlib import asynccontextmanager
 
 import httpcore
+import msgspec
 import pytest
 import trio
 
@@ -14,13 +15,10 @@
 )
 from bluebellhub.platform.object_codec import UPSTREAM_KIND
 from bluebellhub.platform.store_calls import Store, make_era
-from bluebellhub.platform.tests.wire import request
+from bluebellhub.platform.tests.wire import REGISTRATION, request
 
 LIMIT_S = 3.0
-SOUND = (
-    b'{"service":"s","address":"10.0.0.1:1","zone":"d","version":"v1",'
-    b'"slots":2,"state":"ready","born":1790000000000}'
-)
+SOUND = msgspec.json.encode(REGISTRATION)
 
 
 def _changed(name, field):
--- a/bluebellhub/adapters/proxy/tests/test_restored_store.py
+++ b/bluebellhub/adapters/proxy/tests/test_restored_store.py
@@ -32,23 +32,14 @@
     UPSTREAM_KIND,
     VM_KIND,
 )
+from bluebellhub.platform.tests.wire import REGISTRATION
 from bluebellhub.retention import retention
 from bluebellhub.settings import Settings
 
 LIMIT_S = 3.0
 PEER_ADDRESS = '127.0.0.1:0'
 SETTINGS = Settings('hub-1', 'd', '127.0.0.1:1', peer_listen='10.0.0.9:7600')
-UPSTREAM = {
-    'service': 's',
-    'address': '10.0.0.1:1',
-    'zone': 'd',
-    'version': 'v1',
-    'slots': 2,
-    'state': 'ready',
-    'coldRemainingMs': 0,
-    'born': 1_790_000_000_000,
-}
-DRAINING = {**UPSTREAM, 'state': 'draining'}
+DRAINING = {**REGISTRATION, 'state': 'draining'}
 
 
 def _config(version):
@@ -79,7 +70,7 @@
 CHANGES = {
     CONFIG_KIND: ('config/main', _config(20), _config(30), _has_version),
     EVACUATION_KIND: ('evacuations/other', {}, {}, _is_evacuated),
-    UPSTREAM_KIND: ('servers/u9', UPSTREAM, DRAINING, _is_draining),
+    UPSTREAM_KIND: ('servers/u9', REGISTRATION, DRAINING, _is_draining),
 }
 WRITTEN_TO = {EVACUATION_KIND: 'evacuations/d'}
 
@@ -165,7 +156,7 @@
 async def test_upstream_that_left_is_not_used_after_a_restore(leaves):
     """The copy has it as ready."""
     store = make_restorable_store()
-    write_object(store, 'servers/u9', UPSTREAM)
+    write_object(store, 'servers/u9', REGISTRATION)
     copy = copy_of(store)
     async with _watching_vm(store, UPSTREAM_KIND) as watcher:
         site = watcher.proxy.site
@@ -182,7 +173,7 @@
     copy = copy_of(store)
     async with _watching_vm(store, UPSTREAM_KIND) as watcher:
         site = watcher.proxy.site
-        write_object(store, 'servers/u9', UPSTREAM)
+        write_object(store, 'servers/u9', REGISTRATION)
         await _until(lambda: _may_be_used(site))
         restore(store, copy)
         await _until(lambda: watcher.store.era['number'] == 2)
--- a/bluebellhub/platform/tests/wire.py
+++ b/bluebellhub/platform/tests/wire.py
@@ -5,9 +5,12 @@
     'NOT_EXECUTED',
     'OTHER_REQUEST_ID',
     'RECEIVED_HEADERS',
+    'REGISTRATION',
     'REQUEST_ID',
     'SIGNATURE',
     'SIGNATURE_NAME',
+    'STORE_PATH',
+    'STORE_URL',
     'prompt_header',
     'request',
 ]
@@ -31,6 +34,20 @@
     (b'kv-from', None),
 ]
 
+# All objects of the store, and a sound registration of an upstream there.
+STORE_PATH = '/api/objects/'
+STORE_URL = 'http://store/api/objects'
+REGISTRATION = {
+    'service': 's',
+    'address': '10.0.0.1:1',
+    'zone': 'd',
+    'version': 'v1',
+    'slots': 2,
+    'state': 'ready',
+    'coldRemainingMs': 0,
+    'born': 1_790_000_000_000,
+}
+
 
 def prompt_header(*parts):
     """Return the header line for a prompt with these parts."""
