--- a/review/standins/servers.py
+++ b/review/standins/servers.py
@@ -29,24 +29,29 @@
             first, headers, _ = read_request(server, channel, reader)
             request_id = headers['x-bluebellhub-request-id']
             record(f'server {server.id} runs {request_id} ({first})')
-            channel.sendall(
-                response_head(
-                    headers,
-                    Content_Type='text/event-stream',
-                    Transfer_Encoding='chunked',
-                    **SIGNATURE,
-                )
-            )
-            for number in range(1, events + 1):
-                time.sleep(pause_s)
-                event = f'id: {number}\ndata: {"x" * 60}\n\n'.encode()
-                channel.sendall(b'%x\r\n%s\r\n' % (len(event), event))
-            channel.sendall(b'0\r\n\r\n')
+            send_stream(channel, headers, events, pause_s)
             record(f'server {server.id} has ended {request_id}: 200')
 
     return serve
 
 
+def send_stream(channel, headers, events, pause_s):
+    """Send a stream of numbered events as the answer to a request."""
+    channel.sendall(
+        response_head(
+            headers,
+            Content_Type='text/event-stream',
+            Transfer_Encoding='chunked',
+            **SIGNATURE,
+        )
+    )
+    for number in range(1, events + 1):
+        time.sleep(pause_s)
+        event = f'id: {number}\ndata: {"x" * 60}\n\n'.encode()
+        channel.sendall(b'%x\r\n%s\r\n' % (len(event), event))
+    channel.sendall(b'0\r\n\r\n')
+
+
 def make_plain_service(record, work_s):
     """Return a plain server's ``serve``: an answer of 800 bytes."""
 
