--- a/review/standins/fleet.py
+++ b/review/standins/fleet.py
@@ -387,8 +387,15 @@
         shutil.rmtree(self.folder, ignore_errors=True)
 
 
+def stop_early(number, frame):
+    """Turn SIGTERM into an error, so that all processes are ended."""
+    signal.signal(signal.SIGTERM, signal.SIG_IGN)
+    raise InterruptedError(f'signal {number}')
+
+
 def run_case(folder, play):
     """Run ``play`` with a fleet and exit with its verdict."""
+    signal.signal(signal.SIGTERM, stop_early)
     fleet = None
     verdict = NOT_RUN
     try:
