Let an error end one request, and no process

Cause: a request may outlive the last upstream of its target. The estimate of unreported requests divided by their number, and a request that was queued again asked for the speed of the first one; so did the share of a queue in a lease of the product's own interface. The error ended the task of the periodic decisions, and with it the process. Any error over one request, message, upstream or stored object could do that, in any task.

Change: without an upstream a request waits to its deadline and is refused. An unexpected error ends the work on one request, upstream, event, peer message or stored object; it is logged with its traceback and counted in bluebellhub_isolated_faults_total. Tests raise it again, so that it stays visible there.

--- a/bluebellhub/adapters/node.py
+++ b/bluebellhub/adapters/node.py
@@ -15,6 +15,7 @@
 from bluebellhub.adapters.sockets import refuses_connections
 from bluebellhub.clock import now_s
 from bluebellhub.contract import AccountLimits
+from bluebellhub.faults import isolate_fault
 from bluebellhub.latencies import Latencies, make_latencies
 from bluebellhub.registry import Registry, make_registry
 from bluebellhub.request import Request
@@ -120,7 +121,9 @@
 def execute_events(node: Node, events: list[Event]) -> None:
     """Execute the scheduler's events in their order."""
     for event in events:
-        event_handlers.find(type(event).__name__)(node, event)
+        name = type(event).__name__
+        with isolate_fault('event', event=name):
+            event_handlers.find(name)(node, event)
 
 
 @event_handlers.register('Dispatch')
@@ -170,13 +173,23 @@
     """Probe an upstream that has stopped responding."""
     upstream = node.scheduler.upstreams.get(event.upstream)
     if upstream is not None:
-        node.nursery.start_soon(node.probe, upstream.spec)
+        node.nursery.start_soon(_probe, node, upstream.spec)
+
+
+async def _probe(node: Node, spec: UpstreamSpec) -> None:
+    with isolate_fault('probe', upstream=spec.name):
+        await node.probe(spec)
 
 
 @event_handlers.register('CheckCrash')
 def handle_check_crash(node: Node, event: CheckCrash) -> None:
     """Start to find out whether an upstream has crashed."""
-    node.nursery.start_soon(_check_crash, node, event)
+    node.nursery.start_soon(_check_crash_isolated, node, event)
+
+
+async def _check_crash_isolated(node: Node, event: CheckCrash) -> None:
+    with isolate_fault('crash_check', upstream=event.upstream):
+        await _check_crash(node, event)
 
 
 async def _check_crash(node: Node, event: CheckCrash) -> None:
@@ -199,5 +212,6 @@
 async def run_ticks(node: Node) -> None:
     """Run the scheduler's periodic decisions until cancelled."""
     while True:
-        execute_events(node, tick(node.scheduler, now_s()))
+        with isolate_fault('tick'):
+            execute_events(node, tick(node.scheduler, now_s()))
         await trio.sleep(TICK_S)
--- a/bluebellhub/adapters/peer_link.py
+++ b/bluebellhub/adapters/peer_link.py
@@ -15,6 +15,7 @@
 import zmq
 
 from bluebellhub.errors import HubError, InvariantError, PeerMessageError
+from bluebellhub.faults import report_fault
 from bluebellhub.peer_messages import decode_message, encode_message
 
 __all__ = [
@@ -154,12 +155,13 @@
     """Pass every received message to ``receive`` until cancelled.
 
     The descriptor is edge-triggered, so the socket is read until it is empty
-    before waiting again.
+    before waiting again.  Other tasks run between two messages.
     """
     descriptor = int(link.inbox.get(zmq.FD))
     while True:
         while int(link.inbox.get(zmq.EVENTS)) & zmq.POLLIN:
             _receive_one(link, receive)
+            await trio.lowlevel.checkpoint()
         with trio.move_on_after(1.0):
             await trio.lowlevel.wait_readable(descriptor)
 
@@ -175,6 +177,9 @@
     except (HubError, UnicodeDecodeError) as error:
         link.counters['peer_messages', 'refused'] += 1
         log.warning('refused message of {} frames: {}', len(frames), error)
+    except Exception as error:
+        sender = frames[0].decode(errors='replace')
+        report_fault(error, 'peer_message', sender=sender)
 
 
 def _decode_frames(frames: list[bytes]) -> tuple[str, object]:
--- a/bluebellhub/adapters/proxy/gossip.py
+++ b/bluebellhub/adapters/proxy/gossip.py
@@ -12,6 +12,7 @@
 from bluebellhub.adapters.proxy.state import Proxy
 from bluebellhub.adapters.proxy.statements import apply_reported_limits
 from bluebellhub.clock import now_s
+from bluebellhub.faults import isolate_fault
 from bluebellhub.site.crash_evidence import apply_crash_evidence
 from bluebellhub.site.domain_reports import apply_domain_report
 from bluebellhub.site.gossip import (
@@ -26,6 +27,7 @@
     LimitReport,
     StepReport,
 )
+from bluebellhub.site.state import Site
 from bluebellhub.site.step_reports import apply_step_report
 from bluebellhub.site.vm_reports import apply_gossip, update_other_vms_load
 
@@ -40,23 +42,34 @@
     gossip_state = make_gossip_state()
     reconnected_at_s: dict[str, float] = {}
     while True:
-        current_s = now_s()
-        update_other_vms_load(site, current_s)
-        gossip_state, multicasts = make_multicasts(
-            site, gossip_state, current_s
-        )
-        for multicast in multicasts:
-            send_all(link, multicast.to, multicast.message)
-        received_at_s_by_vm = {
-            name: peer.received_at_s for name, peer in site.peers.items()
-        }
-        local_names = local_vm_names(site.flags['grid'])
-        reconnect_silent_peers(
-            link, local_names, received_at_s_by_vm, reconnected_at_s, current_s
-        )
+        with isolate_fault('gossip'):
+            current_s = now_s()
+            update_other_vms_load(site, current_s)
+            gossip_state, multicasts = make_multicasts(
+                site, gossip_state, current_s
+            )
+            for multicast in multicasts:
+                send_all(link, multicast.to, multicast.message)
+            _reconnect_silent(site, link, reconnected_at_s, current_s)
         await trio.sleep(gossip_interval_s(site.flags['grid']))
 
 
+def _reconnect_silent(
+    site: Site,
+    link: PeerLink,
+    reconnected_at_s: dict[str, float],
+    current_s: float,
+) -> None:
+    """Replace the connections to the VMs nearby that are silent."""
+    received_at_s_by_vm = {
+        name: peer.received_at_s for name, peer in site.peers.items()
+    }
+    local_names = local_vm_names(site.flags['grid'])
+    reconnect_silent_peers(
+        link, local_names, received_at_s_by_vm, reconnected_at_s, current_s
+    )
+
+
 async def receive_gossip(proxy: Proxy, link: PeerLink) -> None:
     """Apply the reports of other VMs until cancelled."""
 
--- a/bluebellhub/adapters/proxy/moves.py
+++ b/bluebellhub/adapters/proxy/moves.py
@@ -8,6 +8,7 @@
 from bluebellhub.adapters.proxy.state import Proxy
 from bluebellhub.clock import now_s
 from bluebellhub.errors import StoreError
+from bluebellhub.faults import isolate_fault
 from bluebellhub.platform.object_codec import MOVE_KIND, move_status
 from bluebellhub.platform.store import write_status
 from bluebellhub.platform.store_calls import Store
@@ -33,12 +34,20 @@
             # A restored store has lost states, at revisions that it has again.
             era = store.era['number']
             written.clear()
-        for state_write in lead_moves(proxy.site, now_s()):
-            if state_write not in written and await _write(store, state_write):
-                written.add(state_write)
+        with isolate_fault('version_moves'):
+            await _write_new(proxy, store, written)
         await trio.sleep(DECISION_INTERVAL_S)
 
 
+async def _write_new(
+    proxy: Proxy, store: Store, written: set[StateWrite]
+) -> None:
+    """Write what this VM decides as leader and has not written yet."""
+    for state_write in lead_moves(proxy.site, now_s()):
+        if state_write not in written and await _write(store, state_write):
+            written.add(state_write)
+
+
 async def _write(store: Store, state_write: StateWrite) -> bool:
     status = move_status(state_write.state, state_write.to_version)
     try:
--- a/bluebellhub/adapters/proxy/object_handlers.py
+++ b/bluebellhub/adapters/proxy/object_handlers.py
@@ -1,7 +1,8 @@
 """Applies the objects of the platform's store to this VM, by kind."""
 
-from collections.abc import Callable
-from typing import NamedTuple
+from collections.abc import Callable, Iterable
+from itertools import chain
+from typing import NamedTuple, TypeVar
 
 import logbook
 import trio
@@ -10,6 +11,7 @@
 from bluebellhub.adapters.proxy.state import Proxy
 from bluebellhub.clock import now_epoch_s, now_s
 from bluebellhub.errors import ObjectError
+from bluebellhub.faults import report_fault
 from bluebellhub.platform.object_codec import (
     CONFIG_KIND,
     CONFIG_NAME,
@@ -50,6 +52,8 @@
 
 __all__ = ['ObjectHandler', 'Watcher', 'make_watcher', 'object_handlers']
 
+ReadObject = TypeVar('ReadObject')
+
 log = logbook.Logger('bluebellhub.watching')
 
 
@@ -92,6 +96,24 @@
 object_handlers: Registry[ObjectHandler] = make_registry('watched kind')
 
 
+def _read_each(
+    watcher: Watcher,
+    kind: str,
+    entries: Iterable[StoredEntry],
+    read: Callable[[StoredEntry], ReadObject],
+) -> dict[str, ReadObject]:
+    """Decode objects, by name; one that is not valid hides no other."""
+    found: dict[str, ReadObject] = {}
+    for entry in entries:
+        try:
+            found[entry.name] = read(entry)
+        except ObjectError as error:
+            log.warning('object not valid, ignored: {}', error)
+        except Exception as error:
+            report_fault(error, 'stored_object', kind=kind, name=entry.name)
+    return found
+
+
 def _combined_handler(
     kind: str, apply: Callable[[Watcher, list[StoredEntry]], None]
 ) -> ObjectHandler:
@@ -138,14 +160,14 @@
 @_register_combined(CONFIG_KIND)
 def apply_config(watcher: Watcher, entries: list[StoredEntry]) -> None:
     """Activate a newer configuration; one that is not valid is ignored."""
-    for entry in entries:
-        if entry.name != CONFIG_NAME:
-            continue
-        try:
-            table = read_table(entry.spec)
-        except ObjectError as error:
-            log.error('configuration not valid, ignored: {}', error)
-            continue
+    configurations = (entry for entry in entries if entry.name == CONFIG_NAME)
+    tables = _read_each(
+        watcher,
+        CONFIG_KIND,
+        configurations,
+        lambda entry: read_table(entry.spec),
+    )
+    for table in tables.values():
         if apply_routing_table(watcher.proxy.site, table):
             log.info(
                 'configuration activated', extra={'version': table.version}
@@ -164,12 +186,8 @@
 @_register_combined(MOVE_KIND)
 def apply_moves(watcher: Watcher, entries: list[StoredEntry]) -> None:
     """Apply the commands for version moves; ignore those not valid."""
-    commands = []
-    for entry in entries:
-        try:
-            commands.append(read_move(entry))
-        except ObjectError as error:
-            log.warning('version move not valid, ignored: {}', error)
+    found = _read_each(watcher, MOVE_KIND, entries, read_move)
+    commands = list(found.values())
     log.info('version moves received', extra={'orders': commands})
     apply_move_commands(watcher.proxy.site, commands, now_s())
 
@@ -177,13 +195,13 @@
 @_register_combined(QUARANTINE_KIND)
 def apply_quarantine(watcher: Watcher, entries: list[StoredEntry]) -> None:
     """Apply the stored evidence against parts of prompts."""
-    reports = []
-    for entry in entries:
-        try:
-            reports.extend(read_quarantine(entry, now_epoch_s()))
-        except ObjectError as error:
-            log.warning('quarantine not valid, ignored: {}', error)
-    evidence = CrashEvidence(reports, [])
+    found = _read_each(
+        watcher,
+        QUARANTINE_KIND,
+        entries,
+        lambda entry: read_quarantine(entry, now_epoch_s()),
+    )
+    evidence = CrashEvidence(list(chain.from_iterable(found.values())), [])
     parts = apply_crash_evidence(watcher.proxy.site, evidence, now_s())
     if parts:
         log.info(
@@ -195,12 +213,7 @@
 @_register_combined(VM_KIND)
 def apply_vms(watcher: Watcher, entries: list[StoredEntry]) -> None:
     """Set the addresses at which the VMs listen for each other."""
-    locations = {}
-    for entry in entries:
-        try:
-            locations[entry.name] = read_vm(entry)
-        except ObjectError as error:
-            log.warning('VM entry not valid, ignored: {}', error)
+    locations = _read_each(watcher, VM_KIND, entries, read_vm)
     set_vms(watcher.proxy.site, locations)
     for name, location in locations.items():
         set_peer_address(watcher.link, name, location.address)
@@ -208,13 +221,8 @@
 
 def apply_all_upstreams(watcher: Watcher, entries: list[StoredEntry]) -> None:
     """Apply all registrations; ignore those that are not valid."""
-    found = []
-    for entry in entries:
-        try:
-            found.append(read_registration(entry))
-        except ObjectError as error:
-            log.warning('registration not valid, ignored: {}', error)
-    gone = apply_registrations(watcher.proxy.site, found, now_s())
+    found = _read_each(watcher, UPSTREAM_KIND, entries, read_registration)
+    gone = apply_registrations(watcher.proxy.site, found.values(), now_s())
     log.info('upstreams listed', extra={'count': len(found), 'gone': gone})
 
 
@@ -226,21 +234,20 @@
         is_gone = apply_removal(site, name, now_s())
         log.info('upstream removed', extra={'upstream': name, 'gone': is_gone})
         return
-    try:
-        entry = read_registration(change.entry)
-    except ObjectError as error:
-        log.warning('registration not valid, ignored: {}', error)
-        return
-    if apply_registration(site, entry, now_s()):
-        log.info(
-            'upstream registered',
-            extra={
-                'upstream': name,
-                'state': entry.state,
-                'cold_s': entry.cold_s,
-                'revision': change.entry.revision,
-            },
-        )
+    found = _read_each(
+        watcher, UPSTREAM_KIND, [change.entry], read_registration
+    )
+    for entry in found.values():
+        if apply_registration(site, entry, now_s()):
+            log.info(
+                'upstream registered',
+                extra={
+                    'upstream': name,
+                    'state': entry.state,
+                    'cold_s': entry.cold_s,
+                    'revision': change.entry.revision,
+                },
+            )
 
 
 def record_upstreams_restore(watcher: Watcher) -> None:
--- a/bluebellhub/adapters/proxy/server.py
+++ b/bluebellhub/adapters/proxy/server.py
@@ -9,6 +9,7 @@
 from bluebellhub.adapters.proxy.caller_connection import (
     CallerConnection,
     CallerGoneError,
+    ReceivedRequest,
     close_connection,
     make_connection,
     read_request,
@@ -17,7 +18,9 @@
 from bluebellhub.adapters.proxy.request_handling import handle_request
 from bluebellhub.adapters.proxy.state import Proxy
 from bluebellhub.adapters.sockets import set_socket_options
+from bluebellhub.faults import report_fault
 from bluebellhub.request import RefusalError
+from bluebellhub.request.refusal import InternalError
 from bluebellhub.route import CallerLimits
 
 __all__ = [
@@ -56,10 +59,9 @@
             connection.protocol.start_next_cycle()
     except (CallerGoneError, OSError) as error:
         log.debug('caller connection lost: {}', type(error).__name__)
-    except Exception:
-        # An error in one connection must not end the others.
-        log.exception('unexpected error; closing the caller connection')
+    except Exception as error:
         connection.state['is_aborted'] = True
+        report_fault(error, 'connection')
     finally:
         proxy.caller_connections.pop(id(connection))
         await close_connection(connection)
@@ -78,7 +80,8 @@
     if received is None:
         return False
     connection.state['closes'] |= proxy.site.flags['leaving']
-    await handle_request(proxy, connection, received)
+    if not await _handle_isolated(proxy, connection, received):
+        return False
     protocol = connection.protocol
     is_complete = (
         protocol.our_state is h11.DONE and protocol.their_state is h11.DONE
@@ -86,13 +89,40 @@
     return is_complete and not connection.state['is_aborted']
 
 
+async def _handle_isolated(
+    proxy: Proxy, connection: CallerConnection, received: ReceivedRequest
+) -> bool:
+    """Answer a request; an unexpected error ends only this one.
+
+    Returns whether there was none.
+    """
+    request_id = received.head.request_id
+    try:
+        await handle_request(proxy, connection, received)
+    except (CallerGoneError, OSError):
+        raise
+    except Exception as error:
+        # Whether an upstream has executed the request is not known any more.
+        refusal = InternalError('unexpected error', run='unknown')
+        if not await _refuse_incomplete(connection, refusal):
+            connection.state['is_aborted'] = True
+        report_fault(error, 'request', request=request_id)
+        return False
+    return True
+
+
 async def _refuse_incomplete(
     connection: CallerConnection, error: RefusalError
-) -> None:
-    """Refuse a request that was not read completely, and close."""
+) -> bool:
+    """Refuse a request that cannot be answered, and close.
+
+    Returns whether it was refused, which a begun response does not allow.
+    """
     connection.state['closes'] = True
-    if connection.protocol.our_state in {h11.IDLE, h11.SEND_RESPONSE}:
-        await send_refusal(connection, error)
+    if connection.protocol.our_state not in {h11.IDLE, h11.SEND_RESPONSE}:
+        return False
+    await send_refusal(connection, error)
+    return True
 
 
 def close_idle_connections(proxy: Proxy) -> None:
--- a/bluebellhub/adapters/proxy/store_watch.py
+++ b/bluebellhub/adapters/proxy/store_watch.py
@@ -13,6 +13,7 @@
 )
 from bluebellhub.clock import now_s
 from bluebellhub.errors import StoreError
+from bluebellhub.faults import isolate_fault, report_fault
 from bluebellhub.platform.object_codec import (
     CONFIG_KIND,
     EVACUATION_KIND,
@@ -85,6 +86,10 @@
             await trio.sleep(pause_s)
             pause_s = min(RETRY_MAX_S, pause_s * 2)
             waits = False
+        except Exception as error:
+            report_fault(error, 'store_watch', kind=kind)
+            await trio.sleep(RETRY_MAX_S)
+            since = None
         else:
             _record_availability(watcher, kind, '')
             pause_s = RETRY_MIN_S
@@ -110,7 +115,9 @@
     except StoreError as error:
         _record_availability(watcher, kind, str(error))
         return None
-    return _apply_listing(watcher, kind, listing)
+    with isolate_fault('store_watch', kind=kind):
+        return _apply_listing(watcher, kind, listing)
+    return None
 
 
 def _apply_listing(watcher: Watcher, kind: str, listing: Listing) -> Position:
@@ -152,7 +159,9 @@
         wait_s = watch_timeout_s(WATCH_WAITS_S[kind], vm_count)
     changes, position = await watch_objects(watcher.store, kind, since, wait_s)
     for change in changes:
-        object_handlers.find(kind).apply_change(watcher, change)
+        name = change.entry.name
+        with isolate_fault('stored_object', kind=kind, name=name):
+            object_handlers.find(kind).apply_change(watcher, change)
     return position
 
 
@@ -176,5 +185,6 @@
     while True:
         ended = end_retention(watcher.retention, now_s())
         for kind in (UPSTREAM_KIND, *ended):
-            object_handlers.find(kind).apply_again(watcher)
+            with isolate_fault('expiry', kind=kind):
+                object_handlers.find(kind).apply_again(watcher)
         await trio.sleep(EXPIRY_INTERVAL_S)
--- a/bluebellhub/adapters/proxy/stored_quarantine.py
+++ b/bluebellhub/adapters/proxy/stored_quarantine.py
@@ -8,6 +8,7 @@
 from bluebellhub.adapters.proxy.object_handlers import Watcher
 from bluebellhub.clock import now_epoch_s, now_s
 from bluebellhub.errors import ConflictError, StoreError
+from bluebellhub.faults import isolate_fault
 from bluebellhub.platform.object_codec import (
     QUARANTINE_KIND,
     quarantine_name,
@@ -30,13 +31,14 @@
     The watch of the store tells all VMs, this one included, what was written.
     """
     while True:
-        try:
-            await _store_changes(watcher)
-        except StoreError as error:
-            log.info(
-                'quarantine not written to the store',
-                extra={'cause': str(error)},
-            )
+        with isolate_fault('quarantine'):
+            try:
+                await _store_changes(watcher)
+            except StoreError as error:
+                log.info(
+                    'quarantine not written to the store',
+                    extra={'cause': str(error)},
+                )
         await trio.sleep(STORE_INTERVAL_S)
 
 
--- a/bluebellhub/adapters/proxy/vm_announcement.py
+++ b/bluebellhub/adapters/proxy/vm_announcement.py
@@ -7,6 +7,7 @@
 
 from bluebellhub.adapters.proxy.object_handlers import Watcher
 from bluebellhub.errors import ConflictError, ObjectError, StoreError
+from bluebellhub.faults import isolate_fault
 from bluebellhub.platform.object_codec import VM_KIND, read_vm, vm_spec
 from bluebellhub.platform.store import (
     create_entry,
@@ -38,8 +39,9 @@
         is_missing = (
             not announced if found is None else settings.vm not in found
         )
-        if is_missing:
-            announced = await announce_vm(watcher.store, settings)
+        with isolate_fault('announcement'):
+            if is_missing:
+                announced = await announce_vm(watcher.store, settings)
         await trio.sleep(CHECK_INTERVAL_S)
 
 
--- a/bluebellhub/conftest.py
+++ b/bluebellhub/conftest.py
@@ -5,6 +5,7 @@
 import pytest
 from hypothesis import HealthCheck, settings
 
+from bluebellhub.faults import isolated_faults
 from bluebellhub.invariants import set_violations_fatal, violations
 
 SOAK = os.environ.get('BLUEBELLHUB_SOAK') == '1'
@@ -31,5 +32,7 @@
 def _fatal_invariants():
     set_violations_fatal(fatal=True)
     violations.clear()
+    isolated_faults.clear()
     yield
     assert not violations
+    assert not isolated_faults
--- a/bluebellhub/fleet/leases.py
+++ b/bluebellhub/fleet/leases.py
@@ -121,8 +121,9 @@
     queued = 0.0
     for target in upstream.spec.targets:
         queue = scheduler.queues.get(target)
-        if queue is not None:
-            queued += size(queue) / len(scheduler.by_target[target])
+        names = scheduler.by_target.get(target)
+        if queue is not None and names:
+            queued += size(queue) / len(names)
     return queued
 
 
--- a/bluebellhub/invariants.py
+++ b/bluebellhub/invariants.py
@@ -10,7 +10,12 @@
 
 from bluebellhub.errors import InvariantError
 
-__all__ = ['check_invariant', 'set_violations_fatal', 'violations']
+__all__ = [
+    'are_violations_fatal',
+    'check_invariant',
+    'set_violations_fatal',
+    'violations',
+]
 
 violations: Final[Counter[str]] = Counter()
 _modes: Final[dict[str, bool]] = {'fatal': True}
@@ -21,6 +26,11 @@
     _modes['fatal'] = fatal
 
 
+def are_violations_fatal() -> bool:
+    """Return whether a violated invariant raises `InvariantError`."""
+    return _modes['fatal']
+
+
 def check_invariant(name: str, *, holds: bool, detail: str = '') -> None:
     """Count a violation of the invariant ``name`` unless it ``holds``.
 
@@ -29,5 +39,5 @@
     if holds:
         return
     violations[name] += 1
-    if _modes['fatal']:
+    if are_violations_fatal():
         raise InvariantError(name, detail)
--- a/bluebellhub/metrics.py
+++ b/bluebellhub/metrics.py
@@ -6,6 +6,7 @@
 from aioprometheus.renderer import render
 
 from bluebellhub.admission import size
+from bluebellhub.faults import isolated_faults
 from bluebellhub.invariants import violations
 from bluebellhub.latencies import Latencies, register_latencies
 from bluebellhub.scheduler.state import Scheduler
@@ -65,6 +66,13 @@
     )
     for name, count in violations.items():
         violated.set({'invariant': name}, count)
+    isolated = Counter(
+        'bluebellhub_isolated_faults_total',
+        'Number of unexpected errors that ended one piece of work.',
+        registry=registry,
+    )
+    for work, count in isolated_faults.items():
+        isolated.set({'work': work}, count)
 
 
 def _add_gauges(registry: Registry, scheduler: Scheduler) -> None:
--- a/bluebellhub/request/refusal.py
+++ b/bluebellhub/request/refusal.py
@@ -20,6 +20,7 @@
     'DrainingError',
     'ExecutionStatus',
     'HeaderTooLargeError',
+    'InternalError',
     'IsolatedError',
     'KeyReuseError',
     'LedgerUnavailableError',
@@ -214,6 +215,11 @@
     """The upstream sent a part of the response to another request."""
 
 
+@_register_reason('internal', 502)
+class InternalError(RefusalError):
+    """An error of the program over this request; the log has its cause."""
+
+
 @_register_reason('slow_request', 408)
 class SlowRequestError(RefusalError):
     """The caller took too long to send the request."""
--- a/bluebellhub/scheduler/dispatch.py
+++ b/bluebellhub/scheduler/dispatch.py
@@ -1,11 +1,14 @@
 """Dispatch of queued requests to upstreams, in the order of the queue."""
 
-from typing import Final
+from collections.abc import Sequence
+from typing import Final, NamedTuple
 
 from bluebellhub.admission import Queue, QueuedRequest, charge, head, remove
 from bluebellhub.backpressure import record_limited_send
+from bluebellhub.faults import report_fault
 from bluebellhub.rates import record_cold_send
 from bluebellhub.request import RequestState, begin_attempt
+from bluebellhub.request.refusal import InternalError
 from bluebellhub.routing import Candidate, policies, record_blocks
 from bluebellhub.scheduler.candidate import (
     make_candidate,
@@ -19,6 +22,7 @@
 )
 from bluebellhub.scheduler.eligibility import is_eligible
 from bluebellhub.scheduler.events import Dispatch, Event
+from bluebellhub.scheduler.finish import refuse
 from bluebellhub.scheduler.preemption import all_slots_used, find_victim
 from bluebellhub.scheduler.requeueing import requeue
 from bluebellhub.scheduler.state import (
@@ -27,7 +31,7 @@
     signals_of,
     upstreams_for,
 )
-from bluebellhub.upstream import add_work
+from bluebellhub.upstream import Upstream, add_work
 from bluebellhub.version_move.gate import count_dispatch
 
 __all__ = ['candidates_for', 'dispatch_queued', 'start_attempt']
@@ -35,6 +39,18 @@
 PREEMPT_SLACK_SHARE: Final = 0.5
 
 
+class Peers(NamedTuple):
+    """The upstreams of one target, at least one.
+
+    ``unblocked`` names those that receive no long prefill of lower tiers, and
+    ``unreported`` estimates how many requests each got since its last report.
+    """
+
+    upstreams: Sequence[Upstream]
+    unblocked: frozenset[str]
+    unreported: float
+
+
 def dispatch_queued(
     scheduler: Scheduler, target: str, now_s: float
 ) -> list[Event]:
@@ -48,10 +64,35 @@
         entry = head(queue)
         if entry is None:
             return events
-        if not _dispatch_head(scheduler, events, queue, entry, now_s):
+        try:
+            is_dispatched = _dispatch_head(
+                scheduler, events, queue, entry, now_s
+            )
+        except Exception as error:
+            report_fault(
+                error,
+                'dispatch',
+                request=entry.request_id,
+            )
+            _refuse_head(scheduler, events, queue, entry)
+            continue
+        if not is_dispatched:
             return events
 
 
+def _refuse_head(
+    scheduler: Scheduler,
+    events: list[Event],
+    queue: Queue,
+    entry: QueuedRequest,
+) -> None:
+    """Refuse the request that could not be dispatched for an error."""
+    remove(queue, entry.request_id)
+    state = scheduler.requests.get(entry.request_id)
+    if state is not None:
+        refuse(scheduler, events, state, InternalError('dispatch failed'))
+
+
 def _dispatch_head(
     scheduler: Scheduler,
     events: list[Event],
@@ -79,27 +120,64 @@
     scheduler: Scheduler, state: RequestState, now_s: float
 ) -> list[Candidate]:
     """Return the eligible upstreams that have capacity for the request now."""
-    request = state.request
-    found = []
-    peers = upstreams_for(scheduler, request.target)
-    unblocked = unblocked_names(scheduler, request.target, peers)
-    unreported = unreported_requests(
-        scheduler, request.target, len(peers), now_s
-    )
-    for upstream in peers:
-        if not is_eligible(scheduler, request, upstream, now_s):
+    found: list[Candidate] = []
+    peers = _make_peers(scheduler, state.request.target, now_s)
+    if peers is None:
+        return found
+    for upstream in peers.upstreams:
+        try:
+            candidate = _find_candidate(
+                scheduler, state, upstream, peers, now_s
+            )
+        except Exception as error:
+            name = upstream.spec.name
+            report_fault(error, 'upstream', upstream=name)
             continue
-        candidate = make_candidate(
-            scheduler, state, upstream, now_s, unreported
-        )
-        placement = Placement(
-            scheduler, upstream, peers, unblocked, request, candidate, now_s
-        )
-        if has_capacity(placement):
+        if candidate is not None:
             found.append(candidate)
     return found
 
 
+def _make_peers(
+    scheduler: Scheduler, target: str, now_s: float
+) -> Peers | None:
+    """Return the upstreams of a target; ``None`` if nothing serves it."""
+    upstreams = upstreams_for(scheduler, target)
+    if not upstreams:
+        return None
+    return Peers(
+        upstreams,
+        unblocked_names(scheduler, target, upstreams),
+        unreported_requests(scheduler, target, len(upstreams), now_s),
+    )
+
+
+def _find_candidate(
+    scheduler: Scheduler,
+    state: RequestState,
+    upstream: Upstream,
+    peers: Peers,
+    now_s: float,
+) -> Candidate | None:
+    """Return the upstream as a candidate if it may get the request now."""
+    request = state.request
+    if not is_eligible(scheduler, request, upstream, now_s):
+        return None
+    candidate = make_candidate(
+        scheduler, state, upstream, now_s, peers.unreported
+    )
+    placement = Placement(
+        scheduler,
+        upstream,
+        peers.upstreams,
+        peers.unblocked,
+        request,
+        candidate,
+        now_s,
+    )
+    return candidate if has_capacity(placement) else None
+
+
 def start_attempt(
     scheduler: Scheduler, state: RequestState, chosen: Candidate, now_s: float
 ) -> Dispatch:
--- a/bluebellhub/scheduler/queued_request.py
+++ b/bluebellhub/scheduler/queued_request.py
@@ -13,22 +13,33 @@
 ) -> QueuedRequest:
     """Create the queue entry of a request, with its expected slot time."""
     request = state.request
-    upstreams = upstreams_for(scheduler, request.target)
-    speed = upstreams[0].speed
-    tokens = expected_tokens(
-        scheduler.lengths, request.account, request.route, request.output_tokens
-    )
     contract = scheduler.contracts.get(request.account)
     weight = request.tier.weight
     if contract is not None:
         weight *= contract.weight
-    prefill_s = request.prompt_tokens / speed.prefill_tokens_per_s
-    decode_s = max(0, tokens - state.tokens) * speed.step_s
     return QueuedRequest(
         request.deadline_s,
         request.request_id,
         request.account,
         request.tier.rank,
-        prefill_s + decode_s,
+        _expected_slot_time_s(scheduler, state),
         weight,
     )
+
+
+def _expected_slot_time_s(scheduler: Scheduler, state: RequestState) -> float:
+    """Predict for how many seconds the request will hold a slot.
+
+    This is 0.0 while no upstream serves its target, as after a crash of all.
+    """
+    request = state.request
+    upstreams = upstreams_for(scheduler, request.target)
+    if not upstreams:
+        return 0.0
+    speed = upstreams[0].speed
+    tokens = expected_tokens(
+        scheduler.lengths, request.account, request.route, request.output_tokens
+    )
+    prefill_s = request.prompt_tokens / speed.prefill_tokens_per_s
+    decode_s = max(0, tokens - state.tokens) * speed.step_s
+    return prefill_s + decode_s
--- a/bluebellhub/scheduler/shedding.py
+++ b/bluebellhub/scheduler/shedding.py
@@ -9,6 +9,7 @@
 
 from bluebellhub.admission import ranks, requests_below, requests_of_rank
 from bluebellhub.contract import DEFAULT_TIERS
+from bluebellhub.faults import isolate_fault
 from bluebellhub.invariants import check_invariant
 from bluebellhub.registry import Registry, make_registry
 from bluebellhub.request import RefusalError, RequestState, execution_status
@@ -111,7 +112,8 @@
     refuse_quarantined(scheduler, events, now_s)
     expire = expiries.find(scheduler.options.discipline)
     for target in scheduler.queues:
-        expire(scheduler, events, target, now_s)
+        with isolate_fault('queue', target=target):
+            expire(scheduler, events, target, now_s)
         events.extend(dispatch_queued(scheduler, target, now_s))
     return events
 
--- a/bluebellhub/site/upstreams.py
+++ b/bluebellhub/site/upstreams.py
@@ -3,6 +3,7 @@
 from collections.abc import Iterable
 from typing import Final
 
+from bluebellhub.faults import isolate_fault
 from bluebellhub.registration import (
     Registration,
     current_registration,
@@ -92,7 +93,8 @@
     registrations = site.registrations
     listed = current_registrations(registrations, entries, now_s)
     for entry in listed:
-        _apply_current(site, entry, now_s)
+        with isolate_fault('registration', upstream=entry.name):
+            _apply_current(site, entry, now_s)
     gone = replace_all(registrations, listed, now_s)
     for name in gone:
         remove_upstream(site.scheduler, name)
