Handle signals from the start of a VM to its end

Cause: signals were handled only between the end of the start and the first SIGTERM. Before and after that SIGHUP and SIGTERM had their default action. The product's own interface had the same fault.

Change: daemon.py ignores SIGHUP before it imports the program, and adapters/signals.py handles all three signals, for both interfaces, until the VM has closed everything. Further signals do not shorten a drain. A settings file that is not UTF-8 text is a SettingsError.

--- a/bluebellhub/adapters/hub.py
+++ b/bluebellhub/adapters/hub.py
@@ -1,6 +1,6 @@
 """Runs a VM that serves the product's own interface until SIGTERM."""
 
-import signal
+from functools import partial
 from pathlib import Path
 from typing import Final
 
@@ -16,6 +16,8 @@
 from bluebellhub.adapters.loads import poll_loads
 from bluebellhub.adapters.node import run_ticks
 from bluebellhub.adapters.peer_link import close_link
+from bluebellhub.adapters.settings_reload import reload_settings
+from bluebellhub.adapters.signals import handle_signals
 from bluebellhub.settings import Settings
 
 __all__ = ['run']
@@ -25,20 +27,29 @@
 log = logbook.Logger('bluebellhub.daemon')
 
 
-async def run(settings: Settings, _path: Path) -> None:
-    """Serve until SIGTERM or SIGINT, then finish the running requests."""
-    async with trio.open_nursery() as nursery:
-        assembly = assemble(settings, nursery)
-        shutdown = trio.Event()
-        nursery.start_soon(run_ticks, assembly.node)
-        nursery.start_soon(poll_loads, assembly.node, assembly.connections)
-        if assembly.runner is not None:
-            nursery.start_soon(run_fleet, assembly.runner)
-        nursery.start_soon(_await_signal, assembly, shutdown)
-        await _serve(assembly, shutdown)
-        nursery.cancel_scope.cancel()
-    await _close(assembly)
-    log.info('{} stopped', settings.vm)
+async def run(settings: Settings, path: Path) -> None:
+    """Serve until SIGTERM or SIGINT, then finish the running requests.
+
+    At SIGHUP the settings file at ``path`` is read again.
+    """
+    reload = partial(reload_settings, path, settings)
+    async with handle_signals(reload) as stopping:
+        async with trio.open_nursery() as nursery:
+            assembly = assemble(settings, nursery)
+            shutdown = trio.Event()
+            _start_tasks(assembly, nursery)
+            nursery.start_soon(_drain, assembly, stopping, shutdown)
+            await _serve(assembly, shutdown)
+            nursery.cancel_scope.cancel()
+        await _close(assembly)
+        log.info('{} stopped', settings.vm)
+
+
+def _start_tasks(assembly: Assembly, nursery: trio.Nursery) -> None:
+    nursery.start_soon(run_ticks, assembly.node)
+    nursery.start_soon(poll_loads, assembly.node, assembly.connections)
+    if assembly.runner is not None:
+        nursery.start_soon(run_fleet, assembly.runner)
 
 
 async def _close(assembly: Assembly) -> None:
@@ -62,14 +73,14 @@
     )
 
 
-async def _await_signal(assembly: Assembly, shutdown: trio.Event) -> None:
-    """Wait for a signal, then refuse new requests and drain the others.
+async def _drain(
+    assembly: Assembly, stopping: trio.Event, shutdown: trio.Event
+) -> None:
+    """Wait for the stop, then refuse new requests and drain the others.
 
     Sets ``shutdown`` when they have ended, at the latest after ``drain_s``.
     """
-    signals = (signal.SIGTERM, signal.SIGINT)
-    with trio.open_signal_receiver(*signals) as received:
-        await anext(received)
+    await stopping.wait()
     node = assembly.node
     node.scheduler.flags['draining'] = True
     log.info('draining {} requests', len(node.scheduler.requests))
--- a/bluebellhub/adapters/proxy/run.py
+++ b/bluebellhub/adapters/proxy/run.py
@@ -1,7 +1,6 @@
 """Runs a VM on the users' platform until it receives SIGTERM."""
 
 import secrets
-import signal
 from functools import partial
 from pathlib import Path
 from typing import Final
@@ -27,10 +26,6 @@
     has_active_requests,
     serve_callers,
 )
-from bluebellhub.adapters.proxy.settings_reload import (
-    reload_settings,
-    watch_settings,
-)
 from bluebellhub.adapters.proxy.state import Proxy
 from bluebellhub.adapters.proxy.store_watch import (
     expire_objects,
@@ -44,11 +39,16 @@
     announce_vm,
     keep_announcing,
 )
+from bluebellhub.adapters.settings_reload import (
+    reload_settings,
+    watch_settings,
+)
+from bluebellhub.adapters.signals import handle_signals
 from bluebellhub.clock import now_s
 from bluebellhub.platform.store_calls import close_store, make_store
 from bluebellhub.rates import ColdBounds, QuotaBounds, RetryBounds
 from bluebellhub.settings import Settings, SiteSettings
-from bluebellhub.site.state import Bounds, make_site
+from bluebellhub.site.state import Bounds, Site, make_site
 from bluebellhub.upstream import UpstreamSpec
 
 __all__ = ['run']
@@ -71,22 +71,24 @@
 
     The settings file at ``path`` is watched for changes.
     """
-    async with trio.open_nursery() as nursery:
-        proxy = _make_proxy(settings, nursery)
-        watcher = await _start(settings, nursery, proxy)
-        nursery.start_soon(watch_settings, path, settings)
-        log.info('started', extra={'vm': settings.vm})
-        await _await_stop(path, settings)
-        await _stop(settings, proxy)
-        nursery.cancel_scope.cancel()
-    with trio.move_on_after(POLL_INTERVAL_S, shield=True):
-        await close_store(watcher.store)
-    close_link(watcher.link)
-    log.info('stopped', extra={'vm': settings.vm})
+    site = _make_site(settings)
+    reload = partial(reload_settings, path, settings)
+    async with handle_signals(reload) as stopping:
+        async with trio.open_nursery() as nursery:
+            watcher = await _start(settings, nursery, site)
+            nursery.start_soon(watch_settings, path, settings)
+            log.info('started', extra={'vm': settings.vm})
+            await stopping.wait()
+            await _stop(settings, watcher.proxy)
+            nursery.cancel_scope.cancel()
+        with trio.move_on_after(POLL_INTERVAL_S, shield=True):
+            await close_store(watcher.store)
+        close_link(watcher.link)
+        log.info('stopped', extra={'vm': settings.vm})
 
 
 async def _start(
-    settings: Settings, nursery: trio.Nursery, proxy: Proxy
+    settings: Settings, nursery: trio.Nursery, site: Site
 ) -> Watcher:
     """Create the clients of the store and of other VMs; start all tasks.
 
@@ -94,10 +96,13 @@
     the message library starts its thread, because reading files while a
     thread starts has crashed the process.
     """
+    node = make_node(settings, site.scheduler, _never_probe, nursery)
+    proxy = Proxy(node, site, {}, {})
     store = make_store(settings.site.store)
     announced = await announce_vm(store, settings)
-    counters = proxy.node.scheduler.counters
-    link = make_peer_link(settings.vm, settings.peer_listen or '', counters)
+    link = make_peer_link(
+        settings.vm, settings.peer_listen or '', site.scheduler.counters
+    )
     watcher = make_watcher(proxy, store, link)
     _start_tasks(settings, nursery, watcher)
     nursery.start_soon(
@@ -106,7 +111,8 @@
     return watcher
 
 
-def _make_proxy(settings: Settings, nursery: trio.Nursery) -> Proxy:
+def _make_site(settings: Settings) -> Site:
+    """Create the site's state on this VM, which has read nothing yet."""
     site = make_site(
         settings.vm,
         settings.failure_domain,
@@ -115,8 +121,7 @@
         secrets.randbits(SEED_BITS),
     )
     site.flags['unread_kinds'].update(object_handlers.names())
-    node = make_node(settings, site.scheduler, _never_probe, nursery)
-    return Proxy(node, site, {}, {})
+    return site
 
 
 async def _never_probe(spec: UpstreamSpec) -> None:
@@ -159,16 +164,6 @@
         nursery.start_soon(serve_metrics, proxy, site.metrics_listen)
 
 
-async def _await_stop(path: Path, settings: Settings) -> None:
-    """Wait for SIGTERM or SIGINT; on SIGHUP reload the settings file."""
-    signals = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
-    with trio.open_signal_receiver(*signals) as received:
-        async for signal_number in received:
-            if signal_number != signal.SIGHUP:
-                return
-            reload_settings(path, settings)
-
-
 async def _stop(settings: Settings, proxy: Proxy) -> None:
     """Shut down within the grace period.
 
--- a/bluebellhub/adapters/proxy/tests/test_settings_reload.py
+++ b/bluebellhub/adapters/tests/test_settings_reload.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from bluebellhub.adapters.proxy.settings_reload import (
+from bluebellhub.adapters.settings_reload import (
     changed_fields,
     reload_settings,
 )
--- a/bluebellhub/daemon.py
+++ b/bluebellhub/daemon.py
@@ -1,81 +1,23 @@
-"""The daemon ``bluebellhubd``, which runs one VM of the scheduler."""
+"""Entry point of the daemon ``bluebellhubd``.
 
-import argparse
-import faulthandler
-import os
-import sys
-from importlib import import_module
-from pathlib import Path
-from types import MappingProxyType
-from typing import Final
-
-import trio
+It imports the program only after it has arranged for SIGHUP, which may arrive
+at any moment from the start of the process on.
+"""
 
-from bluebellhub.errors import HubError
-from bluebellhub.invariants import set_violations_fatal
-from bluebellhub.logs import make_log_handler
-from bluebellhub.settings import Settings, load_settings
+import signal
+from importlib import import_module
 
 __all__ = ['main']
 
-EXIT_SETTINGS: Final = 2
-SETTINGS_VARIABLE: Final = 'BLUEBELLHUB_CONFIG'
-# The module whose ``run`` serves requests, by whether the settings have a
-# `site.store`.  Only that module is loaded, so that a VM starts quickly.
-RUNNERS: Final = MappingProxyType(
-    {
-        False: 'bluebellhub.adapters.hub',
-        True: 'bluebellhub.adapters.proxy.run',
-    }
-)
-
-
-def _default_path() -> Path | None:
-    """Return the settings file that the environment names."""
-    name = os.environ.get(SETTINGS_VARIABLE)
-    return Path(name) if name else None
-
-
-def make_parser() -> argparse.ArgumentParser:
-    """Create the parser of the command line."""
-    parser = argparse.ArgumentParser(prog='bluebellhubd', description=__doc__)
-    parser.add_argument(
-        '--settings',
-        type=Path,
-        default=_default_path(),
-        help=f'the settings file; by default ${SETTINGS_VARIABLE}',
-    )
-    parser.add_argument(
-        '--check', action='store_true', help='check the settings and exit'
-    )
-    return parser
-
 
 def main() -> None:
-    """Run the daemon; exits with status 2 if the settings are not valid."""
-    # Prints the Python stack if a C extension crashes.
-    faulthandler.enable()
-    parser = make_parser()
-    args = parser.parse_args()
-    if args.settings is None:
-        parser.error(f'expected --settings or ${SETTINGS_VARIABLE}')
-    try:
-        settings = load_settings(args.settings)
-    except HubError as error:
-        print(f'bluebellhubd: {error}', file=sys.stderr)
-        sys.exit(EXIT_SETTINGS)
-    if args.check:
-        print('the settings are usable')
-        return
-    set_violations_fatal(fatal=os.environ.get('BLUEBELLHUB_FATAL') == '1')
-    with make_log_handler(settings.log_level):
-        _serve(settings, args.settings)
-
+    """Run the daemon; exits with status 2 if the settings are not valid.
 
-def _serve(settings: Settings, path: Path) -> None:
-    """Serve requests until SIGTERM."""
-    runner = import_module(RUNNERS[bool(settings.site.store)])
-    trio.run(runner.run, settings, path)
+    SIGHUP is ignored until the VM handles it by itself: a VM that starts reads
+    its settings anyway.  Its default action would end the process.
+    """
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
+    import_module('bluebellhub.startup').run_daemon()
 
 
 if __name__ == '__main__':
--- a/bluebellhub/settings.py
+++ b/bluebellhub/settings.py
@@ -105,6 +105,8 @@
     except OSError as error:
         reason = error.strerror or 'unreadable'
         raise SettingsError('file', str(path), f'a file ({reason})') from None
+    except UnicodeDecodeError as error:
+        raise SettingsError('file', error.reason, 'UTF-8 text') from None
     return parse_settings(text)
 
 
