Reuse a connection only after its request was written

Cause: the protocol state counts a request as sent once it is encoded, before a byte of it is written, and decided alone on the reuse of the connection.

Change: the connection notes when its request was written in full; without that it is closed after the response.

--- a/bluebellhub/adapters/proxy/upstream_connection.py
+++ b/bluebellhub/adapters/proxy/upstream_connection.py
@@ -47,8 +47,14 @@
 
 
 class ConnectionState(TypedDict):
-    """Whether the connection was released and belongs to no request."""
+    """What decides whether a connection may be reused.
 
+    ``is_sent`` states that every byte of the request was written: the protocol
+    state counts a request as sent before that.  ``is_kept`` states that the
+    connection was released and belongs to no request.
+    """
+
+    is_sent: bool
     is_kept: bool
 
 
@@ -80,7 +86,7 @@
         stream = await _open(spec)
     protocol = h11.Connection(h11.CLIENT)
     connection = UpstreamConnection(
-        spec, stream, protocol, {'is_kept': False}, is_reused
+        spec, stream, protocol, {'is_sent': False, 'is_kept': False}, is_reused
     )
     try:
         yield connection
@@ -114,16 +120,12 @@
     connection: UpstreamConnection,
     idle_s: float,
 ) -> None:
-    """Release a connection for reuse, if its response is complete.
+    """Release a connection for reuse, if request and response are complete.
 
     ``idle_s`` is how long the upstream keeps an idle connection open.
     """
-    protocol = connection.protocol
-    is_complete = (
-        protocol.our_state is h11.DONE and protocol.their_state is h11.DONE
-    )
     idle_s = min(idle_s, IDLE_MAX_S) - IDLE_MARGIN_S
-    if not is_complete or protocol.trailing_data[0] or idle_s <= 0:
+    if not _is_complete(connection) or idle_s <= 0:
         return
     idle = idle_connections.setdefault(
         (connection.spec.name, connection.spec.address), []
@@ -133,6 +135,18 @@
         connection.state['is_kept'] = True
 
 
+def _is_complete(connection: UpstreamConnection) -> bool:
+    """Return whether nothing of the request or response is left.
+
+    An upstream may respond before it has read a long request; what it reads
+    next must not be the next request.
+    """
+    protocol = connection.protocol
+    if not connection.state['is_sent'] or protocol.trailing_data[0]:
+        return False
+    return protocol.our_state is h11.DONE and protocol.their_state is h11.DONE
+
+
 async def close_expired(idle_connections: IdleConnections) -> None:
     """Close idle connections that were not reused, until cancelled."""
     while True:
@@ -160,6 +174,7 @@
     except (trio.BrokenResourceError, trio.ClosedResourceError):
         # The response, or its absence, decides the result of the attempt.
         return
+    connection.state['is_sent'] = True
 
 
 async def read_event(connection: UpstreamConnection) -> Any:
