Let other tasks run between the small parts of a body

Cause: the incomplete event was joined and searched from its start with each chunk, and thousands of chunks of one read were handled without a checkpoint.

Change: each byte is searched once, on both interfaces. One function reads HTTP events for callers and upstreams and lets other tasks run before each event that needs no further read; so do the loops over chunks of the product's own interface and over messages of other VMs. Events go out in batches.

--- a/bluebellhub/adapters/attempts.py
+++ b/bluebellhub/adapters/attempts.py
@@ -249,6 +249,8 @@
     has_started = reader.offset > context.dispatch.offset
     limits = context.limits
     wait_s = limits.next_byte_s if has_started else limits.first_byte_s
+    # One read may hold many chunks, which the client returns without waiting.
+    await trio.lowlevel.checkpoint()
     chunk = await _wait_for(context, wait_s, lambda: anext(chunks, None))
     if chunk is None:
         raise httpx.ReadError('the stream ended early')
--- a/bluebellhub/adapters/frames.py
+++ b/bluebellhub/adapters/frames.py
@@ -26,8 +26,10 @@
 class MismatchError(HubError):
     """A frame belongs to another response or leaves a gap in this one."""
 
-    def __init__(self, got: bytes, expected: bytes) -> None:
-        super().__init__(f'got frame {got[:60]!r}, expected {expected!r}')
+    def __init__(self, got: bytes | bytearray, expected: bytes) -> None:
+        super().__init__(
+            f'got frame {bytes(got[:60])!r}, expected {expected!r}'
+        )
 
 
 class FrameReader(NamedTuple):
@@ -35,13 +37,14 @@
 
     ``id_prefix`` is the expected start of every frame, ``id_pattern`` finds
     the offsets of all frames of the response, ``offset`` is the next
-    expected offset and ``incomplete`` the bytes after the last complete frame.
+    expected offset and ``incomplete`` the bytes after the last complete frame,
+    which the readers of one response share.
     """
 
     id_prefix: bytes
     id_pattern: re.Pattern[bytes]
     offset: int
-    incomplete: bytes = b''
+    incomplete: bytearray
     done: bool = False
 
 
@@ -61,7 +64,7 @@
     """Create a reader for a response that starts at ``offset``."""
     id_prefix = f'id: {attempt_id}/'.encode()
     id_pattern = re.compile(rb'\n\n%s(\d+)\n' % re.escape(id_prefix))
-    return FrameReader(id_prefix, id_pattern, offset)
+    return FrameReader(id_prefix, id_pattern, offset, bytearray())
 
 
 def parse_frames(
@@ -69,22 +72,28 @@
 ) -> tuple[FrameReader, Frames]:
     """Parse a chunk; returns the new reader and the frames completed by it.
 
-    Raises `MismatchError` for a frame with an unexpected id or offset, and
-    for a frame above the maximum size.
+    Each byte is searched once for the end of a frame, however small the chunks
+    are.  Raises `MismatchError` for a frame with an unexpected id or offset,
+    and for a frame above the maximum size.
     """
-    joined = reader.incomplete + chunk
-    boundary = joined.rfind(SEPARATOR)
+    incomplete = reader.incomplete
+    searched = max(0, len(incomplete) - len(SEPARATOR) + 1)
+    incomplete += chunk
+    boundary = incomplete.rfind(SEPARATOR, searched)
     if boundary < 0:
-        return _keep_incomplete(reader, joined), Frames(b'', 0, b'')
+        _check_size(reader)
+        return reader, Frames(b'', 0, b'')
     end = boundary + len(SEPARATOR)
-    block = joined[:boundary]
+    complete, rest = bytes(incomplete[:end]), incomplete[end:]
+    incomplete.clear()
+    incomplete += rest
+    block = complete[:boundary]
     usage = b''
     if USAGE in block or DONE in block:
         advanced, usage = _parse_last_frames(reader, block)
     else:
         advanced = _parse_token_frames(reader, block)
-    frames = Frames(joined[:end], advanced.offset - reader.offset, usage)
-    return advanced._replace(incomplete=joined[end:]), frames
+    return advanced, Frames(complete, advanced.offset - reader.offset, usage)
 
 
 def _parse_token_frames(reader: FrameReader, block: bytes) -> FrameReader:
@@ -109,11 +118,10 @@
     return reader, usage
 
 
-def _keep_incomplete(reader: FrameReader, joined: bytes) -> FrameReader:
-    """Keep an incomplete frame for the next chunk."""
-    if len(joined) > FRAME_MAX_BYTES:
-        raise MismatchError(joined, reader.id_prefix)
-    return reader._replace(incomplete=joined)
+def _check_size(reader: FrameReader) -> None:
+    """Raise `MismatchError` if the incomplete frame is too long already."""
+    if len(reader.incomplete) > FRAME_MAX_BYTES:
+        raise MismatchError(reader.incomplete, reader.id_prefix)
 
 
 def _parse_frame(reader: FrameReader, frame: bytes) -> FrameReader:
--- a/bluebellhub/adapters/proxy/caller_connection.py
+++ b/bluebellhub/adapters/proxy/caller_connection.py
@@ -1,11 +1,13 @@
 """Reads requests from a caller's connection and writes the responses."""
 
+from functools import partial
 from typing import Any, Final, NamedTuple, TypedDict
 
 import h11
 import logbook
 import trio
 
+from bluebellhub.adapters.proxy.protocol_events import next_event
 from bluebellhub.errors import HubError
 from bluebellhub.platform.headers import read_request_head
 from bluebellhub.platform.responses import LocalResponse, refusal_response
@@ -165,11 +167,7 @@
 
 
 async def _read_event(caller: CallerConnection) -> Any:
-    while True:
-        event = caller.protocol.next_event()
-        if event is not h11.NEED_DATA:
-            return event
-        await _receive(caller)
+    return await next_event(caller.protocol, partial(_receive, caller))
 
 
 async def _receive(caller: CallerConnection) -> bytes:
--- a/bluebellhub/adapters/proxy/event_stream.py
+++ b/bluebellhub/adapters/proxy/event_stream.py
@@ -1,7 +1,7 @@
 """Splits a stream of server-sent events, so that no truncated one is sent."""
 
 import re
-from typing import Final, NamedTuple
+from typing import Final
 
 from bluebellhub.errors import HubError
 
@@ -9,7 +9,6 @@
     'EventIdError',
     'EventTooLargeError',
     'EventTruncatedError',
-    'SplitEvents',
     'check_complete',
     'event_id',
     'skip_forwarded',
@@ -18,6 +17,7 @@
 
 # An empty line ends an event; a line may end in CR, LF or both.
 SEPARATOR: Final = re.compile(rb'\r\n\r\n|\n\n|\r\r')
+SEPARATOR_MAX_BYTES: Final = 4
 LINE_ENDS: Final = b'\r\n'
 ID_FIELD: Final = b'id:'
 EVENT_MAX_BYTES: Final = 1_048_576
@@ -44,30 +44,36 @@
         super().__init__(f'got {got_bytes} bytes of an event without its end')
 
 
-class SplitEvents(NamedTuple):
-    """Complete events, and the bytes of an incomplete one."""
+def split_events(incomplete: bytearray, received: bytes) -> list[bytes]:
+    r"""Return the events that ``received`` completes.
 
-    events: list[bytes]
-    remainder: bytes
+    ``incomplete`` holds the start of the next event between two calls.  Each
+    byte is searched once, however small the parts are that it arrives in.
+    Raises `EventTooLargeError` if the next event is too long already.
 
-
-def split_events(received: bytes) -> SplitEvents:
-    """Split bytes into complete events and the start of the next one.
-
-    Raises `EventTooLargeError` if the next one is too long already.
+    >>> incomplete = bytearray()
+    >>> split_events(incomplete, b'id: 1\n')
+    []
+    >>> split_events(incomplete, b'\nid: 2')
+    [b'id: 1\n\n']
     """
+    searched = max(0, len(incomplete) - SEPARATOR_MAX_BYTES + 1)
+    incomplete += received
     complete = []
     start = 0
-    for separator in SEPARATOR.finditer(received):
-        complete.append(received[start : separator.end()])
+    for separator in SEPARATOR.finditer(incomplete, searched):
+        complete.append(bytes(incomplete[start : separator.end()]))
         start = separator.end()
-    remainder = received[start:]
-    if len(remainder) > EVENT_MAX_BYTES:
-        raise EventTooLargeError(len(remainder))
-    return SplitEvents(complete, remainder)
+    if complete:
+        rest = incomplete[start:]
+        incomplete.clear()
+        incomplete += rest
+    if len(incomplete) > EVENT_MAX_BYTES:
+        raise EventTooLargeError(len(incomplete))
+    return complete
 
 
-def check_complete(remainder: bytes) -> None:
+def check_complete(remainder: bytes | bytearray) -> None:
     """Raise `EventTruncatedError` if a stream ends in the middle of an event.
 
     ``remainder`` is what follows the last complete event; empty lines may.
--- a/bluebellhub/adapters/proxy/response_forwarding.py
+++ b/bluebellhub/adapters/proxy/response_forwarding.py
@@ -1,6 +1,6 @@
 """Forwards complete responses and event streams to the caller."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 from typing import Final
 
 import h11
@@ -36,6 +36,8 @@
 BUFFER_MAX_BYTES: Final = 1_048_576
 # An error response is buffered as a whole, until the next attempt has failed.
 ERROR_MAX_BYTES: Final = 8_388_608
+# One read may hold thousands of small events.
+BATCH_EVENTS: Final = 64
 
 
 class ErrorTooLargeError(HubError):
@@ -132,24 +134,35 @@
 ) -> None:
     """Forward complete events as they arrive; call ``on_event`` for each."""
     resume_after = context.progress['last_event']
-    remainder = b''
-    while True:
+    incomplete = bytearray()
+    event = await read_event(connection)
+    while not isinstance(event, h11.EndOfMessage):
+        for batch in _batches(split_events(incomplete, event.data)):
+            new_events = skip_forwarded(batch, resume_after)
+            if new_events:
+                resume_after = None
+                await _forward_new(context, response, new_events, on_event)
         event = await read_event(connection)
-        if isinstance(event, h11.EndOfMessage):
-            break
-        split = split_events(remainder + bytes(event.data))
-        remainder = split.remainder
-        new_events = skip_forwarded(split.events, resume_after)
-        if new_events:
-            resume_after = None
-            await _forward_new(context, response, new_events, on_event)
-    check_complete(remainder)
+    check_complete(incomplete)
+    await _end_events(context, response, bytes(incomplete))
+
+
+async def _end_events(
+    context: RequestContext, response: ResponseHead, remainder: bytes
+) -> None:
+    """Write what follows the last event, and the end of the stream."""
     await _send_head_once(context, response)
     if remainder:
         await send_chunk(context.connection, remainder)
     await end_response(context.connection)
 
 
+def _batches(events: list[bytes]) -> Iterator[list[bytes]]:
+    """Yield the events in batches, between which other tasks run."""
+    for start in range(0, len(events), BATCH_EVENTS):
+        yield events[start : start + BATCH_EVENTS]
+
+
 async def _forward_new(
     context: RequestContext,
     response: ResponseHead,
--- a/bluebellhub/adapters/proxy/upstream_connection.py
+++ b/bluebellhub/adapters/proxy/upstream_connection.py
@@ -7,6 +7,7 @@
 import h11
 import trio
 
+from bluebellhub.adapters.proxy.protocol_events import next_event
 from bluebellhub.adapters.sockets import is_reusable, open_stream
 from bluebellhub.clock import now_s
 from bluebellhub.errors import HubError
@@ -182,9 +183,9 @@
 
     Raises `h11.RemoteProtocolError` and `trio.BrokenResourceError`.
     """
-    while True:
-        event = connection.protocol.next_event()
-        if event is not h11.NEED_DATA:
-            return event
+
+    async def receive() -> None:
         received = await connection.stream.receive_some(READ_BYTES)
         connection.protocol.receive_data(received)
+
+    return await next_event(connection.protocol, receive)
--- a/bluebellhub/adapters/service_response.py
+++ b/bluebellhub/adapters/service_response.py
@@ -28,6 +28,8 @@
     body = bytearray()
     try:
         async for chunk in response.aiter_bytes():
+            # One read may hold many chunks.
+            await trio.lowlevel.checkpoint()
             body += chunk
             if len(body) > BODY_MAX_BYTES:
                 raise ResponseTooLargeError
