Forward only the events that belong to a stream

Cause: whatever stood between two empty lines was forwarded as an event. An event without an id also made the VM forget the id to resume after.

Change: on a streaming route the ids of events rise by one; the first event that does not ends the attempt as cut, after those before it were forwarded. A stream without ids is not begun again once a part of it was forwarded.

Evidence: test_streams: 19 new cases failed on the code before and pass now, three for comments and other fields passed before too.

--- a/bluebellhub/adapters/proxy/attempt.py
+++ b/bluebellhub/adapters/proxy/attempt.py
@@ -238,7 +238,7 @@
         return AttemptFailure('misdirected', status)
     if response.not_executed:
         return AttemptFailure('refused', status)
-    if context.progress['has_begun'] and not _is_stream(response):
+    if context.progress['has_begun'] and not _may_resume(context, response):
         return AttemptFailure('mismatch', f'{status}, expected a stream')
     return _find_error(response)
 
@@ -275,10 +275,19 @@
 
 
 def _is_stream(response: ResponseHead) -> bool:
-    """Return whether the response may go on with a stream that has begun."""
+    """Return whether the response is a stream, and no error."""
     return response.is_event_stream and response.status < REDIRECT_MIN
 
 
+def _may_resume(context: RequestContext, response: ResponseHead) -> bool:
+    """Return whether the response may go on with a stream that has begun.
+
+    Without the id of the last event, it would start from the beginning.
+    """
+    has_ids = context.progress['last_event'] is not None
+    return has_ids and _is_stream(response)
+
+
 def _record_progress(
     proxy: Proxy, context: RequestContext, connection: UpstreamConnection
 ) -> None:
--- a/bluebellhub/adapters/proxy/response_forwarding.py
+++ b/bluebellhub/adapters/proxy/response_forwarding.py
@@ -11,8 +11,9 @@
     send_response_head,
 )
 from bluebellhub.adapters.proxy.event_stream import (
+    NewEvents,
     check_complete,
-    event_id,
+    check_ids,
     skip_forwarded,
     split_events,
 )
@@ -132,16 +133,19 @@
     response: ResponseHead,
     on_event: Callable[[], None],
 ) -> None:
-    """Forward complete events as they arrive; call ``on_event`` for each."""
-    resume_after = context.progress['last_event']
+    """Forward complete events as they arrive; call ``on_event`` for each.
+
+    Raises `EventIdError` at the first that does not belong to the stream, and
+    `EventTooLargeError` and `EventTruncatedError`.
+    """
+    is_resumed = context.progress['last_event'] is not None
     incomplete = bytearray()
     event = await read_event(connection)
     while not isinstance(event, h11.EndOfMessage):
         for batch in _batches(split_events(incomplete, event.data)):
-            new_events = skip_forwarded(batch, resume_after)
-            if new_events:
-                resume_after = None
-                await _forward_new(context, response, new_events, on_event)
+            new = _select(context, batch, is_resumed=is_resumed)
+            is_resumed = is_resumed and not new.events
+            await _forward_new(context, response, new, on_event)
         event = await read_event(connection)
     check_complete(incomplete)
     await _end_events(context, response, bytes(incomplete))
@@ -163,17 +167,33 @@
         yield events[start : start + BATCH_EVENTS]
 
 
+def _select(
+    context: RequestContext, events: list[bytes], *, is_resumed: bool
+) -> NewEvents:
+    """Return what to forward of the events; only streams number theirs."""
+    last_id = context.progress['last_event']
+    if not context.admission.route.is_stream:
+        return NewEvents(events, last_id, None)
+    if is_resumed and last_id is not None:
+        events = skip_forwarded(events, last_id)
+    return check_ids(events, last_id)
+
+
 async def _forward_new(
     context: RequestContext,
     response: ResponseHead,
-    events: list[bytes],
+    new: NewEvents,
     on_event: Callable[[], None],
 ) -> None:
-    await _send_head_once(context, response)
-    await send_chunk(context.connection, b''.join(events))
-    context.progress['last_event'] = event_id(events[-1])
-    for _ in events:
+    """Forward events; raises the error that follows them, if one does."""
+    if new.events:
+        await _send_head_once(context, response)
+        await send_chunk(context.connection, b''.join(new.events))
+        context.progress['last_event'] = new.last_id
+    for _ in new.events:
         on_event()
+    if new.error is not None:
+        raise new.error
 
 
 async def _send_head_once(
--- a/bluebellhub/adapters/proxy/state.py
+++ b/bluebellhub/adapters/proxy/state.py
@@ -8,6 +8,7 @@
     CallerConnection,
     ReceivedRequest,
 )
+from bluebellhub.adapters.proxy.event_stream import read_id
 from bluebellhub.adapters.proxy.upstream_connection import IdleConnections
 from bluebellhub.request.heads import Headers
 from bluebellhub.site.admission import Admission
@@ -80,10 +81,9 @@
     exchange: Exchange,
 ) -> RequestContext:
     """Create the context of a request that was not sent yet."""
-    resume_after = received.head.resume_after or b''
     progress: ResponseProgress = {
         'has_begun': False,
-        'last_event': int(resume_after) if resume_after.isdigit() else None,
+        'last_event': read_id(received.head.resume_after or b''),
         'tokens': 0,
         'first_at_s': None,
         'held': None,
--- a/bluebellhub/adapters/proxy/tests/test_streams.py
+++ b/bluebellhub/adapters/proxy/tests/test_streams.py
@@ -143,6 +143,63 @@
         assert b'last-event-id: 2\r\n' in received[1].lower()
 
 
+GARBAGE = b'\x00\x17no event\n\n'
+
+
+@pytest.mark.parametrize(
+    'spoiled',
+    [
+        chunk(GARBAGE),
+        chunk(GARBAGE + event(3)),
+        chunk(GARBAGE[:-2] + event(3)),
+        chunk(b'id: \ndata: d3\n\n'),
+        chunk(b'id: x3\ndata: d3\n\n'),
+        chunk(b'id: %s\ndata: d3\n\n' % (b'9' * 5000)),
+        chunk(event(2)),
+        chunk(event(1)),
+        chunk(event(4)),
+    ],
+)
+@pytest.mark.parametrize(
+    ('route', 'body', 'is_complete'),
+    [(RESUMABLE, ALL, True), (NOT_RESUMABLE, event(1) + event(2), False)],
+)
+async def test_bytes_that_are_no_event_of_the_stream_are_not_forwarded(
+    route, body, is_complete, spoiled
+):
+    """A faulty upstream writes bytes between the events of its stream."""
+    first = STREAM + CHUNKED + TWO_EVENTS + spoiled
+    second = STREAM + CHUNKED + chunk(event(3)) + LAST
+    async with running_hub([(first, 'keep'), (second, 'keep')], **route) as hub:
+        fill_retry_budget(hub)
+        response = await send_and_receive(hub, request(headers=CLOSE))
+    assert body_of(response) == body
+    assert response.endswith(LAST) is is_complete
+
+
+@pytest.mark.parametrize(
+    'part', [b': keep-alive\n\n', b'\n\n', b'retry-of: x\nid: 3\n\n']
+)
+async def test_comments_and_other_fields_are_forwarded(part):
+    stream = STREAM + CHUNKED + TWO_EVENTS + chunk(part) + LAST
+    async with running_hub([(stream, 'keep')], **NOT_RESUMABLE) as hub:
+        response = await send_and_receive(hub, request(headers=CLOSE))
+    assert body_of(response) == event(1) + event(2) + part
+    assert response.endswith(LAST)
+
+
+async def test_stream_without_ids_is_not_begun_again():
+    """Once a part was forwarded, it could only be repeated."""
+    first = STREAM + CHUNKED + chunk(b'data: d1\n\n')
+    route = {**RESUMABLE, 'is_stream': False, 'repeat': 'idempotent'}
+    script = [(first, 'close'), (first + LAST, 'keep')]
+    async with running_hub(script, **route) as hub:
+        fill_retry_budget(hub)
+        response = await send_and_receive(hub, request(headers=CLOSE))
+    assert body_of(response) == b'data: d1\n\n'
+    assert not response.endswith(LAST)
+
+
 @pytest.mark.parametrize(
     'second',
     [
