Forward an error in the media type of a stream at once

What callers saw: a complete 500 to a request for a stream, with the media type text/event-stream, came only at the time limit or when the upstream closed its idle connection, and then the caller's connection was closed unanswered.

Cause: an error response that may not be repeated is buffered, and then the VM went on to read events behind its end.

Change: only a response that is no error is read as a stream.

Evidence: the two new cases of test_responses failed before and pass now.

--- a/bluebellhub/adapters/proxy/attempt.py
+++ b/bluebellhub/adapters/proxy/attempt.py
@@ -171,7 +171,7 @@
     if _belongs_to_request(context, connection, response):
         apply_rate_limit(proxy, connection.spec.name, response)
     await _check_response(context, connection, response)
-    if response.is_event_stream:
+    if _is_stream(response):
         await forward_events(
             context,
             connection,
--- a/bluebellhub/adapters/proxy/tests/test_responses.py
+++ b/bluebellhub/adapters/proxy/tests/test_responses.py
@@ -1,6 +1,7 @@
 """Responses that callers receive, by the bytes that upstreams send."""
 
 import pytest
+import trio
 
 from bluebellhub.adapters.proxy.tests.response_parts import (
     CHUNKED,
@@ -8,6 +9,7 @@
     COMPLETE,
     ERROR,
     IDEMPOTENT,
+    NOT_RESUMABLE,
     OK,
     ONCE,
     REFUSED,
@@ -29,6 +31,12 @@
     request,
 )
 
+# Half of the time limit of `request`.
+AT_ONCE_S = 1.5
+# The media type of the stream that was requested.
+STREAM_ERROR = ERROR.replace(
+    b'Content-Length', b'Content-Type: text/event-stream\r\nContent-Length'
+)
 FOUR_BYTE_BODY = b'Content-Length: 4\r\n\r\nbody'
 
 
@@ -174,3 +182,13 @@
         assert not node.attempts
         assert not node.exchanges
         assert not node.scheduler.requests
+
+
+@pytest.mark.parametrize('route', [ONCE, NOT_RESUMABLE])
+async def test_error_in_the_media_type_of_a_stream_is_forwarded(route):
+    """It was held until the upstream closed, and the caller got nothing."""
+    async with running_hub([(STREAM_ERROR, 'keep')], **route) as hub:
+        with trio.fail_after(AT_ONCE_S):
+            response = await send_and_receive(hub, request(headers=CLOSE))
+    assert status_of(response) == 500
+    assert body_of(response) == b'bad'
