Bound the numbers that headers state

Cause: numbers were decoded without a bound, and overflowed a float when they were divided or raised to a power, or were refused by Python.

A malformed load is logged and counted. The load report of the product's own interface is bounded too. Log lines with values that JSON lacks are written, and long tracebacks keep their line whole.

--- a/bluebellhub/adapters/loads.py
+++ b/bluebellhub/adapters/loads.py
@@ -1,6 +1,6 @@
 """Polls load reports and cache events of the upstreams."""
 
-from typing import Final, TypedDict
+from typing import Annotated, Final, TypedDict
 
 import httpx
 import msgspec
@@ -22,6 +22,8 @@
 
 POLL_INTERVAL_S: Final = 1.0
 TIMEOUT_S: Final = 1.0
+AGE_MAX_S: Final = 86_400.0
+COUNT_MAX: Final = 1_000_000_000
 
 
 class ReportError(HubError):
@@ -34,10 +36,10 @@
     ``age_s`` is the age of the values in seconds.
     """
 
-    age_s: float
+    age_s: Annotated[float, msgspec.Meta(ge=0, le=AGE_MAX_S)]
     boot_id: str
-    running: int
-    waiting_prefill_tokens: int
+    running: Annotated[int, msgspec.Meta(ge=0, le=COUNT_MAX)]
+    waiting_prefill_tokens: Annotated[int, msgspec.Meta(ge=0, le=COUNT_MAX)]
 
 
 _report_decoder: Final = msgspec.json.Decoder(ReportBody)
--- a/bluebellhub/adapters/proxy/attempt.py
+++ b/bluebellhub/adapters/proxy/attempt.py
@@ -21,7 +21,10 @@
     read_response,
 )
 from bluebellhub.adapters.proxy.state import Proxy, RequestContext
-from bluebellhub.adapters.proxy.statements import apply_rate_limit
+from bluebellhub.adapters.proxy.statements import (
+    apply_load,
+    apply_rate_limit,
+)
 from bluebellhub.adapters.proxy.upstream_connection import (
     ConnectError,
     UpstreamConnection,
@@ -38,10 +41,7 @@
 from bluebellhub.request import AttemptFailure
 from bluebellhub.request.heads import ResponseHead
 from bluebellhub.scheduler import request_sent, tokens_arrived
-from bluebellhub.site.upstreams import (
-    apply_response_load,
-    apply_response_status,
-)
+from bluebellhub.site.upstreams import apply_response_status
 from bluebellhub.upstream import UpstreamSpec
 
 __all__ = ['CALLER_GONE', 'run_attempt']
@@ -163,8 +163,7 @@
         first_byte_timeout_s *= FIRST_BYTE_SHARE
     with trio.fail_after(max(0.0, first_byte_timeout_s)):
         response = await _read_head(connection)
-    if response.load is not None:
-        apply_response_load(proxy.site, connection.spec.name, response.load)
+    apply_load(proxy, connection.spec.name, response)
     apply_response_status(
         proxy.site, connection.spec.name, is_error=_is_error(response)
     )
--- a/bluebellhub/adapters/proxy/statements.py
+++ b/bluebellhub/adapters/proxy/statements.py
@@ -1,5 +1,7 @@
 """Applies what an upstream states about its load in a response head."""
 
+from typing import Final
+
 import logbook
 
 from bluebellhub.adapters.proxy.state import Proxy
@@ -10,8 +12,11 @@
     apply_limit_report,
     apply_stated_limit,
 )
+from bluebellhub.site.upstreams import apply_response_load
+
+__all__ = ['apply_load', 'apply_rate_limit', 'apply_reported_limits']
 
-__all__ = ['apply_rate_limit', 'apply_reported_limits']
+LOGGED_MAX_BYTES: Final = 64
 
 log = logbook.Logger('bluebellhub.statements')
 
@@ -26,10 +31,7 @@
         return
     malformed = response.malformed_rate_limit
     if malformed is not None:
-        log.warning(
-            'malformed rate limit ignored',
-            extra={'upstream': name, 'stated': malformed.decode('latin-1')},
-        )
+        _log_malformed('rate limit', name, malformed)
         _count(proxy, 'malformed')
         return
     per_s = response.rate_limit_per_s
@@ -37,6 +39,22 @@
         _record_change(proxy, name, per_s, 'response')
 
 
+def apply_load(proxy: Proxy, name: str, response: ResponseHead) -> None:
+    """Apply the load in a response; a malformed one changes nothing."""
+    if response.load is not None:
+        apply_response_load(proxy.site, name, response.load)
+    if response.malformed_load is not None:
+        _log_malformed('load', name, response.malformed_load)
+        proxy.node.scheduler.counters['refused_reports', name] += 1
+
+
+def _log_malformed(kind: str, name: str, stated: bytes) -> None:
+    start = stated[:LOGGED_MAX_BYTES].decode('latin-1')
+    log.warning(
+        f'malformed {kind} ignored', extra={'upstream': name, 'stated': start}
+    )
+
+
 def apply_reported_limits(proxy: Proxy, report: LimitReport) -> None:
     """Apply the rate limits that another VM reports."""
     for entry in apply_limit_report(proxy.site, report, now_s()):
--- a/bluebellhub/logs.py
+++ b/bluebellhub/logs.py
@@ -20,6 +20,7 @@
 BURST_LINES: Final = 400
 # Writes up to this size to a pipe are atomic.
 LINE_MAX_BYTES: Final = 4096
+TRACEBACK_MAX_CHARS: Final = 2000
 
 _encoder: Final = msgspec.json.Encoder()
 
@@ -34,8 +35,14 @@
         **record.extra,
     }
     if record.exc_info:
-        fields['exception'] = record.formatted_exception
-    return _encoder.encode(fields).decode()
+        # The end of a traceback tells more than its start.
+        fields['exception'] = record.formatted_exception[-TRACEBACK_MAX_CHARS:]
+    try:
+        return _encoder.encode(fields).decode()
+    except (OverflowError, TypeError, UnicodeError):
+        # JSON has no such value: a number or text from outside.
+        texts = {name: ascii(field) for name, field in fields.items()}
+        return _encoder.encode(texts).decode()
 
 
 class RateLimitedHandler(logbook.Handler):
@@ -63,7 +70,11 @@
             record.extra['lines_left_out'] = self.dropped
             self.dropped = 0
         line = self.format(record).encode()[: LINE_MAX_BYTES - 1]
-        os.write(self.descriptor, b'%s\n' % line)
+        try:
+            os.write(self.descriptor, b'%s\n' % line)
+        except OSError:
+            # The reader has gone, or the disk is full.
+            self.dropped += 1
 
     def _is_writable(self) -> bool:
         """Return whether a write does not block."""
--- a/bluebellhub/platform/headers.py
+++ b/bluebellhub/platform/headers.py
@@ -39,6 +39,7 @@
 CLOSE: Final = b'close'
 # Used if an upstream does not state how long it keeps an idle connection.
 IDLE_DEFAULT_S: Final = 2.0
+COUNT: Final = re.compile(rb'\d{1,9}')
 DECIMAL_NUMBER: Final = re.compile(rb'\d{1,9}(\.\d{1,9})?')
 
 
@@ -100,6 +101,8 @@
     media_type = by_name.get(b'content-type', b'').lower()
     rate_limit = by_name.get(RATE_LIMIT)
     rate_limit_per_s = _read_decimal(rate_limit)
+    stated_load = by_name.get(SERVER_LOAD)
+    load = _read_load(stated_load)
     return ResponseHead(
         status=status,
         request_id=request_id.decode('latin-1') if request_id else None,
@@ -108,11 +111,12 @@
         is_misdirected=status == MISDIRECTED,
         is_encoded=b'content-encoding' in by_name,
         is_event_stream=media_type.startswith(EVENT_STREAM),
-        load=_read_load(by_name.get(SERVER_LOAD)),
+        load=load,
         idle_s=_read_idle_s(by_name),
         forwarded_headers=_without(headers, _hop_by_hop(by_name)),
         rate_limit_per_s=rate_limit_per_s,
         malformed_rate_limit=rate_limit if rate_limit_per_s is None else None,
+        malformed_load=stated_load if load is None else None,
     )
 
 
@@ -135,18 +139,14 @@
 
 def _read_time_limit_s(field: bytes | None) -> float | None:
     """Return the time limit; ``None`` if it is absent or malformed."""
-    if field is None or not field.isdigit():
-        return None
-    return int(field) / MS_PER_S
+    limit_ms = _read_count(field)
+    return None if limit_ms is None else limit_ms / MS_PER_S
 
 
 def _read_tokens(field: bytes | None) -> TokenCounts | None:
     """Return the token counts; ``None`` if absent or malformed."""
-    counts = (field or b'').split(b',')
-    if len(counts) != 2 or not all(count.strip().isdigit() for count in counts):
-        return None
-    prompt, output_max = (int(count) for count in counts)
-    return TokenCounts(prompt, output_max)
+    counts = _read_counts(field, len(TokenCounts._fields))
+    return TokenCounts(*counts) if counts else None
 
 
 def _read_shared_parts(field: bytes | None) -> tuple[str, ...]:
@@ -172,10 +172,27 @@
 
 def _read_load(field: bytes | None) -> UpstreamLoad | None:
     """Return the upstream's load; ``None`` if absent or malformed."""
-    counts = (field or b'').split(b',')
-    if len(counts) != 3 or not all(count.strip().isdigit() for count in counts):
+    counts = _read_counts(field, len(UpstreamLoad._fields))
+    return UpstreamLoad(*counts) if counts else None
+
+
+def _read_counts(field: bytes | None, expected: int) -> list[int]:
+    """Return comma-separated counts; none unless all ``expected`` are there.
+
+    A count with more digits than any real one has is malformed: divided or
+    raised to a power later on, it would exceed the range of a float.
+    """
+    parts = (field or b'').split(b',')
+    counts = [_read_count(part.strip()) for part in parts]
+    found = [count for count in counts if count is not None]
+    return found if len(found) == len(counts) == expected else []
+
+
+def _read_count(field: bytes | None) -> int | None:
+    """Return a count; ``None`` if it is absent or malformed."""
+    if field is None or not COUNT.fullmatch(field):
         return None
-    return UpstreamLoad(*(int(count) for count in counts))
+    return int(field)
 
 
 def _read_idle_s(by_name: Mapping[bytes, bytes]) -> float:
--- a/bluebellhub/platform/store_calls.py
+++ b/bluebellhub/platform/store_calls.py
@@ -4,6 +4,7 @@
 after a power cut, and httpx takes longer to load and for each call.
 """
 
+import re
 from typing import Final, NamedTuple, TypedDict
 
 import httpcore
@@ -38,6 +39,7 @@
 OBJECTS: Final = '/api/objects'
 # Rises whenever the store comes back from a copy that is seconds old.
 ERA: Final = b'store-era'
+ERA_NUMBER: Final = re.compile(rb'\d{1,18}')
 JSON_HEADERS: Final = ((b'content-type', b'application/json'),)
 TRANSPORT_ERRORS: Final = (
     httpcore.NetworkError,
@@ -131,7 +133,7 @@
     """Return the era that a response states; ``None`` if it states none."""
     headers = {name.lower(): field for name, field in response.headers}
     stated = headers.get(ERA, b'')
-    return int(stated) if stated.isdigit() else None
+    return int(stated) if ERA_NUMBER.fullmatch(stated) else None
 
 
 def _record_era(era: Era, response: httpcore.Response) -> None:
--- a/bluebellhub/platform/tests/test_headers.py
+++ b/bluebellhub/platform/tests/test_headers.py
@@ -23,6 +23,9 @@
 ID = (b'x-bluebellhub-request-id', b'9c41')
 HOST = (b'host', b'a.example:80')
 
+# Above the range of a float, and of what Python converts to a number.
+LONG = b'9' * 5000
+
 
 def _head(*pairs, target=b'/a/b?q=1'):
     return read_request_head(b'POST', target, [HOST, ID, *pairs])
@@ -44,6 +47,8 @@
         ),
         ((b'x-bluebellhub-token-counts', b'1460'), 'tokens', None),
         ((b'x-bluebellhub-token-counts', b'a,b'), 'tokens', None),
+        ((b'x-bluebellhub-token-counts', b'1,' + LONG), 'tokens', None),
+        ((b'x-bluebellhub-deadline-ms', LONG), 'time_limit_s', None),
         ((b'last-event-id', b'7'), 'resume_after', b'7'),
         (
             (b'x-bluebellhub-prompt-prefix', b'5c1e:800, 91bd:410,e440:250'),
@@ -145,6 +150,11 @@
             UpstreamLoad(3, 1, 8),
         ),
         (200, (b'x-bluebellhub-server-load', b'3,1'), 'load', None),
+        (200, (b'x-bluebellhub-server-load', b'3,1,-8'), 'load', None),
+        (200, (b'x-bluebellhub-server-load', LONG + b',0,6'), 'load', None),
+        (200, (b'x-bluebellhub-server-load', b'3,1,8'), 'malformed_load', None),
+        (200, (b'x', b'y'), 'malformed_load', None),
+        (200, (b'x-bluebellhub-server-load', b'3'), 'malformed_load', b'3'),
         (200, (b'keep-alive', b'timeout=5, max=3'), 'idle_s', 5.0),
         (200, (b'connection', b'close'), 'idle_s', 0.0),
         (200, (b'x-bluebellhub-request-id', b'77'), 'request_id', '77'),
--- a/bluebellhub/platform/tests/wire.py
+++ b/bluebellhub/platform/tests/wire.py
@@ -2,6 +2,7 @@
 
 __all__ = [
     'FORGED_HEADER',
+    'LOAD_NAME',
     'NOT_EXECUTED',
     'OTHER_REQUEST_ID',
     'RECEIVED_HEADERS',
@@ -11,6 +12,7 @@
     'SIGNATURE_NAME',
     'STORE_PATH',
     'STORE_URL',
+    'TOKENS_NAME',
     'prompt_header',
     'request',
 ]
@@ -19,6 +21,8 @@
 SIGNATURE = b'X-Bluebellhub-Response-Signature: p\r\n'
 NOT_EXECUTED = b'X-Bluebellhub-Not-Executed: 1\r\n'
 REQUEST_ID = b'X-Bluebellhub-Request-Id: r1\r\n'
+LOAD_NAME = b'X-Bluebellhub-Server-Load'
+TOKENS_NAME = b'X-Bluebellhub-Token-Counts'
 OTHER_REQUEST_ID = b'X-Bluebellhub-Request-Id: r2\r\n'
 
 # A header that callers may not set, and the headers that an upstream
--- a/bluebellhub/request/heads.py
+++ b/bluebellhub/request/heads.py
@@ -64,7 +64,8 @@
     that it closes the connection.  ``forwarded_headers`` are sent on to the
     caller.  ``rate_limit_per_s`` is the number of requests per second that the
     upstream takes from all VMs together; ``None`` means no limit, unless
-    ``malformed_rate_limit`` has what the upstream stated instead of a number.
+    ``malformed_rate_limit`` has what the upstream stated instead of a number,
+    as ``malformed_load`` has instead of a load.
     """
 
     status: int
@@ -79,3 +80,4 @@
     forwarded_headers: Headers
     rate_limit_per_s: float | None = None
     malformed_rate_limit: bytes | None = None
+    malformed_load: bytes | None = None
--- a/bluebellhub/tests/test_logs.py
+++ b/bluebellhub/tests/test_logs.py
@@ -90,3 +90,36 @@
 
 def _fail():
     raise KeyError('odd')
+
+
+@pytest.mark.parametrize(
+    'field', [10**400, '\ud800', object(), {'in': 10**30}, b'x', float('inf')]
+)
+def test_value_that_json_lacks_raises_no_error(pipe, field):
+    reader, writer = pipe
+    with RateLimitedHandler(writer, logbook.INFO).applicationbound():
+        log.info('said', extra={'request': 'r', 'got': field})
+    assert [json.loads(line)['message'] for line in _lines(reader)] in (
+        ['said'],
+        ["'said'"],
+    )
+
+
+def test_long_traceback_stays_one_json_object(pipe):
+    reader, writer = pipe
+    with RateLimitedHandler(writer, logbook.INFO).applicationbound():
+        try:
+            int('x' * 10_000)
+        except ValueError:
+            log.exception('failed')
+    assert [json.loads(line)['message'] for line in _lines(reader)] == [
+        'failed'
+    ]
+
+
+def test_reader_that_has_gone_ends_no_process():
+    reader, writer = os.pipe()
+    os.close(reader)
+    with RateLimitedHandler(writer, logbook.INFO).applicationbound():
+        log.info('said')
+    os.close(writer)
