Build the retry budget's slack up after a VM starts

Cause: each VM has a part of the slack of a window, and kept what it had used in memory only.

Change: the slack builds up over one window from the start of a VM, so however often it starts, its lives together use no more than one part in a window.

--- a/bluebellhub/rates/retry_budget.py
+++ b/bluebellhub/rates/retry_budget.py
@@ -4,6 +4,7 @@
 amount, so the sum over all VMs keeps the fleet's bound without messages.
 """
 
+from math import inf
 from typing import Final, NamedTuple
 
 from bluebellhub.rates.sliding import (
@@ -37,16 +38,22 @@
 
 
 class RetryBudget(NamedTuple):
-    """The root: this VM's requests and retries, by service."""
+    """The root: this VM's requests and retries, by service.
+
+    ``started_at_s`` is when the VM began to count them.
+    """
 
     bounds: RetryBounds
+    started_at_s: float
     requests: dict[str, SlidingWindow]
     retries: dict[str, SlidingWindow]
 
 
-def make_retry_budget(bounds: RetryBounds) -> RetryBudget:
-    """Create a budget without requests."""
-    return RetryBudget(bounds, {}, {})
+def make_retry_budget(
+    bounds: RetryBounds, started_at_s: float = -inf
+) -> RetryBudget:
+    """Create a budget without requests, for a VM that starts now or earlier."""
+    return RetryBudget(bounds, started_at_s, {}, {})
 
 
 def count_request(budget: RetryBudget, service: str, now_s: float) -> None:
@@ -59,9 +66,13 @@
 ) -> bool:
     """Count a retry if the budget allows it; returns whether it does."""
     bounds = budget.bounds
+    uptime_s = now_s - budget.started_at_s
     requests = total(_get_window(budget, budget.requests, service), now_s)
     retries = _get_window(budget, budget.retries, service)
-    slack = bounds.slack / max(1, vm_count)
+    # Before it started anew, the VM may have used its part of this window.
+    slack = (
+        bounds.slack / max(1, vm_count) * min(1.0, uptime_s / bounds.window_s)
+    )
     allowed = USABLE_SHARE * (bounds.ratio * requests + slack)
     if total(retries, now_s) + 1.0 > allowed:
         return False
--- a/bluebellhub/rates/tests/test_rates.py
+++ b/bluebellhub/rates/tests/test_rates.py
@@ -27,6 +27,7 @@
 
 ACCOUNT = Account('yard', rate_per_s=100.0, burst=50.0, counts_tokens=True)
 BOUNDS = QuotaBounds(window_s=8.0, overage=0.1, slack=60.0)
+BOUNDS_OF_RETRIES = RetryBounds(10.0, 0.2, 56.0)
 # (8 s x 100 tokens/s + 50) x 1.1 + 60.
 FLEET_BOUND = 995.0
 
@@ -151,6 +152,25 @@
     assert retries <= 0.2 * requests * vms + 56.0
 
 
+@pytest.mark.parametrize('life_s', [0.3, 0.5, 1.0, 2.0, 5.0, 9.0])
+@pytest.mark.parametrize('vms', [1, 8])
+def test_vm_that_starts_again_and_again_keeps_the_retry_budget(vms, life_s):
+    """Each start had the whole slack of a window again."""
+    retried_at_s = []
+    for number in range(int(30.0 / life_s)):
+        started_at_s = number * life_s
+        budget = make_retry_budget(BOUNDS_OF_RETRIES, started_at_s)
+        for step in range(20):
+            now_s = started_at_s + life_s * step / 20
+            while consume_retry(budget, 's', vms, now_s):
+                retried_at_s.append(now_s)
+    most = max(
+        sum(start <= at_s < start + 10.0 for at_s in retried_at_s)
+        for start in retried_at_s or [0.0]
+    )
+    assert most <= 56.0 / vms
+
+
 @pytest.mark.parametrize(
     ('service', 'at_s', 'expected'),
     [('s', 2.0, True), ('s', 12.5, False), ('t', 2.0, False)],
--- a/bluebellhub/scheduler/state.py
+++ b/bluebellhub/scheduler/state.py
@@ -151,7 +151,7 @@
     seed: int = 0,
     *,
     cold_share: ColdShare = unlimited_cold_share,
-    retry_bounds: RetryBounds | None = None,
+    retries: RetryBudget | None = None,
     rate_limits: RateLimits | None = None,
 ) -> Scheduler:
     """Create a scheduler without upstreams, contracts or requests."""
@@ -170,7 +170,7 @@
         options=options,
         slots=slots,
         cold_share=cold_share,
-        retries=make_retry_budget(retry_bounds or RetryBounds()),
+        retries=retries or make_retry_budget(RetryBounds()),
         random=Random(seed),
         flags=flags,
         contracts={},
--- a/bluebellhub/site/state.py
+++ b/bluebellhub/site/state.py
@@ -18,6 +18,7 @@
     RetryBounds,
     cold_share_per_s,
     make_quotas,
+    make_retry_budget,
 )
 from bluebellhub.registration import RegistrationTable, make_registration_table
 from bluebellhub.route import ActiveConfig, make_active_config
@@ -140,7 +141,7 @@
         unused_window_slots,
         seed,
         cold_share=cold_share,
-        retry_bounds=bounds.retry,
+        retries=make_retry_budget(bounds.retry, now_s),
         rate_limits=make_rate_limits(limit_share),
     )
     scheduler.flags['failure_domain'] = failure_domain
