Answer a request that crosses a planned stop

Cause: the wait for a request was cancelled although its bytes had arrived, and the VM then read and dropped them while it closed the connection. A request that may run once only must not be sent again once a process has read it.

Change: bytes that have arrived end the wait like any request. An idle connection is closed without reading from it.

Evidence: two new cases of test_requests failed on the code before, pass now.

--- a/bluebellhub/adapters/proxy/caller_connection.py
+++ b/bluebellhub/adapters/proxy/caller_connection.py
@@ -8,6 +8,7 @@
 import trio
 
 from bluebellhub.adapters.proxy.protocol_events import next_event
+from bluebellhub.adapters.sockets import has_unread_bytes
 from bluebellhub.errors import HubError
 from bluebellhub.platform.headers import read_request_head
 from bluebellhub.platform.responses import LocalResponse, refusal_response
@@ -127,7 +128,11 @@
 
 
 async def _read_head(caller: CallerConnection) -> h11.Request | None:
-    """Wait for the first byte of a request, then read its head."""
+    """Wait for the first byte of a request, then read its head.
+
+    Bytes that crossed the end of the wait are read: a request that was sent in
+    time is answered, not dropped.
+    """
     caller.state['is_idle'] = True
     with trio.move_on_after(caller.limits.idle_timeout_s) as scope:
         caller.state['idle_scope'] = scope
@@ -136,8 +141,9 @@
                 return None
         caller.state['is_idle'] = False
     caller.state['idle_scope'] = None
-    if caller.state['is_idle']:
+    if caller.state['is_idle'] and not has_unread_bytes(caller.stream):
         return None
+    caller.state['is_idle'] = False
     with trio.move_on_after(caller.limits.header_timeout_s):
         event = await _read_event(caller)
         return event if isinstance(event, h11.Request) else None
@@ -274,8 +280,12 @@
 
 
 async def close_connection(caller: CallerConnection) -> None:
-    """Close; first read input in flight, else the response may be lost."""
-    if not caller.state['is_aborted']:
+    """Close; after a response read input in flight, else it may be lost.
+
+    On an idle connection nothing is read: a request that crosses the close
+    stays unread, so that its caller may send it again.
+    """
+    if not caller.state['is_aborted'] and not caller.state['is_idle']:
         await _linger(caller)
     with trio.CancelScope(shield=True):
         await trio.aclose_forcefully(caller.stream)
--- a/bluebellhub/adapters/proxy/tests/test_requests.py
+++ b/bluebellhub/adapters/proxy/tests/test_requests.py
@@ -5,8 +5,12 @@
 
 import pytest
 import trio
+from trio.testing import wait_all_tasks_blocked
 
-from bluebellhub.adapters.proxy.server import has_active_requests
+from bluebellhub.adapters.proxy.server import (
+    close_idle_connections,
+    has_active_requests,
+)
 from bluebellhub.adapters.proxy.tests.scripted_upstreams import (
     running_hub,
     send_and_receive,
@@ -206,3 +210,42 @@
         ]
     assert statuses[:20].count(500) >= 2
     assert statuses[20:].count(500) <= 25
+
+
+def _send_now(stream, sent):
+    """Send without letting another task run."""
+    duplicate = socket.socket(fileno=stream.socket.fileno())
+    duplicate.send(sent)
+    duplicate.detach()
+
+
+async def _receive_to_end(stream):
+    received = b''
+    while part := await stream.receive_some():
+        received += part
+    return received
+
+
+async def _use(stream, served):
+    """Send some requests before the connection is idle."""
+    for _ in range(served):
+        await stream.send_all(request())
+        await stream.receive_some()
+
+
+@pytest.mark.parametrize('served', [0, 1])
+async def test_request_that_crosses_a_planned_stop_is_answered(served):
+    """It was sent on an idle connection before that was closed."""
+    script = [(COMPLETE, 'keep')]
+    async with running_hub(script, repeat='once') as hub:
+        stream = await trio.open_tcp_stream('127.0.0.1', hub.port)
+        async with stream:
+            await _use(stream, served)
+            await _wait_until(lambda: hub.proxy.caller_connections)
+            await wait_all_tasks_blocked()
+            # No task runs between these two calls.
+            _send_now(stream, request())
+            close_idle_connections(hub.proxy)
+            response = await _receive_to_end(stream)
+    assert _status(response) == 200
+    assert b'connection: close' in response.lower()
--- a/bluebellhub/adapters/sockets.py
+++ b/bluebellhub/adapters/sockets.py
@@ -8,6 +8,7 @@
 __all__ = [
     'SOCKET_OPTIONS',
     'has_disconnected',
+    'has_unread_bytes',
     'is_reusable',
     'open_stream',
     'refuses_connections',
@@ -71,6 +72,11 @@
     return _peek(stream) is None
 
 
+def has_unread_bytes(stream: trio.SocketStream) -> bool:
+    """Return whether the peer has sent bytes that were not read yet."""
+    return bool(_peek(stream))
+
+
 def has_disconnected(stream: trio.SocketStream) -> bool:
     """Return whether the peer closed and all its data has been read."""
     return _peek(stream) == b''
