Bear callers that pause reading their response

Cause: TCP_USER_TIMEOUT also counts the time for which a live peer's window is closed.

Change: connections of callers keep their probes and lose that option; the time limit of its request ends one that is lost.

Evidence: the new case of test_requests failed before with a reset, passes now.

--- a/bluebellhub/adapters/proxy/server.py
+++ b/bluebellhub/adapters/proxy/server.py
@@ -17,7 +17,7 @@
 )
 from bluebellhub.adapters.proxy.request_handling import handle_request
 from bluebellhub.adapters.proxy.state import Proxy
-from bluebellhub.adapters.sockets import set_socket_options
+from bluebellhub.adapters.sockets import set_caller_options
 from bluebellhub.faults import report_fault
 from bluebellhub.request import RefusalError
 from bluebellhub.request.refusal import InternalError
@@ -54,7 +54,7 @@
     )
     proxy.caller_connections[id(connection)] = connection
     try:
-        set_socket_options(stream)
+        set_caller_options(stream)
         while await _serve_request(proxy, connection):
             connection.protocol.start_next_cycle()
     except (CallerGoneError, OSError) as error:
--- a/bluebellhub/adapters/proxy/tests/test_requests.py
+++ b/bluebellhub/adapters/proxy/tests/test_requests.py
@@ -26,6 +26,7 @@
 ERROR = b'HTTP/1.1 500 No\r\n' + SIGNATURE + b'Content-Length: 3\r\n\r\nbad'
 COMPLETE = OK + b'Content-Length: 4\r\n\r\nbody'
 CLOSE = b'Connection: close\r\n'
+PAUSE_S = 4.0
 ROUNDS = 20
 ENDS = ('answered', 'caller_gone')
 ONCE = {'repeat': 'once', 'attempts_max': 2}
@@ -249,3 +250,18 @@
             response = await _receive_to_end(stream)
     assert _status(response) == 200
     assert b'connection: close' in response.lower()
+
+
+async def test_caller_that_pauses_gets_its_whole_response():
+    """A connection whose caller read nothing for 2.5 s was reset."""
+    size = 12_000_000
+    large = OK + b'Content-Length: %d\r\n\r\n' % size + b'x' * size
+    sent = request(headers=CLOSE).replace(b'3000', b'9000')
+    async with running_hub([(large, 'keep')], repeat='once') as hub:
+        stream = await trio.open_tcp_stream('127.0.0.1', hub.port)
+        async with stream:
+            await stream.send_all(sent)
+            await trio.sleep(PAUSE_S)
+            response = await _receive_to_end(stream)
+    assert response.endswith(b'0\r\n\r\n')
+    assert len(response) > size
--- a/bluebellhub/adapters/sockets.py
+++ b/bluebellhub/adapters/sockets.py
@@ -12,7 +12,7 @@
     'is_reusable',
     'open_stream',
     'refuses_connections',
-    'set_socket_options',
+    'set_caller_options',
 ]
 
 KEEPALIVE_IDLE_S: Final = 1
@@ -21,19 +21,24 @@
 USER_TIMEOUT_MS: Final = 2500
 CHECK_TIMEOUT_S: Final = 1.0
 
-SOCKET_OPTIONS: Final = (
+# A caller may read nothing for a while: the system would count that as lost
+# with TCP_USER_TIMEOUT, and the time limit of its request ends a lost one.
+CALLER_OPTIONS: Final = (
     (socket.IPPROTO_TCP, socket.TCP_NODELAY, 1),
     (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
     (socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_S),
     (socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S),
     (socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEPALIVE_PROBES),
+)
+SOCKET_OPTIONS: Final = (
+    *CALLER_OPTIONS,
     (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS),
 )
 
 
-def set_socket_options(stream: trio.SocketStream) -> None:
-    """Set options that make a connection to a lost peer fail in seconds."""
-    for option in SOCKET_OPTIONS:
+def set_caller_options(stream: trio.SocketStream) -> None:
+    """Set options that make an idle connection to a lost caller fail."""
+    for option in CALLER_OPTIONS:
         stream.socket.setsockopt(*option)
 
 
@@ -51,7 +56,8 @@
         connecting.close()
         raise
     stream = trio.SocketStream(connecting)
-    set_socket_options(stream)
+    for option in SOCKET_OPTIONS:
+        stream.socket.setsockopt(*option)
     return stream
 
 
