Bound the memory that all requests keep together

What operators saw: a faulty replica sent bytes without end; the VM kept them, ran out of memory, and other callers' requests ended with it.

Cause: what one request keeps of a response was bounded (8 MiB of an error), but not the sum over all requests, and load reports of the product's own interface were not bounded at all.

Change: a budget of the VM for what its requests keep beyond 64 KiB each. A response without memory is forwarded as it arrives, an error or incomplete event ends the attempt, the body of a request is refused with 503. A large response keeps its first part no longer. Also on the product's own interface. There the fleet's tasks, order shards and load reports isolate errors as the site's do.

--- a/bluebellhub/adapters/attempts.py
+++ b/bluebellhub/adapters/attempts.py
@@ -28,6 +28,12 @@
     make_frame_reader,
     parse_frames,
 )
+from bluebellhub.adapters.memory import (
+    MemoryExhaustedError,
+    Reservation,
+    release_memory,
+    reserve_memory,
+)
 from bluebellhub.adapters.service_response import (
     ResponseTooLargeError,
     read_response,
@@ -104,10 +110,12 @@
     limits: TimeLimits
     hooks: Hooks
     control: AttemptControl
+    reservation: Reservation
 
 
 ATTEMPT_ERRORS: Final = (
     httpx.HTTPError,
+    MemoryExhaustedError,
     MismatchError,
     ResponseTooLargeError,
     trio.TooSlowError,
@@ -130,6 +138,8 @@
     except ATTEMPT_ERRORS as error:
         detail = f'{type(error).__name__} {error}'
         yield AttemptFailure(_failure_kind(error), detail)
+    finally:
+        release_memory(context.reservation)
 
 
 def _failure_kind(error: Exception) -> str:
@@ -255,6 +265,7 @@
     if chunk is None:
         raise httpx.ReadError('the stream ended early')
     advanced, frames = parse_frames(reader, chunk)
+    reserve_memory(context.reservation, len(advanced.incomplete))
     if frames.tokens:
         context.hooks.on_tokens(reader.offset, frames.tokens)
     return advanced, frames
@@ -278,7 +289,7 @@
         head, body = await _wait_for(
             context,
             context.limits.first_byte_s,
-            lambda: read_response(client, request),
+            lambda: read_response(client, request, context.reservation),
         )
     is_safe = exchange.method in {'GET', 'HEAD'}
     if is_safe and head.status >= SERVER_ERROR:
--- a/bluebellhub/adapters/connections.py
+++ b/bluebellhub/adapters/connections.py
@@ -120,12 +120,12 @@
 
 
 async def _responds(client: httpx.AsyncClient) -> bool:
-    """Return whether the upstream sends any HTTP response."""
+    """Return whether the upstream sends the head of any HTTP response."""
     try:
-        await client.get('/v1/load')
+        async with client.stream('GET', '/v1/load'):
+            return True
     except httpx.HTTPError:
         return False
-    return True
 
 
 async def _retire(pool: Pool) -> None:
--- a/bluebellhub/adapters/fleet_runner.py
+++ b/bluebellhub/adapters/fleet_runner.py
@@ -23,6 +23,7 @@
 )
 from bluebellhub.adapters.platform import (
     Platform,
+    VmEntry,
     get_object,
     list_vms,
     put_object,
@@ -30,6 +31,7 @@
 )
 from bluebellhub.clock import now_s
 from bluebellhub.errors import ConflictError, ObjectError, StoreError
+from bluebellhub.faults import isolate_fault, report_fault
 from bluebellhub.fleet import (
     Fleet,
     StoreWrite,
@@ -106,9 +108,10 @@
     runner.nursery.start_soon(_watch_objects, runner)
     runner.nursery.start_soon(_poll_vm_list, runner)
     while True:
-        run_periodic_tasks(runner.fleet, now_s())
-        flush_outbox(runner)
-        _reconnect_silent_peers(runner)
+        with isolate_fault('periodic_tasks'):
+            run_periodic_tasks(runner.fleet, now_s())
+            flush_outbox(runner)
+            _reconnect_silent_peers(runner)
         await trio.sleep(STEP_INTERVAL_S)
 
 
@@ -179,6 +182,8 @@
         await call(runner, item)
     except StoreError as error:
         log.info('call for {} {} failed: {}', *name, error)
+    except Exception as error:
+        report_fault(error, 'store_call', kind=name[0], name=name[1])
     finally:
         runner.pending_calls.discard(name)
 
@@ -259,9 +264,12 @@
             await trio.sleep(RETRY_DELAY_S)
             continue
         update = ConfigUpdate(listing.revision, listing.objects)
-        apply_config_update(fleet, fleet.identity.name, update, now_s())
-        _log_refused(fleet)
-        flush_outbox(runner)
+        with isolate_fault('configuration', revision=listing.revision):
+            apply_config_update(fleet, fleet.identity.name, update, now_s())
+            _log_refused(fleet)
+            flush_outbox(runner)
+        if fleet.configuration.progress['revision'] == since:
+            await trio.sleep(STEP_INTERVAL_S)
         if not is_watching:
             await trio.sleep(POLL_INTERVAL_S)
 
@@ -281,13 +289,18 @@
         except StoreError as error:
             log.info('VM list could not be read: {}', error)
         else:
-            names = {entry.name for entry in entries}
-            apply_vm_list(runner.fleet, names)
-            for entry in entries:
-                connect_peer(runner.link, entry.name, entry.address)
+            with isolate_fault('vm_list'):
+                _apply_vms(runner, entries)
         await trio.sleep(VM_LIST_INTERVAL_S)
 
 
+def _apply_vms(runner: FleetRunner, entries: list[VmEntry]) -> None:
+    """Apply the VM list, and connect to the VMs on it."""
+    apply_vm_list(runner.fleet, {entry.name for entry in entries})
+    for entry in entries:
+        connect_peer(runner.link, entry.name, entry.address)
+
+
 def _reconnect_silent_peers(runner: FleetRunner) -> None:
     """Replace the connections to peers that have been silent too long."""
     peers = runner.fleet.members.peers
--- a/bluebellhub/adapters/loads.py
+++ b/bluebellhub/adapters/loads.py
@@ -11,9 +11,19 @@
     get_pool,
     use_pool,
 )
+from bluebellhub.adapters.memory import (
+    MemoryExhaustedError,
+    make_reservation,
+    release_memory,
+)
 from bluebellhub.adapters.node import Node
+from bluebellhub.adapters.service_response import (
+    ResponseTooLargeError,
+    read_response,
+)
 from bluebellhub.clock import now_s
 from bluebellhub.errors import HubError
+from bluebellhub.faults import isolate_fault
 from bluebellhub.routing.cache_events import CacheEvent, apply_cache_events
 from bluebellhub.scheduler import apply_load_report
 from bluebellhub.upstream import LoadReport, UpstreamSpec
@@ -30,6 +40,14 @@
     """A load report or a list of cache events cannot be decoded."""
 
 
+REFUSED_REPORTS: Final = (
+    httpx.HTTPError,
+    MemoryExhaustedError,
+    ReportError,
+    ResponseTooLargeError,
+)
+
+
 class ReportBody(TypedDict):
     """The fields of a load report on the wire; others are ignored.
 
@@ -85,19 +103,32 @@
     node: Node, connections: Connections, spec: UpstreamSpec
 ) -> None:
     """Poll one upstream and count a failure as a refused report."""
+    with isolate_fault('load_report', upstream=spec.name):
+        try:
+            async with use_pool(get_pool(connections, spec)) as client:
+                await _poll_report(node, client, spec)
+                await _poll_events(node, client, spec)
+        except REFUSED_REPORTS:
+            node.scheduler.counters['refused_reports', spec.name] += 1
+
+
+async def _get(
+    node: Node, client: httpx.AsyncClient, path: str, **query: str
+) -> bytes:
+    """Return the body of a response; raises `REFUSED_REPORTS`."""
+    reservation = make_reservation(node.memory)
+    request = client.build_request('GET', path, params=query, timeout=TIMEOUT_S)
     try:
-        async with use_pool(get_pool(connections, spec)) as client:
-            await _poll_report(node, client, spec)
-            await _poll_events(node, client, spec)
-    except (httpx.HTTPError, ReportError):
-        node.scheduler.counters['refused_reports', spec.name] += 1
+        response = await read_response(client, request, reservation)
+    finally:
+        release_memory(reservation)
+    return response.body
 
 
 async def _poll_report(
     node: Node, client: httpx.AsyncClient, spec: UpstreamSpec
 ) -> None:
-    response = await client.get('/v1/load', timeout=TIMEOUT_S)
-    report = parse_report(response.content, now_s())
+    report = parse_report(await _get(node, client, '/v1/load'), now_s())
     apply_load_report(node.scheduler, spec.name, report, now_s())
     node.scheduler.counters['reports', spec.name] += 1
 
@@ -111,12 +142,10 @@
         return
     key = (spec.name, upstream.report.boot_id)
     last_event = node.cache_events.get(key, 0)
-    response = await client.get(
-        '/v1/cache-events', params={'since': str(last_event)}, timeout=TIMEOUT_S
-    )
+    events = await _get(node, client, '/v1/cache-events', since=str(last_event))
     node.cache_events[key] = apply_cache_events(
         node.scheduler.prefixes,
         spec.name,
         last_event,
-        parse_events(response.content),
+        parse_events(events),
     )
--- a/bluebellhub/adapters/node.py
+++ b/bluebellhub/adapters/node.py
@@ -12,6 +12,7 @@
     make_attempt_control,
 )
 from bluebellhub.adapters.exchange import Exchange
+from bluebellhub.adapters.memory import MemoryBudget, make_memory_budget
 from bluebellhub.adapters.sockets import refuses_connections
 from bluebellhub.clock import now_s
 from bluebellhub.contract import AccountLimits
@@ -62,7 +63,7 @@
     ``probe`` finds out whether a silent upstream still responds.
     ``attempts`` holds the running attempts by request id and attempt
     number, and ``cache_events`` the number of the last cache event that was
-    read, by upstream and its boot id.
+    read, by upstream and its boot id.  ``memory`` bounds what requests keep.
     """
 
     settings: Settings
@@ -73,6 +74,7 @@
     attempts: dict[tuple[str, int], AttemptControl]
     cache_events: dict[tuple[str, str], int]
     latencies: Latencies
+    memory: MemoryBudget
 
 
 EventHandler = Callable[[Node, Any], None]
@@ -96,6 +98,7 @@
         {},
         {},
         make_latencies(),
+        make_memory_budget(),
     )
 
 
--- a/bluebellhub/adapters/orders.py
+++ b/bluebellhub/adapters/orders.py
@@ -12,6 +12,7 @@
 from bluebellhub.adapters.exchange import Exchange, Head
 from bluebellhub.adapters.platform import Platform, get_object, put_object
 from bluebellhub.errors import ConflictError, StoreError
+from bluebellhub.faults import isolate_fault, report_fault
 from bluebellhub.order import (
     Claim,
     ClaimAnswer,
@@ -28,6 +29,7 @@
     shard_of,
 )
 from bluebellhub.request.refusal import (
+    InternalError,
     KeyReuseError,
     LedgerUnavailableError,
     OrderUnknownError,
@@ -140,6 +142,10 @@
             _release(orders, claim)
         sender.send_nowait(error)
         return
+    except Exception as error:
+        sender.send_nowait(InternalError('unexpected error', run='unknown'))
+        report_fault(error, 'order', claim=claim.claim_id)
+        return
     sender.send_nowait((head, body))
     outcome = OrderOutcome(
         claim.claim_id,
@@ -246,17 +252,24 @@
     while True:
         await trio.sleep(BATCH_DELAY_S)
         orders.wakeups[ledger.shard] = trio.Event()
-        try:
-            is_flushed = await _write_once(orders, ledger)
-        except StoreError as error:
-            log.warning('order shard {}, retrying: {}', ledger.shard, error)
-            is_flushed = False
+        is_flushed = False
+        with isolate_fault('order_shard', shard=ledger.shard):
+            is_flushed = await _write_or_log(orders, ledger)
         if is_flushed:
             await orders.wakeups[ledger.shard].wait()
         else:
             await trio.sleep(RETRY_DELAY_S)
 
 
+async def _write_or_log(orders: OrderCoordinator, ledger: Ledger) -> bool:
+    """Write once; return whether nothing is left to write."""
+    try:
+        return await _write_once(orders, ledger)
+    except StoreError as error:
+        log.warning('order shard {}, retrying: {}', ledger.shard, error)
+    return False
+
+
 async def _write_once(orders: OrderCoordinator, ledger: Ledger) -> bool:
     """Read the shard if needed and write once.
 
--- a/bluebellhub/adapters/proxy/attempt.py
+++ b/bluebellhub/adapters/proxy/attempt.py
@@ -7,6 +7,7 @@
 import h11
 import trio
 
+from bluebellhub.adapters.memory import MemoryExhaustedError
 from bluebellhub.adapters.node import execute_events
 from bluebellhub.adapters.proxy.caller_connection import CallerGoneError
 from bluebellhub.adapters.proxy.event_stream import (
@@ -47,6 +48,7 @@
 __all__ = ['CALLER_GONE', 'run_attempt']
 
 CALLER_GONE: Final = 'caller_gone'
+CUT: Final = 'cut'
 # Share of the remaining time that an idempotent request waits for the
 # response head of one upstream.
 FIRST_BYTE_SHARE: Final = 0.35
@@ -55,13 +57,14 @@
 FAILURE_KINDS: Final[Mapping[type[BaseException], str]] = MappingProxyType(
     {
         CallerGoneError: CALLER_GONE,
-        ErrorTooLargeError: 'cut',
-        EventIdError: 'cut',
-        EventTooLargeError: 'cut',
-        EventTruncatedError: 'cut',
-        h11.RemoteProtocolError: 'cut',
-        trio.BrokenResourceError: 'cut',
-        trio.ClosedResourceError: 'cut',
+        ErrorTooLargeError: CUT,
+        EventIdError: CUT,
+        EventTooLargeError: CUT,
+        EventTruncatedError: CUT,
+        MemoryExhaustedError: CUT,
+        h11.RemoteProtocolError: CUT,
+        trio.BrokenResourceError: CUT,
+        trio.ClosedResourceError: CUT,
         trio.TooSlowError: 'silent',
     }
 )
@@ -197,7 +200,7 @@
         if not isinstance(event, h11.InformationalResponse):
             raise AttemptError(
                 AttemptFailure(
-                    'cut', 'the connection ended before the response head'
+                    CUT, 'the connection ended before the response head'
                 )
             )
 
@@ -218,7 +221,9 @@
         failure.kind == 'answered_error'
         and response.status not in NOT_EXECUTED_STATUSES
     ):
-        context.progress['held'] = await read_response(connection, response)
+        context.progress['held'] = await read_response(
+            context, connection, response
+        )
         if not context.admission.request.idempotent:
             return
     raise AttemptError(failure)
--- a/bluebellhub/adapters/proxy/caller_connection.py
+++ b/bluebellhub/adapters/proxy/caller_connection.py
@@ -7,6 +7,14 @@
 import logbook
 import trio
 
+from bluebellhub.adapters.memory import (
+    MemoryBudget,
+    MemoryExhaustedError,
+    Reservation,
+    make_reservation,
+    release_memory,
+    reserve_memory,
+)
 from bluebellhub.adapters.proxy.protocol_events import next_event
 from bluebellhub.adapters.sockets import has_unread_bytes
 from bluebellhub.errors import HubError
@@ -18,6 +26,7 @@
     BadRequestError,
     BodyTooLargeError,
     HeaderTooLargeError,
+    ShedError,
     SlowRequestError,
 )
 from bluebellhub.route import CallerLimits
@@ -43,6 +52,7 @@
 LINGER_S: Final = 0.5
 HEADER_TOO_LARGE: Final = 431
 BODY_TIMEOUT_S: Final = 15.0
+BODY_RETRY_AFTER_S: Final = 1.0
 # Colon, space and CRLF of a header line.
 HEADER_LINE_BYTES: Final = 4
 CLOSE_HEADER: Final = (b'connection', b'close')
@@ -73,11 +83,15 @@
 
 
 class CallerConnection(NamedTuple):
-    """The root: the stream, its HTTP/1.1 state and the limits."""
+    """The root: the stream, its HTTP/1.1 state and the limits.
+
+    ``reservation`` is the memory that its present request keeps.
+    """
 
     stream: trio.SocketStream
     protocol: h11.Connection
     limits: CallerLimits
+    reservation: Reservation
     state: ConnectionState
 
 
@@ -89,7 +103,7 @@
 
 
 def make_connection(
-    stream: trio.SocketStream, limits: CallerLimits
+    stream: trio.SocketStream, limits: CallerLimits, memory: MemoryBudget
 ) -> CallerConnection:
     """Create the state of a newly accepted connection."""
     protocol = h11.Connection(
@@ -102,7 +116,8 @@
         'is_idle': True,
         'idle_scope': None,
     }
-    return CallerConnection(stream, protocol, limits, state)
+    reservation = make_reservation(memory)
+    return CallerConnection(stream, protocol, limits, reservation, state)
 
 
 async def read_request(caller: CallerConnection) -> ReceivedRequest | None:
@@ -165,13 +180,24 @@
             if not isinstance(event, h11.Data):
                 return None
             body += event.data
-            if len(body) > caller.limits.body_max_bytes:
-                raise BodyTooLargeError(
-                    f'the limit is {caller.limits.body_max_bytes} bytes'
-                )
+            _check_body(caller, len(body))
     raise SlowRequestError('the request body did not arrive in time')
 
 
+def _check_body(caller: CallerConnection, size: int) -> None:
+    """Refuse a body that is too large, or for which no memory is left."""
+    if size > caller.limits.body_max_bytes:
+        raise BodyTooLargeError(
+            f'the limit is {caller.limits.body_max_bytes} bytes'
+        )
+    try:
+        reserve_memory(caller.reservation, size)
+    except MemoryExhaustedError as error:
+        raise ShedError(
+            f'request body: {error}', retry_after_s=BODY_RETRY_AFTER_S
+        ) from None
+
+
 async def _read_event(caller: CallerConnection) -> Any:
     return await next_event(caller.protocol, partial(_receive, caller))
 
@@ -285,6 +311,7 @@
     On an idle connection nothing is read: a request that crosses the close
     stays unread, so that its caller may send it again.
     """
+    release_memory(caller.reservation)
     if not caller.state['is_aborted'] and not caller.state['is_idle']:
         await _linger(caller)
     with trio.CancelScope(shield=True):
--- a/bluebellhub/adapters/proxy/response_forwarding.py
+++ b/bluebellhub/adapters/proxy/response_forwarding.py
@@ -5,6 +5,7 @@
 
 import h11
 
+from bluebellhub.adapters.memory import MemoryExhaustedError, reserve_memory
 from bluebellhub.adapters.proxy.caller_connection import (
     end_response,
     send_chunk,
@@ -35,6 +36,7 @@
 
 # Larger responses are forwarded as they arrive instead of being buffered.
 BUFFER_MAX_BYTES: Final = 1_048_576
+PART_BYTES: Final = 65_536
 # An error response is buffered as a whole, until the next attempt has failed.
 ERROR_MAX_BYTES: Final = 8_388_608
 # One read may hold thousands of small events.
@@ -49,9 +51,14 @@
 
 
 async def read_response(
-    connection: UpstreamConnection, response: ResponseHead
+    context: RequestContext,
+    connection: UpstreamConnection,
+    response: ResponseHead,
 ) -> BufferedResponse:
-    """Read an error response to its end; raises `ErrorTooLargeError`."""
+    """Read an error response to its end.
+
+    Raises `ErrorTooLargeError` and `MemoryExhaustedError`.
+    """
     body = bytearray()
     while True:
         event = await read_event(connection)
@@ -59,12 +66,33 @@
             body += event.data
         if len(body) > ERROR_MAX_BYTES:
             raise ErrorTooLargeError
+        _reserve(context, len(body))
         if isinstance(event, h11.EndOfMessage):
             return BufferedResponse(
                 response.status, response.forwarded_headers, bytes(body)
             )
 
 
+def _reserve(context: RequestContext, buffered: int) -> None:
+    """Reserve memory for the request's body and the bytes buffered for it.
+
+    Raises `MemoryExhaustedError`.
+    """
+    size = len(context.received.body) + buffered
+    reserve_memory(context.connection.reservation, size)
+
+
+def _may_buffer(context: RequestContext, size: int) -> bool:
+    """Return whether a response may be buffered at ``size`` bytes."""
+    if size > BUFFER_MAX_BYTES:
+        return False
+    try:
+        _reserve(context, size)
+    except MemoryExhaustedError:
+        return False
+    return True
+
+
 async def send_buffered(
     context: RequestContext, buffered: BufferedResponse
 ) -> None:
@@ -87,7 +115,8 @@
 ) -> None:
     """Forward a response once it is complete.
 
-    A response above `BUFFER_MAX_BYTES` is forwarded as it arrives.
+    A response above `BUFFER_MAX_BYTES`, or for which no memory is left, is
+    forwarded as it arrives.
     """
     buffered = context.progress['held']
     if buffered is not None and buffered.status == response.status:
@@ -97,36 +126,48 @@
     event = await read_event(connection)
     while not isinstance(event, h11.EndOfMessage):
         body += event.data
-        if len(body) > BUFFER_MAX_BYTES:
-            await _forward_large(context, connection, response, bytes(body))
+        if not _may_buffer(context, len(body)):
+            await _forward_large(context, connection, response, body)
             return
         event = await read_event(connection)
-    await send_buffered(
-        context,
-        BufferedResponse(
-            response.status, response.forwarded_headers, bytes(body)
-        ),
+    buffered = BufferedResponse(
+        response.status, response.forwarded_headers, bytes(body)
     )
+    body.clear()
+    await send_buffered(context, buffered)
 
 
 async def _forward_large(
     context: RequestContext,
     connection: UpstreamConnection,
     response: ResponseHead,
-    received: bytes,
+    received: bytearray,
 ) -> None:
-    """Forward a response whose first bytes were received already."""
+    """Forward a response as it arrives; ``received`` is its start."""
     await _send_head_once(context, response)
-    chunk = received
-    while chunk:
-        await send_chunk(context.connection, chunk)
-        event = await read_event(connection)
-        chunk = b''
-        if isinstance(event, h11.Data):
-            chunk = bytes(event.data)
+    await _send_received(context, received)
+    await _send_rest(context, connection)
     await end_response(context.connection)
 
 
+async def _send_received(context: RequestContext, received: bytearray) -> None:
+    """Write the start of a large response, and keep it no longer."""
+    for start in range(0, len(received), PART_BYTES):
+        part = bytes(received[start : start + PART_BYTES])
+        await send_chunk(context.connection, part)
+    received.clear()
+
+
+async def _send_rest(
+    context: RequestContext, connection: UpstreamConnection
+) -> None:
+    """Write the parts of a large response as they arrive."""
+    event = await read_event(connection)
+    while isinstance(event, h11.Data):
+        await send_chunk(context.connection, bytes(event.data))
+        event = await read_event(connection)
+
+
 async def forward_events(
     context: RequestContext,
     connection: UpstreamConnection,
@@ -136,7 +177,7 @@
     """Forward complete events as they arrive; call ``on_event`` for each.
 
     Raises `EventIdError` at the first that does not belong to the stream, and
-    `EventTooLargeError` and `EventTruncatedError`.
+    `EventTooLargeError`, `EventTruncatedError` and `MemoryExhaustedError`.
     """
     is_resumed = context.progress['last_event'] is not None
     incomplete = bytearray()
@@ -146,6 +187,7 @@
             new = _select(context, batch, is_resumed=is_resumed)
             is_resumed = is_resumed and not new.events
             await _forward_new(context, response, new, on_event)
+        _reserve(context, len(incomplete))
         event = await read_event(connection)
     check_complete(incomplete)
     await _end_events(context, response, bytes(incomplete))
--- a/bluebellhub/adapters/proxy/server.py
+++ b/bluebellhub/adapters/proxy/server.py
@@ -6,6 +6,7 @@
 import logbook
 import trio
 
+from bluebellhub.adapters.memory import release_memory
 from bluebellhub.adapters.proxy.caller_connection import (
     CallerConnection,
     CallerGoneError,
@@ -50,12 +51,13 @@
     """Answer the requests of one connection in sequence."""
     table = proxy.site.active_config['table']
     connection = make_connection(
-        stream, table.limits if table else CallerLimits()
+        stream, table.limits if table else CallerLimits(), proxy.node.memory
     )
     proxy.caller_connections[id(connection)] = connection
     try:
         set_caller_options(stream)
         while await _serve_request(proxy, connection):
+            release_memory(connection.reservation)
             connection.protocol.start_next_cycle()
     except (CallerGoneError, OSError) as error:
         log.debug('caller connection lost: {}', type(error).__name__)
--- a/bluebellhub/adapters/response_stream.py
+++ b/bluebellhub/adapters/response_stream.py
@@ -14,6 +14,7 @@
 )
 from bluebellhub.adapters.connections import Connections, get_pool
 from bluebellhub.adapters.exchange import Exchange, Head
+from bluebellhub.adapters.memory import make_reservation
 from bluebellhub.adapters.node import (
     Node,
     discard_attempt,
@@ -96,6 +97,7 @@
         time_limits(node.settings.limits, state, upstream),
         _make_hooks(node, event),
         control,
+        make_reservation(node.memory),
     )
 
 
--- a/bluebellhub/adapters/tests/test_endless_service.py
+++ b/bluebellhub/adapters/tests/test_endless_service.py
@@ -18,6 +18,7 @@
     make_connections,
 )
 from bluebellhub.adapters.exchange import make_exchange
+from bluebellhub.adapters.memory import make_memory_budget, make_reservation
 from bluebellhub.adapters.proxy.tests.scripted_upstreams import (
     send_without_end,
 )
@@ -60,6 +61,7 @@
                 TimeLimits(TIMEOUT_S, TIMEOUT_S),
                 Hooks(lambda: None, lambda offset, count: None),
                 make_attempt_control(),
+                make_reservation(make_memory_budget()),
             )
             parts = [part async for part in run_attempt(context)]
             await close_pools(connections)
