Wait for listening addresses that are still in use

Cause: a VM that starts right after it was killed may find its addresses in use; the error ended the process at once. So did an unexpected error of the first call to the store.

--- a/bluebellhub/adapters/http_endpoint.py
+++ b/bluebellhub/adapters/http_endpoint.py
@@ -12,6 +12,8 @@
 import logbook
 import trio
 
+from bluebellhub.adapters.listening import serve_tcp
+
 __all__ = ['Page', 'Pages', 'serve_pages']
 
 READ_BYTES: Final = 8192
@@ -45,9 +47,7 @@
 
     Example: ``await serve_pages({'/alive': lambda: Page(b'yes')}, address)``.
     """
-    host, _, port = listen.rpartition(':')
-    handler = partial(_serve_connection, pages)
-    await trio.serve_tcp(handler, int(port), host=host)
+    await serve_tcp(partial(_serve_connection, pages), listen)
 
 
 async def _serve_connection(pages: Pages, stream: trio.SocketStream) -> None:
--- a/bluebellhub/adapters/peer_link.py
+++ b/bluebellhub/adapters/peer_link.py
@@ -14,6 +14,7 @@
 import trio
 import zmq
 
+from bluebellhub.adapters.listening import listen_when_free
 from bluebellhub.errors import HubError, InvariantError, PeerMessageError
 from bluebellhub.faults import report_fault
 from bluebellhub.peer_messages import decode_message, encode_message
@@ -23,6 +24,7 @@
     'close_link',
     'connect_peer',
     'make_peer_link',
+    'open_peer_link',
     'receive_all',
     'reconnect',
     'reconnect_silent_peers',
@@ -62,10 +64,25 @@
     inbox.setsockopt(zmq.MAXMSGSIZE, MESSAGE_MAX_BYTES)
     inbox.setsockopt(zmq.RCVHWM, QUEUED_MESSAGES_MAX)
     inbox.setsockopt(zmq.LINGER, 0)
-    inbox.bind(f'tcp://{listen}')
+    try:
+        inbox.bind(f'tcp://{listen}')
+    except zmq.ZMQError:
+        context.destroy(linger=0)
+        raise
     return PeerLink(name, context, inbox, {}, {}, counters)
 
 
+async def open_peer_link(
+    name: str, listen: str, counters: Counter[tuple[str, str]]
+) -> PeerLink:
+    """Create a link like `make_peer_link`, once the address is free."""
+
+    async def make() -> PeerLink:
+        return make_peer_link(name, listen, counters)
+
+    return await listen_when_free(listen, make)
+
+
 def connect_peer(link: PeerLink, name: str, address: str) -> None:
     """Set a peer's address and connect; reconnect if the address changed."""
     set_peer_address(link, name, address)
--- a/bluebellhub/adapters/proxy/run.py
+++ b/bluebellhub/adapters/proxy/run.py
@@ -9,7 +9,7 @@
 import trio
 
 from bluebellhub.adapters.node import make_node, run_ticks
-from bluebellhub.adapters.peer_link import close_link, make_peer_link
+from bluebellhub.adapters.peer_link import close_link, open_peer_link
 from bluebellhub.adapters.proxy.gossip import receive_gossip, send_gossip
 from bluebellhub.adapters.proxy.moves import run_moves
 from bluebellhub.adapters.proxy.object_handlers import (
@@ -45,6 +45,7 @@
 )
 from bluebellhub.adapters.signals import handle_signals
 from bluebellhub.clock import now_s
+from bluebellhub.faults import isolate_fault
 from bluebellhub.platform.store_calls import close_store, make_store
 from bluebellhub.rates import ColdBounds, QuotaBounds, RetryBounds
 from bluebellhub.settings import Settings, SiteSettings
@@ -99,8 +100,10 @@
     node = make_node(settings, site.scheduler, _never_probe, nursery)
     proxy = Proxy(node, site, {}, {})
     store = make_store(settings.site.store)
-    announced = await announce_vm(store, settings)
-    link = make_peer_link(
+    announced = False
+    with isolate_fault('announcement'):
+        announced = await announce_vm(store, settings)
+    link = await open_peer_link(
         settings.vm, settings.peer_listen or '', site.scheduler.counters
     )
     watcher = make_watcher(proxy, store, link)
--- a/bluebellhub/adapters/proxy/server.py
+++ b/bluebellhub/adapters/proxy/server.py
@@ -1,11 +1,13 @@
 """Serves callers' connections from the first request until they close."""
 
+from functools import partial
 from typing import Final
 
 import h11
 import logbook
 import trio
 
+from bluebellhub.adapters.listening import serve_tcp
 from bluebellhub.adapters.memory import release_memory
 from bluebellhub.adapters.proxy.caller_connection import (
     CallerConnection,
@@ -38,13 +40,7 @@
 
 async def serve_callers(proxy: Proxy, listen: str) -> None:
     """Accept callers at an IP address and port until cancelled."""
-    host, _, port = listen.rpartition(':')
-    await trio.serve_tcp(
-        lambda stream: serve_connection(proxy, stream),
-        int(port),
-        host=host,
-        backlog=BACKLOG,
-    )
+    await serve_tcp(partial(serve_connection, proxy), listen, BACKLOG)
 
 
 async def serve_connection(proxy: Proxy, stream: trio.SocketStream) -> None:
