Report an attempt that cannot start for lack of its upstream

What callers saw: on the product's own interface a request could wait without an answer until its caller left.

Cause: its upstream was removed between the decision and the attempt; the attempt was passed over without a report, so that no decision followed.

Change: it is reported as not connected, and the request is sent elsewhere or refused at its deadline as not run.

Evidence: two cases of test_response_stream failed before, pass now.

--- a/bluebellhub/adapters/response_stream.py
+++ b/bluebellhub/adapters/response_stream.py
@@ -50,6 +50,7 @@
             event = await _next_dispatch(exchange)
             context = _make_context(node, connections, event, exchange)
             if context is None:
+                _report_unsent(node, event)
                 continue
             async with aclosing(run_attempt(context)) as parts:
                 async for part in parts:
@@ -76,6 +77,15 @@
     return decision
 
 
+def _report_unsent(node: Node, event: Dispatch) -> None:
+    """Report an attempt that cannot start, unless it was cancelled before.
+
+    Its upstream was removed after the dispatch; no other decision follows.
+    """
+    if (event.request_id, event.attempt) in node.attempts:
+        _report_end(node, event, AttemptFailure('connect_failed', 'gone'))
+
+
 def _make_context(
     node: Node, connections: Connections, event: Dispatch, exchange: Exchange
 ) -> AttemptContext | None:
