Read HTTP events in one place for all servers

The endpoint for readiness and metrics had a loop of its own over the events of a connection, without a checkpoint. It uses next_event, which moves up to adapters. test_http_endpoint and test_small_parts pass (34 cases, with the two of test_response_stream).

--- a/bluebellhub/adapters/http_endpoint.py
+++ b/bluebellhub/adapters/http_endpoint.py
@@ -13,6 +13,7 @@
 import trio
 
 from bluebellhub.adapters.listening import serve_tcp
+from bluebellhub.adapters.protocol_events import next_event
 
 __all__ = ['Page', 'Pages', 'serve_pages']
 
@@ -96,12 +97,14 @@
 
     Raises `h11.RemoteProtocolError`.
     """
+
+    async def receive() -> None:
+        protocol.receive_data(await stream.receive_some(READ_BYTES))
+
     request = None
     while True:
-        event = protocol.next_event()
-        if event is h11.NEED_DATA:
-            protocol.receive_data(await stream.receive_some(READ_BYTES))
-        elif isinstance(event, h11.Request):
+        event = await next_event(protocol, receive)
+        if isinstance(event, h11.Request):
             request = event
         elif isinstance(event, h11.EndOfMessage):
             return request
--- a/bluebellhub/adapters/protocol_events.py
+++ b/bluebellhub/adapters/protocol_events.py
@@ -1,4 +1,4 @@
-"""Reads HTTP/1.1 events from a connection to a caller or an upstream."""
+"""Reads HTTP/1.1 events from the connections that h11 serves."""
 
 from collections.abc import Awaitable, Callable
 from typing import Any
--- a/bluebellhub/adapters/proxy/caller_connection.py
+++ b/bluebellhub/adapters/proxy/caller_connection.py
@@ -15,7 +15,7 @@
     release_memory,
     reserve_memory,
 )
-from bluebellhub.adapters.proxy.protocol_events import next_event
+from bluebellhub.adapters.protocol_events import next_event
 from bluebellhub.adapters.sockets import has_unread_bytes
 from bluebellhub.errors import HubError
 from bluebellhub.platform.headers import read_request_head
--- a/bluebellhub/adapters/proxy/upstream_connection.py
+++ b/bluebellhub/adapters/proxy/upstream_connection.py
@@ -7,7 +7,7 @@
 import h11
 import trio
 
-from bluebellhub.adapters.proxy.protocol_events import next_event
+from bluebellhub.adapters.protocol_events import next_event
 from bluebellhub.adapters.sockets import is_reusable, open_stream
 from bluebellhub.clock import now_s
 from bluebellhub.errors import HubError
