Send a large request without a copy of its body

The body of a request was joined with its head for one write, so that a VM kept each large body twice, outside of the memory budget. Small requests still go out in one write. All tests of adapters pass.

--- a/bluebellhub/adapters/fleet_runner.py
+++ b/bluebellhub/adapters/fleet_runner.py
@@ -269,6 +269,7 @@
             _log_refused(fleet)
             flush_outbox(runner)
         if fleet.configuration.progress['revision'] == since:
+            # The same change is returned again at once if it was not applied.
             await trio.sleep(STEP_INTERVAL_S)
         if not is_watching:
             await trio.sleep(POLL_INTERVAL_S)
--- a/bluebellhub/adapters/node.py
+++ b/bluebellhub/adapters/node.py
@@ -180,6 +180,7 @@
 
 
 async def _probe(node: Node, spec: UpstreamSpec) -> None:
+    """Probe an upstream; an unexpected error ends only this task."""
     with isolate_fault('probe', upstream=spec.name):
         await node.probe(spec)
 
@@ -191,6 +192,7 @@
 
 
 async def _check_crash_isolated(node: Node, event: CheckCrash) -> None:
+    """Check a crash; an unexpected error ends only this task."""
     with isolate_fault('crash_check', upstream=event.upstream):
         await _check_crash(node, event)
 
--- a/bluebellhub/adapters/proxy/upstream_connection.py
+++ b/bluebellhub/adapters/proxy/upstream_connection.py
@@ -26,6 +26,7 @@
 
 CONNECT_TIMEOUT_S: Final = 1.0
 READ_BYTES: Final = 65_536
+JOINED_MAX_BYTES: Final = 65_536
 IDLE_MAX_S: Final = 3.0
 # Reuse ends this long before the upstream may close an idle connection.
 IDLE_MARGIN_S: Final = 0.5
@@ -166,12 +167,16 @@
 async def send_events(
     connection: UpstreamConnection, events: list[Any]
 ) -> None:
-    """Send a request; returns early if the upstream stops reading."""
-    encoded = b''.join(
-        connection.protocol.send(event) or b'' for event in events
-    )
+    """Send a request; returns early if the upstream stops reading.
+
+    A small request goes out in one write; a large one is not copied for that.
+    """
+    parts = [connection.protocol.send(event) or b'' for event in events]
+    if sum(map(len, parts)) <= JOINED_MAX_BYTES:
+        parts = [b''.join(parts)]
     try:
-        await connection.stream.send_all(encoded)
+        for part in parts:
+            await connection.stream.send_all(part)
     except (trio.BrokenResourceError, trio.ClosedResourceError):
         # The response, or its absence, decides the result of the attempt.
         return
