--- a/bluebellhub/adapters/assembly.py
+++ b/bluebellhub/adapters/assembly.py
@@ -12,14 +12,14 @@
     make_connections,
     replace_unresponsive_pool,
 )
-from bluebellhub.adapters.fleet_runner import (
-    FleetRunner,
-    make_runner,
-    reply_claim,
-)
+from bluebellhub.adapters.fleet_outbox import FleetRunner, make_runner
+from bluebellhub.adapters.fleet_runner import reply_claim
 from bluebellhub.adapters.front_end import FrontEnd
 from bluebellhub.adapters.node import Node, make_node
-from bluebellhub.adapters.orders import OrderCoordinator, make_order_coordinator
+from bluebellhub.adapters.order_shards import (
+    OrderCoordinator,
+    make_order_coordinator,
+)
 from bluebellhub.adapters.peer_link import (
     PeerLink,
     connect_peer,
--- a/bluebellhub/adapters/front_end.py
+++ b/bluebellhub/adapters/front_end.py
@@ -22,7 +22,8 @@
 from bluebellhub.adapters.exchange import Exchange, Head, make_exchange
 from bluebellhub.adapters.http_server import HttpApp, make_http_app, read_body
 from bluebellhub.adapters.node import Node, start_request
-from bluebellhub.adapters.orders import OrderCoordinator, place_order
+from bluebellhub.adapters.order_shards import OrderCoordinator
+from bluebellhub.adapters.orders import place_order
 from bluebellhub.adapters.prompt import identify_prompt
 from bluebellhub.adapters.response_stream import stream_response
 from bluebellhub.adapters.status import describe
--- a/bluebellhub/adapters/proxy/attempt.py
+++ b/bluebellhub/adapters/proxy/attempt.py
@@ -15,6 +15,12 @@
     EventTooLargeError,
     EventTruncatedError,
 )
+from bluebellhub.adapters.proxy.response_checks import (
+    belongs_to_request,
+    find_failure,
+    is_error,
+    is_stream,
+)
 from bluebellhub.adapters.proxy.response_forwarding import (
     ErrorTooLargeError,
     forward_events,
@@ -52,8 +58,6 @@
 # Share of the remaining time that an idempotent request waits for the
 # response head of one upstream.
 FIRST_BYTE_SHARE: Final = 0.35
-REDIRECT_MIN: Final = 300
-SERVER_ERROR_MIN: Final = 500
 FAILURE_KINDS: Final[Mapping[type[BaseException], str]] = MappingProxyType(
     {
         CallerGoneError: CALLER_GONE,
@@ -168,12 +172,12 @@
         response = await _read_head(connection)
     apply_load(proxy, connection.spec.name, response)
     apply_response_status(
-        proxy.site, connection.spec.name, is_error=_is_error(response)
+        proxy.site, connection.spec.name, is_error=is_error(response)
     )
-    if _belongs_to_request(context, connection, response):
+    if belongs_to_request(context, connection, response):
         apply_rate_limit(proxy, connection.spec.name, response)
     await _check_response(context, connection, response)
-    if _is_stream(response):
+    if is_stream(response):
         await forward_events(
             context,
             connection,
@@ -186,12 +190,6 @@
     release(proxy.idle_connections, connection, response.idle_s)
 
 
-def _is_error(response: ResponseHead) -> bool:
-    """Return whether the upstream executed the request and failed."""
-    is_server_error = response.status >= SERVER_ERROR_MIN
-    return is_server_error and not response.not_executed
-
-
 async def _read_head(connection: UpstreamConnection) -> ResponseHead:
     while True:
         event = await read_event(connection)
@@ -214,7 +212,7 @@
 
     An error response is buffered in case no other attempt succeeds.
     """
-    failure = _find_failure(context, connection, response)
+    failure = find_failure(context, connection, response)
     if failure is None:
         return
     if (
@@ -229,69 +227,6 @@
     raise AttemptError(failure)
 
 
-def _find_failure(
-    context: RequestContext,
-    connection: UpstreamConnection,
-    response: ResponseHead,
-) -> AttemptFailure | None:
-    """Return why the response is no success, or ``None`` if it is one."""
-    status = f'status {response.status}'
-    if not _belongs_to_request(context, connection, response):
-        return AttemptFailure('mismatch', 'not the response to this request')
-    if response.is_misdirected:
-        return AttemptFailure('misdirected', status)
-    if response.not_executed:
-        return AttemptFailure('refused', status)
-    if context.progress['has_begun'] and not _may_resume(context, response):
-        return AttemptFailure('mismatch', f'{status}, expected a stream')
-    return _find_error(response)
-
-
-def _belongs_to_request(
-    context: RequestContext,
-    connection: UpstreamConnection,
-    response: ResponseHead,
-) -> bool:
-    """Return whether the response is to this request, as far as it states.
-
-    An upstream may write a former response once more. On a connection that has
-    served other requests, only the request id tells it from the one expected.
-    """
-    if response.request_id is None:
-        return not connection.is_reused
-    return response.request_id == context.received.head.request_id
-
-
-def _find_error(response: ResponseHead) -> AttemptFailure | None:
-    """Return how an upstream failed that has executed the request."""
-    if (
-        response.status >= SERVER_ERROR_MIN
-        or response.status in NOT_EXECUTED_STATUSES
-    ):
-        return AttemptFailure('answered_error', f'status {response.status}')
-    if response.is_encoded or (
-        response.status < REDIRECT_MIN and not response.is_signed
-    ):
-        return AttemptFailure(
-            'mismatch', 'the response is encoded or not signed'
-        )
-    return None
-
-
-def _is_stream(response: ResponseHead) -> bool:
-    """Return whether the response is a stream, and no error."""
-    return response.is_event_stream and response.status < REDIRECT_MIN
-
-
-def _may_resume(context: RequestContext, response: ResponseHead) -> bool:
-    """Return whether the response may go on with a stream that has begun.
-
-    Without the id of the last event, it would start from the beginning.
-    """
-    has_ids = context.progress['last_event'] is not None
-    return has_ids and _is_stream(response)
-
-
 def _record_progress(
     proxy: Proxy, context: RequestContext, connection: UpstreamConnection
 ) -> None:
--- a/bluebellhub/adapters/proxy/caller_connection.py
+++ b/bluebellhub/adapters/proxy/caller_connection.py
@@ -1,6 +1,5 @@
-"""Reads requests from a caller's connection and writes the responses."""
+"""The connection of a caller: its state, its end, and the responses."""
 
-from functools import partial
 from typing import Any, Final, NamedTuple, TypedDict
 
 import h11
@@ -9,26 +8,14 @@
 
 from bluebellhub.adapters.memory import (
     MemoryBudget,
-    MemoryExhaustedError,
     Reservation,
     make_reservation,
     release_memory,
-    reserve_memory,
 )
-from bluebellhub.adapters.protocol_events import next_event
-from bluebellhub.adapters.sockets import has_unread_bytes
 from bluebellhub.errors import HubError
-from bluebellhub.platform.headers import read_request_head
 from bluebellhub.platform.responses import LocalResponse, refusal_response
 from bluebellhub.request import RefusalError
 from bluebellhub.request.heads import Headers, RequestHead
-from bluebellhub.request.refusal import (
-    BadRequestError,
-    BodyTooLargeError,
-    HeaderTooLargeError,
-    ShedError,
-    SlowRequestError,
-)
 from bluebellhub.route import CallerLimits
 
 __all__ = [
@@ -39,8 +26,9 @@
     'close_connection',
     'end_response',
     'make_connection',
-    'read_request',
+    'receive_bytes',
     'send_chunk',
+    'send_continue',
     'send_local_response',
     'send_refusal',
     'send_response_head',
@@ -50,11 +38,6 @@
 READ_BYTES: Final = 65_536
 BUFFERED_MAX_BYTES: Final = 65_536
 LINGER_S: Final = 0.5
-HEADER_TOO_LARGE: Final = 431
-BODY_TIMEOUT_S: Final = 15.0
-BODY_RETRY_AFTER_S: Final = 1.0
-# Colon, space and CRLF of a header line.
-HEADER_LINE_BYTES: Final = 4
 CLOSE_HEADER: Final = (b'connection', b'close')
 DISCONNECT_ERRORS: Final = (trio.BrokenResourceError, trio.ClosedResourceError)
 LINGER_ERRORS: Final = (*DISCONNECT_ERRORS, trio.BusyResourceError, OSError)
@@ -120,89 +103,7 @@
     return CallerConnection(stream, protocol, limits, reservation, state)
 
 
-async def read_request(caller: CallerConnection) -> ReceivedRequest | None:
-    """Read the next request; return ``None`` at the end of the connection.
-
-    Raises a `RefusalError` for a malformed, too large or too slow one.
-    """
-    try:
-        return await _read_request(caller)
-    except h11.RemoteProtocolError as error:
-        raise _protocol_refusal(error) from None
-
-
-async def _read_request(caller: CallerConnection) -> ReceivedRequest | None:
-    request = await _read_head(caller)
-    if request is None:
-        return None
-    _check_size(caller, request)
-    _check_framing(request)
-    head = read_request_head(request.method, request.target, request.headers)
-    body = await _read_body(caller, head.time_limit_s or BODY_TIMEOUT_S)
-    return None if body is None else ReceivedRequest(head, body)
-
-
-async def _read_head(caller: CallerConnection) -> h11.Request | None:
-    """Wait for the first byte of a request, then read its head.
-
-    Bytes that crossed the end of the wait are read: a request that was sent in
-    time is answered, not dropped.
-    """
-    caller.state['is_idle'] = True
-    with trio.move_on_after(caller.limits.idle_timeout_s) as scope:
-        caller.state['idle_scope'] = scope
-        while not caller.protocol.trailing_data[0]:
-            if not await _receive(caller):
-                return None
-        caller.state['is_idle'] = False
-    caller.state['idle_scope'] = None
-    if caller.state['is_idle'] and not has_unread_bytes(caller.stream):
-        return None
-    caller.state['is_idle'] = False
-    with trio.move_on_after(caller.limits.header_timeout_s):
-        event = await _read_event(caller)
-        return event if isinstance(event, h11.Request) else None
-    raise SlowRequestError('the request head did not arrive in time')
-
-
-async def _read_body(
-    caller: CallerConnection, timeout_s: float
-) -> bytes | None:
-    if caller.protocol.they_are_waiting_for_100_continue:
-        informational = h11.InformationalResponse(status_code=100, headers=[])
-        await _write(caller, informational)
-    body = bytearray()
-    with trio.move_on_after(timeout_s):
-        while True:
-            event = await _read_event(caller)
-            if isinstance(event, h11.EndOfMessage):
-                return bytes(body)
-            if not isinstance(event, h11.Data):
-                return None
-            body += event.data
-            _check_body(caller, len(body))
-    raise SlowRequestError('the request body did not arrive in time')
-
-
-def _check_body(caller: CallerConnection, size: int) -> None:
-    """Refuse a body that is too large, or for which no memory is left."""
-    if size > caller.limits.body_max_bytes:
-        raise BodyTooLargeError(
-            f'the limit is {caller.limits.body_max_bytes} bytes'
-        )
-    try:
-        reserve_memory(caller.reservation, size)
-    except MemoryExhaustedError as error:
-        raise ShedError(
-            f'request body: {error}', retry_after_s=BODY_RETRY_AFTER_S
-        ) from None
-
-
-async def _read_event(caller: CallerConnection) -> Any:
-    return await next_event(caller.protocol, partial(_receive, caller))
-
-
-async def _receive(caller: CallerConnection) -> bytes:
+async def receive_bytes(caller: CallerConnection) -> bytes:
     """Read bytes into the protocol state; none after a disconnect."""
     try:
         received = await caller.stream.receive_some(READ_BYTES)
@@ -212,32 +113,6 @@
     return bytes(received)
 
 
-def _check_size(caller: CallerConnection, request: h11.Request) -> None:
-    """Check a head that arrived at once; h11 bounds one in several parts."""
-    size = len(request.target) + sum(
-        len(name) + len(field) + HEADER_LINE_BYTES
-        for name, field in request.headers
-    )
-    if size > caller.limits.header_max_bytes:
-        raise HeaderTooLargeError(
-            f'got {size} bytes, limit {caller.limits.header_max_bytes}'
-        )
-
-
-def _check_framing(request: h11.Request) -> None:
-    """Refuse a request whose length is ambiguous."""
-    names = [name for name, _ in request.headers]
-    if b'transfer-encoding' in names and b'content-length' in names:
-        raise BadRequestError('got both Content-Length and Transfer-Encoding')
-
-
-def _protocol_refusal(error: h11.RemoteProtocolError) -> RefusalError:
-    """Return the refusal of a request that violates HTTP/1.1."""
-    if error.error_status_hint == HEADER_TOO_LARGE:
-        return HeaderTooLargeError('the request head is too large')
-    return BadRequestError(f'malformed HTTP/1.1 request: {error}')
-
-
 async def watch_disconnect(
     caller: CallerConnection, scope: trio.CancelScope
 ) -> None:
@@ -246,7 +121,7 @@
     Input is buffered for the next request; a full buffer ends the watch.
     """
     while len(caller.protocol.trailing_data[0]) < BUFFERED_MAX_BYTES:
-        if not await _receive(caller):
+        if not await receive_bytes(caller):
             caller.state['is_gone'] = True
             scope.cancel()
             return
@@ -264,6 +139,13 @@
     await _write(caller, h11.Response(status_code=status, headers=added))
 
 
+async def send_continue(caller: CallerConnection) -> None:
+    """Tell a caller that waits for it to send the body."""
+    if caller.protocol.they_are_waiting_for_100_continue:
+        informational = h11.InformationalResponse(status_code=100, headers=[])
+        await _write(caller, informational)
+
+
 async def send_chunk(caller: CallerConnection, chunk: bytes) -> None:
     """Write a part of the response body."""
     await _write(caller, h11.Data(data=chunk))
--- a/bluebellhub/adapters/proxy/server.py
+++ b/bluebellhub/adapters/proxy/server.py
@@ -15,10 +15,10 @@
     ReceivedRequest,
     close_connection,
     make_connection,
-    read_request,
     send_refusal,
 )
 from bluebellhub.adapters.proxy.request_handling import handle_request
+from bluebellhub.adapters.proxy.request_reading import read_request
 from bluebellhub.adapters.proxy.state import Proxy
 from bluebellhub.adapters.sockets import set_caller_options
 from bluebellhub.faults import report_fault
--- a/bluebellhub/adapters/proxy/tests/test_early_responses.py
+++ b/bluebellhub/adapters/proxy/tests/test_early_responses.py
@@ -12,7 +12,7 @@
     running_hub,
     send_and_receive,
 )
-from bluebellhub.platform.tests.wire import SIGNATURE, request
+from bluebellhub.platform.tests.wire import REQUEST_ID, SIGNATURE, request
 
 # Above what the sockets of both ends hold.
 LARGE_BYTES = 4_000_000
@@ -25,8 +25,8 @@
 def _response(status, more=b''):
     return (
         b'HTTP/1.1 %d X\r\nKeep-Alive: timeout=5\r\n%s%s'
-        b'X-Bluebellhub-Request-Id: r1\r\nContent-Length: 4\r\n\r\nbody'
-    ) % (status, SIGNATURE, more)
+        b'Content-Length: 4\r\n\r\nbody'
+    ) % (status, SIGNATURE + REQUEST_ID, more)
 
 
 async def _serve(response, bodies, stream):
--- a/bluebellhub/adapters/proxy/tests/test_small_parts.py
+++ b/bluebellhub/adapters/proxy/tests/test_small_parts.py
@@ -31,7 +31,7 @@
 )
 CLOSE = b'Connection: close\r\n'
 CHECK_S = 0.01
-# A task that is ready to run waits no longer, on a busy machine either.
+# A task that is ready to run waits no longer, also beside other load.
 PAUSE_MAX_S = 0.5
 # Searched again with each part, it takes minutes.
 LONG_EVENT_S = 20.0
--- a/bluebellhub/adapters/tests/test_orders.py
+++ b/bluebellhub/adapters/tests/test_orders.py
@@ -9,14 +9,14 @@
 import trio
 
 from bluebellhub.adapters.exchange import Head, make_exchange
-from bluebellhub.adapters.orders import (
+from bluebellhub.adapters.order_shards import (
     OrderCoordinator,
     deliver_claim_answer,
     enqueue_claim,
     enqueue_outcome,
     make_order_coordinator,
-    place_order,
 )
+from bluebellhub.adapters.orders import place_order
 from bluebellhub.adapters.platform import Platform
 from bluebellhub.errors import ConflictError
 from bluebellhub.order import Claim
--- a/bluebellhub/tests/test_signals.py
+++ b/bluebellhub/tests/test_signals.py
@@ -13,6 +13,7 @@
 import pytest
 
 from bluebellhub.contract import hash_key
+from bluebellhub.platform.tests.wire import REQUEST_ID
 
 HUP, TERM, INT = signal.SIGHUP, signal.SIGTERM, signal.SIGINT
 HUP_BIT = 1 << (HUP - 1)
@@ -23,10 +24,9 @@
 ANSWER = b'HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nbody'
 REQUEST = (
     b'POST %s HTTP/1.1\r\nHost: a.example\r\n'
-    b'X-Bluebellhub-Request-Id: r1\r\n'
     b'Authorization: Bearer yard.orchard\r\n'
     b'Content-Type: application/json\r\n'
-    b'Content-Length: 4\r\nConnection: close\r\n\r\n'
+    b'Content-Length: 4\r\nConnection: close\r\n%s\r\n'
 )
 COMMON = 'vm: hub-1\nfailure_domain: d\nlisten: {listen}\n'
 # A VM of a site refuses all requests while it does not reach its store.
@@ -111,7 +111,7 @@
 def test_signals_while_a_vm_of_a_site_stops_cut_no_request(tmp_path, series):
     with _daemon(tmp_path, OF_A_SITE, **_site_fields()) as (process, address):
         with _connect(process, address) as caller:
-            caller.sendall(REQUEST % b'/a/x' + b'bo')
+            caller.sendall(REQUEST % (b'/a/x', REQUEST_ID) + b'bo')
             time.sleep(PAUSE_S)
             _send_series(process, series)
             caller.sendall(b'dy')
@@ -126,7 +126,9 @@
         fields = {'key': hash_key('orchard'), 'upstream': _address(upstream)}
         with _daemon(tmp_path, ALONE, **fields) as (process, address):
             with _connect(process, address) as caller:
-                caller.sendall(REQUEST % b'/services/bookings/x' + b'body')
+                caller.sendall(
+                    REQUEST % (b'/services/bookings/x', REQUEST_ID) + b'body'
+                )
                 called = _accept_request(upstream)
                 _send_series(process, series)
                 called.sendall(ANSWER)
