Let an error in a connection end only that connection

What callers saw, in a trial of malformed requests against the product's own interface: the process ended, with all its requests.

Cause: the HTTP server handles only OSError of a connection. When a request was malformed while another of the same connection was being answered, two of its tasks wrote to the connection, and the error ended the server.

Change: the server's connections isolate their errors. The server has no parameter for their class, so it is set in its module.

The two new cases of test_http_server failed before, pass now.

--- a/bluebellhub/adapters/http_server.py
+++ b/bluebellhub/adapters/http_server.py
@@ -6,9 +6,12 @@
 
 from typing import Any, Final
 
+import logbook
 import trio
 from hypercorn.config import Config
+from hypercorn.trio import run as hypercorn_run
 from hypercorn.trio import serve
+from hypercorn.trio.tcp_server import TCPServer
 from hypercorn.typing import (
     ASGIReceiveCallable,
     ASGISendCallable,
@@ -20,6 +23,8 @@
 from quart_trio import QuartTrio
 from quart_trio.asgi import TrioASGIHTTPConnection
 
+from bluebellhub.faults import report_fault
+
 __all__ = [
     'HttpApp',
     'make_config',
@@ -33,6 +38,36 @@
 HEADER_MAX_BYTES: Final = 65_536
 
 
+LOST: Final = (
+    trio.BrokenResourceError,
+    trio.BusyResourceError,
+    trio.ClosedResourceError,
+)
+
+log = logbook.Logger('bluebellhub.http')
+
+
+class IsolatedConnection(TCPServer):
+    """A connection whose errors end only that connection.
+
+    The server handles `OSError` alone; any other one, as when two of its tasks
+    write to a connection that is being closed, would end the process.
+    """
+
+    async def run(self) -> None:
+        """Serve the requests of the connection until it ends."""
+        try:
+            await super().run()
+        except* LOST as lost:
+            log.debug('connection lost: {}', lost.exceptions[0])
+        except* Exception as error:
+            report_fault(error, 'connection')
+
+
+# The server has no parameter for the class of its connections.
+hypercorn_run.TCPServer = IsolatedConnection  # type: ignore[misc]
+
+
 class HttpConnection(TrioASGIHTTPConnection):
     """One request of a connection.
 
--- a/bluebellhub/adapters/tests/test_http_server.py
+++ b/bluebellhub/adapters/tests/test_http_server.py
@@ -6,6 +6,7 @@
 
 import pytest
 import trio
+from hypercorn.trio.tcp_server import TCPServer
 from quart import Response
 
 from bluebellhub.adapters.http_server import (
@@ -14,6 +15,8 @@
     read_body,
     serve_app,
 )
+from bluebellhub.faults import isolated_faults
+from bluebellhub.invariants import set_violations_fatal
 
 TIMEOUT_S: Final = 10.0
 LONG_KEEP_ALIVE_S: Final = 60.0
@@ -135,3 +138,32 @@
             await disconnected.wait()
             nursery.cancel_scope.cancel()
     assert disconnected.is_set()
+
+
+@pytest.mark.parametrize(
+    ('error', 'faults'),
+    [(trio.BusyResourceError('sending'), 0), (OverflowError(), 1)],
+)
+async def test_error_in_a_connection_does_not_end_the_server(
+    monkeypatch, error, faults
+):
+    """Malformed requests could make two tasks write to one connection."""
+    set_violations_fatal(fatal=False)
+    read_data = TCPServer._read_data
+    errors = [error]
+
+    async def fail_once(connection: TCPServer) -> None:
+        if errors:
+            raise errors.pop()
+        await read_data(connection)
+
+    monkeypatch.setattr(TCPServer, '_read_data', fail_once)
+    with trio.fail_after(TIMEOUT_S):
+        async with trio.open_nursery() as nursery:
+            failed = await _connect(nursery, trio.Event(), LONG_KEEP_ALIVE_S)
+            assert await _read_until(failed, None) == b''
+            port = failed.socket.getpeername()[1]
+            sound = await trio.open_tcp_stream('127.0.0.1', port)
+            assert BODY in await _send_requests(sound, '/read', 1)
+            nursery.cancel_scope.cancel()
+    assert isolated_faults.pop('connection', 0) == faults
