Ignore a settings file that cannot be decoded at a reload

Cause: the poll of the settings file handled only SettingsError; bytes that are not UTF-8, or very deep nesting, ended the VM that watched the file.

Change: both are a SettingsError, and the poll isolates any other error, as the reload at SIGHUP does.

Evidence: two rows of test_changed_fields_are_named failed before, pass now.

--- a/bluebellhub/adapters/settings_reload.py
+++ b/bluebellhub/adapters/settings_reload.py
@@ -7,6 +7,7 @@
 import trio
 
 from bluebellhub.errors import SettingsError
+from bluebellhub.faults import isolate_fault
 from bluebellhub.settings import Settings, load_settings
 
 __all__ = ['changed_fields', 'reload_settings', 'watch_settings']
@@ -26,7 +27,8 @@
         stamp = _file_stamp(path)
         if stamp != last_stamp:
             last_stamp = stamp
-            current = reload_settings(path, current)
+            with isolate_fault('reload'):
+                current = reload_settings(path, current)
 
 
 def _file_stamp(path: Path) -> tuple[int, int, int] | None:
--- a/bluebellhub/adapters/tests/test_settings_reload.py
+++ b/bluebellhub/adapters/tests/test_settings_reload.py
@@ -23,11 +23,13 @@
         ),
         ('log_level: loud\n', []),
         ('vm: [\n', []),
+        ('vm: ' + '[' * 5000, []),
+        ('vm: \udcff\n', []),
     ],
 )
 def test_changed_fields_are_named(tmp_path, added, names):
     path = tmp_path / 'hub.yaml'
-    path.write_text(GOOD + added)
+    path.write_bytes((GOOD + added).encode(errors='surrogateescape'))
     current = parse_settings(GOOD)
     assert changed_fields(current, reload_settings(path, current)) == names
 
--- a/bluebellhub/settings.py
+++ b/bluebellhub/settings.py
@@ -117,6 +117,8 @@
     except yaml.YAMLError as error:
         problem = getattr(error, 'problem', None) or 'not YAML'
         raise SettingsError('file', problem, 'a YAML mapping') from None
+    except RecursionError:
+        raise SettingsError('file', 'deep nesting', 'a YAML mapping') from None
     settings = read_record(Settings, fields, 'settings')
     _check_names(settings)
     _check_addresses(settings)
