Start on deployments that leave bounds out; read loads of more figures

On two deployments no daemon started: the template renders an empty value for each bound that a deployment does not have, and the settings rejected it (settings.site.cold_overage: got None). A field without a value now counts as left out; without a retry ratio only the attempts of each request are limited. Where upstreams state their slowdown as a fourth figure, every load report was dropped; figures beyond those known are now ignored, and the slowdown is read.

Settings of duties are added, and handlers of messages between VMs register themselves. The new rows of the tests failed before.

--- a/bluebellhub/adapters/proxy/gossip.py
+++ b/bluebellhub/adapters/proxy/gossip.py
@@ -1,4 +1,11 @@
-"""Sends and receives the gossip between the VMs of a site."""
+"""Sends and receives the gossip between the VMs of a site.
+
+A handler applies the messages of one class.  It gets the proxy, the name of the
+sending VM and the message.
+"""
+
+from collections.abc import Callable
+from typing import Any
 
 import logbook
 import trio
@@ -13,6 +20,7 @@
 from bluebellhub.adapters.proxy.statements import apply_reported_limits
 from bluebellhub.clock import now_s
 from bluebellhub.faults import isolate_fault
+from bluebellhub.registry import Registry, make_registry
 from bluebellhub.site.crash_evidence import apply_crash_evidence
 from bluebellhub.site.domain_reports import apply_domain_report
 from bluebellhub.site.gossip import (
@@ -31,7 +39,11 @@
 from bluebellhub.site.step_reports import apply_step_report
 from bluebellhub.site.vm_reports import apply_gossip, update_other_vms_load
 
-__all__ = ['receive_gossip', 'send_gossip']
+__all__ = ['GossipHandler', 'gossip_handlers', 'receive_gossip', 'send_gossip']
+
+GossipHandler = Callable[[Proxy, str, Any], None]
+
+gossip_handlers: Registry[GossipHandler] = make_registry('gossip handler')
 
 log = logbook.Logger('bluebellhub.gossip')
 
@@ -71,24 +83,40 @@
 
 
 async def receive_gossip(proxy: Proxy, link: PeerLink) -> None:
-    """Apply the reports of other VMs until cancelled."""
+    """Apply the messages of other VMs until cancelled."""
 
     def apply_message(sender: str, message: object) -> None:
-        if isinstance(message, GossipBatch):
-            apply_gossip(proxy.site, message.items, now_s())
-        if isinstance(message, DomainReport):
-            apply_domain_report(proxy.site, message, now_s())
-        if isinstance(message, CrashEvidence):
-            _apply_crash_evidence(proxy, message)
-        if isinstance(message, LimitReport):
-            apply_reported_limits(proxy, message)
-        if isinstance(message, StepReport):
-            apply_step_report(proxy.site, sender, message)
+        name = type(message).__name__
+        if name in gossip_handlers.entries:
+            gossip_handlers.find(name)(proxy, sender, message)
 
     await receive_all(link, apply_message)
 
 
-def _apply_crash_evidence(proxy: Proxy, evidence: CrashEvidence) -> None:
+@gossip_handlers.register(GossipBatch.__name__)
+def _apply_batch(proxy: Proxy, sender: str, batch: GossipBatch) -> None:
+    apply_gossip(proxy.site, batch.items, now_s())
+
+
+@gossip_handlers.register(DomainReport.__name__)
+def _apply_domain(proxy: Proxy, sender: str, report: DomainReport) -> None:
+    apply_domain_report(proxy.site, report, now_s())
+
+
+@gossip_handlers.register(LimitReport.__name__)
+def _apply_limits(proxy: Proxy, sender: str, report: LimitReport) -> None:
+    apply_reported_limits(proxy, report)
+
+
+@gossip_handlers.register(StepReport.__name__)
+def _apply_steps(proxy: Proxy, sender: str, report: StepReport) -> None:
+    apply_step_report(proxy.site, sender, report)
+
+
+@gossip_handlers.register(CrashEvidence.__name__)
+def _apply_crash_evidence(
+    proxy: Proxy, sender: str, evidence: CrashEvidence
+) -> None:
     parts = apply_crash_evidence(proxy.site, evidence, now_s())
     if parts:
         log.info(
--- a/bluebellhub/platform/headers.py
+++ b/bluebellhub/platform/headers.py
@@ -43,6 +43,12 @@
 CLOSE: Final = b'close'
 # Used if an upstream does not state how long it keeps an idle connection.
 IDLE_DEFAULT_S: Final = 2.0
+# Figures of a load that every upstream states: running, waiting and slots.
+LOAD_COUNTS: Final = 3
+# Slowdowns outside of these bounds are taken for a fault of the upstream.
+SLOWDOWN_MIN: Final = 0.1
+SLOWDOWN_MAX: Final = 100.0
+PERCENT: Final = 100.0
 COUNT: Final = re.compile(rb'\d{1,9}')
 DECIMAL_NUMBER: Final = re.compile(rb'\d{1,9}(\.\d{1,9})?')
 
@@ -198,9 +204,27 @@
 
 
 def _read_load(field: bytes | None) -> UpstreamLoad | None:
-    """Return the upstream's load; ``None`` if absent or malformed."""
-    counts = _read_counts(field, len(UpstreamLoad._fields))
-    return UpstreamLoad(*counts) if counts else None
+    """Return the upstream's load; ``None`` if absent or malformed.
+
+    Some upstreams state their slowdown as a fourth figure, and later ones may
+    state more.  Figures that are not known are ignored.
+    """
+    figures = [part.strip() for part in (field or b'').split(b',')]
+    counts = [_read_count(figure) for figure in figures[:LOAD_COUNTS]]
+    found = [count for count in counts if count is not None]
+    if len(found) < LOAD_COUNTS:
+        return None
+    running, waiting, slots = found
+    slowdown = _read_slowdown(figures[LOAD_COUNTS:])
+    return UpstreamLoad(running, waiting, slots, slowdown)
+
+
+def _read_slowdown(figures: list[bytes]) -> float | None:
+    """Return the slowdown, stated in hundredths; ``None`` if malformed."""
+    stated = _read_decimal(figures[0]) if figures else None
+    if not stated:
+        return None
+    return min(SLOWDOWN_MAX, max(SLOWDOWN_MIN, stated / PERCENT))
 
 
 def _read_counts(field: bytes | None, expected: int) -> list[int]:
--- a/bluebellhub/platform/tests/test_headers.py
+++ b/bluebellhub/platform/tests/test_headers.py
@@ -155,6 +155,27 @@
             'load',
             UpstreamLoad(3, 1, 8),
         ),
+        *(
+            (
+                200,
+                (b'x-bluebellhub-server-load', b'3,1,8' + further),
+                'load',
+                UpstreamLoad(3, 1, 8, slowdown),
+            )
+            for further, slowdown in (
+                (b',250', 2.5),
+                (b', 100', 1.0),
+                (b',250,7', 2.5),
+                (b',250,x', 2.5),
+                (b',999999999', 100.0),
+                (b',1', 0.1),
+                (b',0', None),
+                (b',-5', None),
+                (b',1000000000', None),
+                (b',soon', None),
+                (b',', None),
+            )
+        ),
         (200, (b'x-bluebellhub-server-load', b'3,1'), 'load', None),
         (200, (b'x-bluebellhub-server-load', b'3,1,-8'), 'load', None),
         (200, (b'x-bluebellhub-server-load', LONG + b',0,6'), 'load', None),
--- a/bluebellhub/rates/retry_budget.py
+++ b/bluebellhub/rates/retry_budget.py
@@ -30,10 +30,13 @@
 
 
 class RetryBounds(NamedTuple):
-    """Retries allowed in a window: a ratio of the requests and a count."""
+    """Retries allowed in a window: a ratio of the requests and a count.
+
+    Without a ratio the retries are not limited.
+    """
 
     window_s: float = 10.0
-    ratio: float = 0.2
+    ratio: float | None = 0.2
     slack: float = 0.0
 
 
@@ -66,6 +69,8 @@
 ) -> bool:
     """Count a retry if the budget allows it; returns whether it does."""
     bounds = budget.bounds
+    if bounds.ratio is None:
+        return True
     uptime_s = now_s - budget.started_at_s
     requests = total(_get_window(budget, budget.requests, service), now_s)
     retries = _get_window(budget, budget.retries, service)
--- a/bluebellhub/request/heads.py
+++ b/bluebellhub/request/heads.py
@@ -45,11 +45,16 @@
 
 
 class UpstreamLoad(NamedTuple):
-    """Load that an upstream reports: numbers of requests and of slots."""
+    """Load that an upstream reports: numbers of requests and of slots.
+
+    ``slowdown`` is how long work takes there at this moment, in relation to
+    the usual time; ``None`` if the upstream does not state it.
+    """
 
     running: int
     waiting: int
     slots: int
+    slowdown: float | None = None
 
 
 class ResponseHead(NamedTuple):
--- a/bluebellhub/settings.py
+++ b/bluebellhub/settings.py
@@ -4,6 +4,7 @@
 alone; in a fleet both are empty, and the objects come from the platform.
 """
 
+from collections.abc import Mapping
 from pathlib import Path
 from typing import Annotated, Any, Final, NamedTuple
 
@@ -16,6 +17,7 @@
 from bluebellhub.routing import policies
 
 __all__ = [
+    'DutySettings',
     'Limits',
     'Peer',
     'Settings',
@@ -51,6 +53,27 @@
     drain_s: Positive = 60.0
 
 
+class DutySettings(NamedTuple):
+    """Duties that one VM at a time holds, used if ``duties`` names any.
+
+    Orders go to the platform's API at ``cloud``, at most ``calls_per_s`` from
+    all VMs together.  With ``fencing_enforced`` it rejects a token that is
+    lower than one it has seen.  Usage is reported for windows of
+    ``usage_window_s``, at most ``usage_late_s`` after their end, and may differ
+    from the truth by the ratio ``usage_off``.
+    """
+
+    cloud: str = ''
+    duties: str = ''
+    calls_per_s: Positive = 50.0
+    fencing_enforced: bool = False
+    lease_ms: Positive = 3000.0
+    thaw_slack_ms: NonNegative = 300.0
+    usage_window_s: Positive = 5.0
+    usage_late_s: Positive = 10.0
+    usage_off: NonNegative = 0.05
+
+
 class SiteSettings(NamedTuple):
     """A VM's settings for the users' platform, used if ``store`` is set.
 
@@ -58,7 +81,8 @@
     ``metrics_listen``, if set, metrics only.  ``grace_s`` is the time from
     SIGTERM to SIGKILL.  The others bound what all VMs together may do in a
     window: ``quota`` beyond the accounts' limits, ``retry`` beyond callers'
-    requests, and ``cold`` beyond a cold upstream's rate.
+    requests, and ``cold`` beyond a cold upstream's rate.  Without a
+    ``retry_ratio`` only the attempts of each request are limited.
     """
 
     store: str = ''
@@ -69,10 +93,11 @@
     quota_overage: NonNegative = 0.0
     quota_slack: NonNegative = 0.0
     retry_window_s: Positive = 10.0
-    retry_ratio: NonNegative = 0.0
+    retry_ratio: NonNegative | None = None
     retry_slack: NonNegative = 0.0
     cold_overage: Positive = 1.0
     cold_slack: NonNegative = 0.0
+    duty: DutySettings = DutySettings()
 
 
 class Settings(NamedTuple):
@@ -119,12 +144,26 @@
         raise SettingsError('file', problem, 'a YAML mapping') from None
     except RecursionError:
         raise SettingsError('file', 'deep nesting', 'a YAML mapping') from None
-    settings = read_record(Settings, fields, 'settings')
+    settings = read_record(Settings, _without_empty(fields), 'settings')
     _check_names(settings)
     _check_addresses(settings)
     return settings
 
 
+def _without_empty(fields: object) -> object:
+    """Return the fields without those that have no value.
+
+    A template leaves a field empty for which a deployment states nothing.
+    """
+    if not isinstance(fields, Mapping):
+        return fields
+    return {
+        name: _without_empty(value)
+        for name, value in fields.items()
+        if value is not None
+    }
+
+
 def _check_names(settings: Settings) -> None:
     """Check the routing policy and the log level."""
     if settings.policy not in policies.entries:
@@ -149,6 +188,9 @@
         raise SettingsError('settings.site.ready_listen', '', 'an address')
     if settings.site.store and settings.peer_listen is None:
         raise SettingsError('settings.peer_listen', None, 'an address')
+    duty = settings.site.duty
+    if duty.duties or duty.cloud:
+        check_address(duty.cloud, 'settings.site.duty.cloud')
 
 
 def _check_addresses(settings: Settings) -> None:
--- a/bluebellhub/tests/test_outer_names.py
+++ b/bluebellhub/tests/test_outer_names.py
@@ -66,6 +66,7 @@
     template = yaml.safe_load(text)
     assert template.keys() <= known.keys()
     assert template['site'].keys() <= known['site'].keys()
+    assert template['site']['duty'].keys() <= known['site']['duty'].keys()
 
 
 OBJECTS: Final = [
