Take the end of a connection for the end of a response only after the request

Callers got 200, complete, with a part of the body, when an upstream answered a long upload at once without a length and reset the connection while the upload was being written. Cause: the system reports a reset once, here to the task that writes, which ignored it; the task that reads then found a proper end. The same class on the caller's side: a truncated response over HTTP/1.0 ended properly.

The end of an upstream's connection now counts only after the whole request was written without error; a truncated response over HTTP/1.0 resets the connection; a status above 599 is no response.

--- a/bluebellhub/adapters/proxy/attempt.py
+++ b/bluebellhub/adapters/proxy/attempt.py
@@ -34,6 +34,7 @@
 )
 from bluebellhub.adapters.proxy.upstream_connection import (
     ConnectError,
+    UnsentRequestError,
     UpstreamConnection,
     connect,
     encode_events,
@@ -68,6 +69,7 @@
         EventTooLargeError: CUT,
         EventTruncatedError: CUT,
         MemoryExhaustedError: CUT,
+        UnsentRequestError: CUT,
         h11.RemoteProtocolError: CUT,
         trio.BrokenResourceError: CUT,
         trio.ClosedResourceError: CUT,
--- a/bluebellhub/adapters/proxy/caller_connection.py
+++ b/bluebellhub/adapters/proxy/caller_connection.py
@@ -12,6 +12,7 @@
     make_reservation,
     release_memory,
 )
+from bluebellhub.adapters.sockets import reset_on_close
 from bluebellhub.errors import HubError
 from bluebellhub.platform.responses import LocalResponse, refusal_response
 from bluebellhub.request import RefusalError
@@ -38,6 +39,7 @@
 READ_BYTES: Final = 65_536
 BUFFERED_MAX_BYTES: Final = 65_536
 LINGER_S: Final = 0.5
+OLD_VERSION: Final = b'1.0'
 CLOSE_HEADER: Final = (b'connection', b'close')
 DISCONNECT_ERRORS: Final = (trio.BrokenResourceError, trio.ClosedResourceError)
 LINGER_ERRORS: Final = (*DISCONNECT_ERRORS, trio.BusyResourceError, OSError)
@@ -195,12 +197,24 @@
     stays unread, so that its caller may send it again.
     """
     release_memory(caller.reservation)
+    if _ends_with_connection(caller):
+        reset_on_close(caller.stream)
     if not caller.state['is_aborted'] and not caller.state['is_idle']:
         await _linger(caller)
     with trio.CancelScope(shield=True):
         await trio.aclose_forcefully(caller.stream)
 
 
+def _ends_with_connection(caller: CallerConnection) -> bool:
+    """Return whether a truncated response would look complete once closed.
+
+    A caller over HTTP/1.0 gets no chunks, so a proper end of the connection is
+    the end of the response.
+    """
+    version = caller.protocol.their_http_version
+    return caller.state['is_aborted'] and version == OLD_VERSION
+
+
 async def _linger(caller: CallerConnection) -> None:
     """Close for writing, then read until the caller closes or time is up."""
     with trio.move_on_after(LINGER_S):
--- a/bluebellhub/adapters/proxy/response_checks.py
+++ b/bluebellhub/adapters/proxy/response_checks.py
@@ -12,6 +12,8 @@
 
 REDIRECT_MIN: Final = 300
 SERVER_ERROR_MIN: Final = 500
+# HTTP defines no higher ones; the protocol library accepts any of three digits.
+STATUS_MAX: Final = 599
 
 
 def is_error(response: ResponseHead) -> bool:
@@ -29,6 +31,8 @@
     status = f'status {response.status}'
     if not belongs_to_request(context, connection, response):
         return AttemptFailure('mismatch', 'not the response to this request')
+    if response.status > STATUS_MAX:
+        return AttemptFailure('mismatch', f'{status} is not one of HTTP')
     if response.is_misdirected:
         return AttemptFailure('misdirected', status)
     if response.not_executed:
--- a/bluebellhub/adapters/proxy/upstream_connection.py
+++ b/bluebellhub/adapters/proxy/upstream_connection.py
@@ -1,4 +1,12 @@
-"""Connections to upstreams; idle ones are reused for a few seconds."""
+"""Connections to upstreams; idle ones are reused for a few seconds.
+
+The end of a connection ends a response that has neither a length nor chunks.
+It counts only after the whole request was written: the system reports a reset
+once, to the task that writes or to the one that reads, and the other finds a
+connection that seems to have ended properly.
+"""
+
+import socket
 
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
@@ -16,6 +24,7 @@
 __all__ = [
     'ConnectError',
     'IdleConnections',
+    'UnsentRequestError',
     'UpstreamConnection',
     'close_expired',
     'connect',
@@ -31,6 +40,10 @@
 IDLE_MAX_S: Final = 3.0
 # Reuse ends this long before the upstream may close an idle connection.
 IDLE_MARGIN_S: Final = 0.5
+# The writing task resumes within two rounds of the loop after its last byte.
+SCHEDULING_ROUNDS: Final = 2
+# A reset follows the end of a connection within a round trip.
+RESET_DELAY_S: Final = 0.02
 # Per upstream.
 IDLE_CONNECTIONS_MAX: Final = 8
 
@@ -39,6 +52,10 @@
     """Connecting failed, so no byte of the request was sent."""
 
 
+class UnsentRequestError(HubError):
+    """The upstream ended the connection before it had the whole request."""
+
+
 class IdleConnection(NamedTuple):
     """An idle connection that may be reused until ``until_s``."""
 
@@ -53,11 +70,14 @@
     """What decides whether a connection may be reused.
 
     ``is_sent`` states that every byte of the request was written: the protocol
-    state counts a request as sent before that.  ``is_kept`` states that the
-    connection was released and belongs to no request.
+    state counts a request as sent before that.  ``is_large`` states that it
+    did not fit into one part, so the upstream may end the connection while some
+    of it is on the way.  ``is_kept`` states that the connection was released
+    and belongs to no request.
     """
 
     is_sent: bool
+    is_large: bool
     is_kept: bool
 
 
@@ -88,9 +108,12 @@
     if stream is None:
         stream = await _open(spec)
     protocol = h11.Connection(h11.CLIENT)
-    connection = UpstreamConnection(
-        spec, stream, protocol, {'is_sent': False, 'is_kept': False}, is_reused
-    )
+    state: ConnectionState = {
+        'is_sent': False,
+        'is_large': False,
+        'is_kept': False,
+    }
+    connection = UpstreamConnection(spec, stream, protocol, state, is_reused)
     try:
         yield connection
     finally:
@@ -177,6 +200,7 @@
     parts = [connection.protocol.send(event) or b'' for event in events]
     if sum(map(len, parts)) <= JOINED_MAX_BYTES:
         return [b''.join(parts)]
+    connection.state['is_large'] = True
     return parts
 
 
@@ -196,11 +220,35 @@
 async def read_event(connection: UpstreamConnection) -> Any:
     """Return the next event of the response.
 
-    Raises `h11.RemoteProtocolError` and `trio.BrokenResourceError`.
+    Raises `h11.RemoteProtocolError`, `trio.BrokenResourceError` and
+    `UnsentRequestError`.
     """
 
     async def receive() -> None:
         received = await connection.stream.receive_some(READ_BYTES)
+        if not received:
+            await _check_request_sent(connection)
         connection.protocol.receive_data(received)
 
     return await next_event(connection.protocol, receive)
+
+
+async def _check_request_sent(connection: UpstreamConnection) -> None:
+    """Raise `UnsentRequestError` unless the upstream has the whole request.
+
+    A task that has just written its last byte runs first.  A reset may follow
+    the end of the connection if a large request was still on the way.
+    """
+    for _ in range(SCHEDULING_ROUNDS):
+        await trio.lowlevel.checkpoint()
+    if not connection.state['is_sent']:
+        raise UnsentRequestError('the connection ended during the request')
+    if connection.state['is_large']:
+        await trio.sleep(RESET_DELAY_S)
+        if _pending_error(connection.stream):
+            raise UnsentRequestError('the connection was reset after its end')
+
+
+def _pending_error(stream: trio.SocketStream) -> int:
+    """Return the number of the socket's pending error; 0 for none."""
+    return stream.socket.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
--- a/bluebellhub/adapters/sockets.py
+++ b/bluebellhub/adapters/sockets.py
@@ -1,6 +1,7 @@
 """TCP sockets that detect the loss of their peer within seconds."""
 
 import socket
+import struct
 from typing import Final
 
 import trio
@@ -12,6 +13,7 @@
     'is_reusable',
     'open_stream',
     'refuses_connections',
+    'reset_on_close',
     'set_caller_options',
 ]
 
@@ -42,6 +44,12 @@
         stream.socket.setsockopt(*option)
 
 
+def reset_on_close(stream: trio.SocketStream) -> None:
+    """Make closing the connection reset it, so that it is no proper end."""
+    linger = struct.pack('ii', 1, 0)
+    stream.socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+
+
 async def open_stream(address: str, timeout_s: float) -> trio.SocketStream:
     """Connect to an IP address and port.
 
