Pass the settings of duties through the environment of the role

These fields move to the environment of the role; a test keeps the template to the sections that every deployment has.

--- a/bluebellhub/settings.py
+++ b/bluebellhub/settings.py
@@ -4,6 +4,7 @@
 alone; in a fleet both are empty, and the objects come from the platform.
 """
 
+import os
 from collections.abc import Mapping
 from pathlib import Path
 from typing import Annotated, Any, Final, NamedTuple
@@ -17,6 +18,7 @@
 from bluebellhub.routing import policies
 
 __all__ = [
+    'DUTY_VARIABLE',
     'DutySettings',
     'Limits',
     'Peer',
@@ -31,6 +33,7 @@
 NonNegative = Annotated[float, msgspec.Meta(ge=0)]
 
 
+DUTY_VARIABLE: Final = 'HUB_DUTY_SETTINGS'
 LOG_LEVELS: Final = ('DEBUG', 'INFO', 'WARNING', 'ERROR')
 
 
@@ -124,7 +127,10 @@
 
 
 def load_settings(path: Path) -> Settings:
-    """Read a settings file; raises `SettingsError`."""
+    """Read a settings file; raises `SettingsError`.
+
+    The section ``site.duty`` may come from the environment, as YAML.
+    """
     try:
         text = path.read_text(encoding='utf-8')
     except OSError as error:
@@ -132,24 +138,35 @@
         raise SettingsError('file', str(path), f'a file ({reason})') from None
     except UnicodeDecodeError as error:
         raise SettingsError('file', error.reason, 'UTF-8 text') from None
-    return parse_settings(text)
+    return parse_settings(text, os.environ.get(DUTY_VARIABLE, ''))
 
 
-def parse_settings(text: str) -> Settings:
-    """Parse the text of a settings file; raises `SettingsError`."""
-    try:
-        fields = yaml.safe_load(text)
-    except yaml.YAMLError as error:
-        problem = getattr(error, 'problem', None) or 'not YAML'
-        raise SettingsError('file', problem, 'a YAML mapping') from None
-    except RecursionError:
-        raise SettingsError('file', 'deep nesting', 'a YAML mapping') from None
+def parse_settings(text: str, duty_text: str = '') -> Settings:
+    """Parse the text of a settings file; raises `SettingsError`.
+
+    ``duty_text`` is the section ``site.duty``, if the file does not have it.
+    """
+    fields = _parse_yaml(text, 'file')
+    site = fields.get('site') if isinstance(fields, dict) else None
+    if duty_text and isinstance(site, dict):
+        site.setdefault('duty', _parse_yaml(duty_text, DUTY_VARIABLE))
     settings = read_record(Settings, _without_empty(fields), 'settings')
     _check_names(settings)
     _check_addresses(settings)
     return settings
 
 
+def _parse_yaml(text: str, source: str) -> object:
+    """Parse YAML; ``source`` names it in errors."""
+    try:
+        return yaml.safe_load(text)
+    except yaml.YAMLError as error:
+        problem = getattr(error, 'problem', None) or 'not YAML'
+        raise SettingsError(source, problem, 'a YAML mapping') from None
+    except RecursionError:
+        raise SettingsError(source, 'deep nesting', 'a YAML mapping') from None
+
+
 def _without_empty(fields: object) -> object:
     """Return the fields without those that have no value.
 
--- a/bluebellhub/tests/test_outer_names.py
+++ b/bluebellhub/tests/test_outer_names.py
@@ -4,6 +4,7 @@
 other builds, so a renamed class or field must not change what is written.
 """
 
+import tomllib
 from pathlib import Path
 from typing import Any, Final
 
@@ -21,7 +22,7 @@
     encode_message,
     message_types,
 )
-from bluebellhub.settings import parse_settings
+from bluebellhub.settings import DUTY_VARIABLE, parse_settings
 from bluebellhub.site.version_moves import StateWrite
 
 SAMPLES: Final = Path(__file__).parent / 'samples'
@@ -66,7 +67,10 @@
     template = yaml.safe_load(text)
     assert template.keys() <= known.keys()
     assert template['site'].keys() <= known['site'].keys()
-    assert template['site']['duty'].keys() <= known['site']['duty'].keys()
+    role = tomllib.loads((DEPLOYED.parent / 'system.toml').read_text())
+    duty = role['roles']['hub']['env'][DUTY_VARIABLE]
+    duty_fields = yaml.safe_load(duty.replace('{{', '').replace('}}', ''))
+    assert duty_fields.keys() <= known['site']['duty'].keys()
 
 
 OBJECTS: Final = [
--- a/bluebellhub/tests/test_settings_template.py
+++ b/bluebellhub/tests/test_settings_template.py
@@ -6,17 +6,24 @@
 
 import json
 import re
+import tomllib
 from pathlib import Path
 from typing import Any, Final
 
 import pytest
 
 from bluebellhub.errors import SettingsError
-from bluebellhub.settings import parse_settings
+from bluebellhub.settings import (
+    DUTY_VARIABLE,
+    Settings,
+    parse_settings,
+)
 
-TEMPLATE: Final = (
-    Path(__file__).parents[2] / 'deploy' / 'settings.yaml'
-).read_text(encoding='utf-8')
+DEPLOY: Final = Path(__file__).parents[2] / 'deploy'
+TEMPLATE: Final = (DEPLOY / 'settings.yaml').read_text(encoding='utf-8')
+ROLE: Final = tomllib.loads((DEPLOY / 'system.toml').read_text())['roles'][
+    'hub'
+]
 PLACEHOLDER: Final = re.compile(r'\{\{([\w.]+)(\|json)?\}\}')
 COMPLETE: Final[dict[str, Any]] = {
     'nodeName': 'front-rennes-1',
@@ -59,8 +66,14 @@
 )
 
 
-def render(fields: dict[str, Any]) -> str:
-    """Fill in the template as the platform does."""
+def start(fields: dict[str, Any]) -> Settings:
+    """Return the settings of a daemon that the platform starts."""
+    duty = render(ROLE['env'][DUTY_VARIABLE], fields)
+    return parse_settings(render(TEMPLATE, fields), duty)
+
+
+def render(template: str, fields: dict[str, Any]) -> str:
+    """Fill in the placeholders of a text as the platform does."""
 
     def fill(match: re.Match[str]) -> str:
         found: Any = fields
@@ -77,7 +90,7 @@
             return ','.join(map(str, found))
         return str(found)
 
-    return PLACEHOLDER.sub(fill, TEMPLATE)
+    return PLACEHOLDER.sub(fill, template)
 
 
 def without(*paths: str) -> dict[str, Any]:
@@ -106,7 +119,7 @@
 
 @pytest.mark.parametrize('path', OPTIONAL)
 def test_a_daemon_starts_without_an_optional_field(path):
-    assert parse_settings(render(without(path))).vm == 'front-rennes-1'
+    assert start(without(path)).vm == 'front-rennes-1'
 
 
 @pytest.mark.parametrize('path', [name for name in REQUIRED if name != 'ip'])
@@ -115,7 +128,7 @@
     if path == 'internalPorts':
         fields['internalPorts'] = ['']
     with pytest.raises(SettingsError) as caught:
-        parse_settings(render(fields))
+        start(fields)
     assert 'settings' in str(caught.value)
 
 
@@ -134,7 +147,7 @@
     ],
 )
 def test_absent_sections_mean_no_such_limit(missing, field, expected):
-    found: Any = parse_settings(render(without(*missing))).site
+    found: Any = start(without(*missing)).site
     for step in field.split('.'):
         found = getattr(found, step)
     assert found == expected
@@ -154,4 +167,21 @@
     section, _, name = path.partition('.')
     fields[section][name] = wrong
     with pytest.raises(SettingsError, match=named):
-        parse_settings(render(fields))
+        start(fields)
+
+
+STRICT_SECTIONS: Final = ('bounds', 'platform', 'listen', 'internalPorts')
+
+
+def test_template_names_no_section_that_a_deployment_may_lack():
+    """A renderer that refuses an absent field could not start the daemon."""
+    sections = {
+        match[1].partition('.')[0] for match in PLACEHOLDER.finditer(TEMPLATE)
+    }
+    assert sections <= {'nodeName', 'zone', 'ip', *STRICT_SECTIONS}
+
+
+@pytest.mark.parametrize('text', ['[', '- a', 'cloud: nowhere', 'colour: red'])
+def test_wrong_duty_settings_of_the_environment_are_an_error(text):
+    with pytest.raises(SettingsError):
+        parse_settings(render(TEMPLATE, COMPLETE), text)
