Add the lease of the duties, its runner and the cloud API's client

One VM at a time holds the duties. The decisions are in bluebellhub/duty; the runner reads and writes the duty object and makes the calls with the token of the lease. A call is kept back if the token becomes invalid while it connects.

--- a/bluebellhub/adapters/proxy/run.py
+++ b/bluebellhub/adapters/proxy/run.py
@@ -10,6 +10,7 @@
 
 from bluebellhub.adapters.node import make_node, run_ticks
 from bluebellhub.adapters.peer_link import close_link, open_peer_link
+from bluebellhub.adapters.proxy.duties import run_duties
 from bluebellhub.adapters.proxy.gossip import receive_gossip, send_gossip
 from bluebellhub.adapters.proxy.moves import run_moves
 from bluebellhub.adapters.proxy.object_handlers import (
@@ -45,10 +46,11 @@
 )
 from bluebellhub.adapters.signals import handle_signals
 from bluebellhub.clock import now_s
+from bluebellhub.duty import DutyBounds
 from bluebellhub.faults import isolate_fault
 from bluebellhub.platform.store_calls import close_store, make_store
 from bluebellhub.rates import ColdBounds, QuotaBounds, RetryBounds
-from bluebellhub.settings import Settings, SiteSettings
+from bluebellhub.settings import DutySettings, Settings, SiteSettings
 from bluebellhub.site.state import Bounds, Site, make_site
 from bluebellhub.upstream import UpstreamSpec
 
@@ -63,6 +65,7 @@
 EXIT_MARGIN_S: Final = 0.8
 POLL_INTERVAL_S: Final = 0.05
 SEED_BITS: Final = 32
+MS_PER_S: Final = 1000.0
 
 log = logbook.Logger('bluebellhub.run')
 
@@ -138,6 +141,13 @@
         QuotaBounds(site.quota_window_s, site.quota_overage, site.quota_slack),
         RetryBounds(site.retry_window_s, site.retry_ratio, site.retry_slack),
         ColdBounds(site.cold_overage, site.cold_slack),
+        _read_duty_bounds(site.duty),
+    )
+
+
+def _read_duty_bounds(duty: DutySettings) -> DutyBounds:
+    return DutyBounds(
+        duty.lease_ms / MS_PER_S, duty.fencing_enforced, duty.calls_per_s
     )
 
 
@@ -152,11 +162,17 @@
     nursery.start_soon(close_expired, proxy.idle_connections)
     nursery.start_soon(run_moves, proxy, watcher.store)
     nursery.start_soon(run_stored_quarantine, watcher)
-    nursery.start_soon(receive_gossip, proxy, watcher.link)
-    nursery.start_soon(send_gossip, proxy, watcher.link)
+    if settings.site.duty.duties:
+        nursery.start_soon(run_duties, watcher, settings)
+    _start_gossip(nursery, watcher)
     _start_servers(settings, nursery, proxy)
 
 
+def _start_gossip(nursery: trio.Nursery, watcher: Watcher) -> None:
+    nursery.start_soon(receive_gossip, watcher.proxy, watcher.link)
+    nursery.start_soon(send_gossip, watcher.proxy, watcher.link)
+
+
 def _start_servers(
     settings: Settings, nursery: trio.Nursery, proxy: Proxy
 ) -> None:
--- a/bluebellhub/errors.py
+++ b/bluebellhub/errors.py
@@ -7,6 +7,9 @@
 from collections.abc import Iterable
 
 __all__ = [
+    'CloudBusyError',
+    'CloudError',
+    'CloudUnavailableError',
     'ConflictError',
     'DuplicateEntryError',
     'HubError',
@@ -14,9 +17,12 @@
     'ObjectError',
     'PeerMessageError',
     'SettingsError',
+    'StaleTokenError',
     'StoreError',
+    'StoredConflictError',
     'StoreUnavailableError',
     'UnknownEntryError',
+    'WithheldCallError',
 ]
 
 
@@ -88,3 +94,48 @@
             f'the object is at version {found}'
         )
         self.found = found
+
+
+class StoredConflictError(ConflictError):
+    """A conditional update found another revision of an object.
+
+    ``content`` is the response, which may hold the object as found, and ``era``
+    the era of the store that it states.
+    """
+
+    def __init__(self, kind: str, content: bytes, era: int | None) -> None:
+        super().__init__(kind, 0, 1)
+        self.content = content
+        self.era = era
+
+
+class CloudError(HubError):
+    """Base of the errors of the platform's API for orders."""
+
+
+class CloudUnavailableError(CloudError):
+    """The API did not respond; the call may be executed, also later."""
+
+    def __init__(self, call: str, cause: str) -> None:
+        super().__init__(f'{call}: no response from the cloud API ({cause})')
+
+
+class StaleTokenError(CloudError):
+    """The API has seen a higher token than that of the call."""
+
+    def __init__(self, call: str, token: int) -> None:
+        super().__init__(f'{call}: token {token} is lower than one seen')
+
+
+class CloudBusyError(CloudError):
+    """The API gets more calls than it takes."""
+
+    def __init__(self, call: str) -> None:
+        super().__init__(f'{call}: too many calls of the cloud API')
+
+
+class WithheldCallError(CloudError):
+    """The token became invalid before the call was sent."""
+
+    def __init__(self, call: str) -> None:
+        super().__init__(f'{call}: not sent, the token is not valid any more')
--- a/bluebellhub/metrics.py
+++ b/bluebellhub/metrics.py
@@ -36,6 +36,9 @@
     'quarantined': 'evidence',
     'asked_pauses': 'change',
     'departures': 'source',
+    'duty_changes': 'change',
+    'duty_calls': 'outcome',
+    'duty_reports': 'use',
 }
 
 
--- a/bluebellhub/platform/store.py
+++ b/bluebellhub/platform/store.py
@@ -25,6 +25,7 @@
     'create_entry',
     'delete_entry',
     'list_objects',
+    'read_stored',
     'replace_entry',
     'watch_objects',
     'write_status',
@@ -251,6 +252,17 @@
     return found
 
 
+def read_stored(content: bytes, kind: str) -> StoredEntry:
+    """Decode a response that holds one object.
+
+    Raises `StoreUnavailableError` if it does not.
+    """
+    try:
+        return _read_entry(msgspec.json.decode(content, type=StoredObject))
+    except (msgspec.MsgspecError, RecursionError) as error:
+        raise StoreUnavailableError(kind, str(error)) from None
+
+
 def _read_entry(stored: StoredObject) -> StoredEntry:
     metadata = stored['metadata']
     return StoredEntry(
--- a/bluebellhub/platform/store_calls.py
+++ b/bluebellhub/platform/store_calls.py
@@ -14,7 +14,7 @@
 
 from bluebellhub.adapters.sockets import SOCKET_OPTIONS
 from bluebellhub.errors import (
-    ConflictError,
+    StoredConflictError,
     StoreError,
     StoreUnavailableError,
 )
@@ -155,6 +155,6 @@
     if status == GONE:
         raise HistoryGoneError(f'{kind}: the store has dropped the history')
     if status == CONFLICT:
-        raise ConflictError(kind, 0, 1)
+        raise StoredConflictError(kind, response.content, read_era(response))
     if status not in SUCCESS:
         raise StoreUnavailableError(kind, f'status {status}')
--- a/bluebellhub/platform/wire.py
+++ b/bluebellhub/platform/wire.py
@@ -147,3 +147,33 @@
 
     part: str
     crashes: dict[str, int]
+
+
+class WireUsage(TypedDict):
+    """A report of the requests in a usage window, by account."""
+
+    window: int
+    counts: dict[str, int]
+
+
+class WireScale(TypedDict):
+    """An order for replicas of a service in a failure domain."""
+
+    service: str
+    zone: str
+    desiredCount: int
+
+
+class WireDuty(TypedDict):
+    """The VM that holds the duties, its token, and the last usage reports.
+
+    ``unreached`` names VMs that gave up because the API did not respond.
+    """
+
+    holder: str
+    start_id: int
+    token: Annotated[int, msgspec.Meta(ge=0)]
+    sequence: int
+    released: bool
+    reports: list[WireUsage]
+    unreached: NotRequired[list[str]]
--- a/bluebellhub/site/liveness.py
+++ b/bluebellhub/site/liveness.py
@@ -9,6 +9,7 @@
     'LIVENESS_TIMEOUT_S',
     'REMOTE_LIVENESS_TIMEOUT_S',
     'first_live_vm',
+    'first_live_vms',
     'live_domains',
     'live_peers',
     'live_share',
@@ -57,6 +58,24 @@
     return min([site.vm, *live_vm_names(site, now_s), *remote])
 
 
+def first_live_vms(site: Site, now_s: float) -> list[str]:
+    """Return the first live VM by name of each failure domain.
+
+    Of remote domains a VM of a large site knows no other. All VMs get the same
+    list as far as they agree on which VMs are live.
+    """
+    first_by_domain = {site.scheduler.flags['failure_domain']: site.vm}
+    for name in live_vm_names(site, now_s):
+        location = site.vms.get(name)
+        if location is not None:
+            first = first_by_domain.get(location.domain, name)
+            first_by_domain[location.domain] = min(first, name)
+    for remote in live_domains(site, now_s):
+        domain, name = remote.report.domain, remote.report.first_vm
+        first_by_domain[domain] = min(first_by_domain.get(domain, name), name)
+    return sorted(set(first_by_domain.values()))
+
+
 def live_share(site: Site, now_s: float) -> float:
     """Return the ratio of the VMs that are live, this one included."""
     live_count = live_vm_count(site, now_s)
--- a/bluebellhub/site/state.py
+++ b/bluebellhub/site/state.py
@@ -11,6 +11,7 @@
     rate_share,
     refresh_shares,
 )
+from bluebellhub.duty import Duty, DutyBounds, make_duty
 from bluebellhub.rates import (
     ColdBounds,
     QuotaBounds,
@@ -66,6 +67,7 @@
     quota: QuotaBounds = QuotaBounds()
     retry: RetryBounds = RetryBounds()
     cold: ColdBounds = ColdBounds()
+    duty: DutyBounds = DutyBounds()
 
 
 class SiteFlags(TypedDict):
@@ -94,7 +96,8 @@
     has been read. ``peers`` and ``domains`` hold the reports of other VMs and
     of remote failure domains. ``admitted_by_peers`` sums what the peers
     reported as admitted, by account; ``moves`` holds the version moves by
-    service.
+    service. ``duty`` is this VM's part in the duties that one VM at a time
+    holds.
     """
 
     vm: str
@@ -111,6 +114,7 @@
     admitted_by_peers: Counter[str]
     moves: dict[str, SiteMove]
     flags: SiteFlags
+    duty: Duty
 
 
 def make_site(
@@ -145,9 +149,10 @@
         rate_limits=make_rate_limits(limit_share),
     )
     scheduler.flags['failure_domain'] = failure_domain
+    start_id = random.getrandbits(START_ID_BITS)
     return Site(
         vm,
-        random.getrandbits(START_ID_BITS),
+        start_id,
         now_s,
         bounds,
         scheduler,
@@ -168,6 +173,7 @@
             'grid': make_grid(vm, {}),
             'unread_kinds': set(),
         },
+        make_duty(vm, start_id, bounds.duty, now_s),
     )
 
 
--- a/bluebellhub/tests/test_outer_names.py
+++ b/bluebellhub/tests/test_outer_names.py
@@ -186,4 +186,7 @@
         'quarantined': 'evidence',
         'asked_pauses': 'change',
         'departures': 'source',
+        'duty_changes': 'change',
+        'duty_calls': 'outcome',
+        'duty_reports': 'use',
     }
