--- a/bluebellhub/duty/announcing.py
+++ b/bluebellhub/duty/announcing.py
@@ -31,6 +31,7 @@
             lease['revision'],
             lease['until_s'] - now_s,
             False,
+            list(lease['unreached']),
             list(duty.reports['stored']),
         )
     announced = duty.observed['announced']
--- a/bluebellhub/duty/applying.py
+++ b/bluebellhub/duty/applying.py
@@ -30,7 +30,7 @@
 RETRY_S: Final = 0.2
 # Candidates read less and less often from a store that does not respond.
 READ_RETRY_MIN_S: Final = 2.0
-READ_RETRY_MAX_S: Final = 16.0
+READ_RETRY_MAX_S: Final = 8.0
 REFUSED_RETRY_S: Final = 0.5
 REFUSED_RETRY_MAX_S: Final = 8.0
 # The previous holder reads the object at once; later, others may take over.
@@ -285,6 +285,12 @@
     duty: Duty, entry: DutyEntry, found: FoundEntry, now_s: float
 ) -> None:
     report = DutyReport(
-        duty.vm, duty.start_id, entry.token, found.revision, 0.0, True
+        duty.vm,
+        duty.start_id,
+        entry.token,
+        found.revision,
+        0.0,
+        True,
+        list(entry.unreached),
     )
     duty.observed['announced'] = Announced(report, now_s, now_s)
--- a/bluebellhub/duty/candidacy.py
+++ b/bluebellhub/duty/candidacy.py
@@ -52,6 +52,7 @@
     excluded: set[str] = set()
     announced = duty.observed['announced']
     if announced is not None and announced.report.is_released:
+        excluded.update(announced.report.unreached)
         if now_s < announced.received_at_s + STEP_ASIDE_S:
             excluded.add(announced.report.holder)
     found = duty.observed['found']
--- a/bluebellhub/duty/steps.py
+++ b/bluebellhub/duty/steps.py
@@ -16,10 +16,12 @@
 
 __all__ = ['Acquire', 'Read', 'Release', 'Renew', 'Step', 'Write', 'next_step']
 
-# Two renewals fit into the lease.  With a usage report every 5 s, which is a
-# renewal too, this makes 24 writes a minute; at 2.5 s a report that comes
-# late by a little would make 36.
-RENEWAL_INTERVAL_S: Final = 2.8
+# A renewal that fails can be repeated before the lease ends.  With a usage
+# report every 5 s, which is a renewal too, this makes 24 writes a minute; at
+# 2.5 s a report that comes late by a little would make 36.
+RENEWAL_INTERVAL_S: Final = 3.0
+# A lease that is to be released is renewed only if it would expire before.
+ENDING_LEFT_MIN_S: Final = 1.5
 # Without enforced fencing, a call without a response may still be executed
 # for this long; the lease is released only then.
 LATE_CALL_S: Final = 2.0
@@ -27,7 +29,7 @@
 # all, and the next holder keeps the lease longer: a change of the holder costs
 # three calls of the store.
 UNREACHED_MAX: Final = 2
-UNREACHED_HOLD_S: Final = 30.0
+UNREACHED_HOLD_S: Final = 60.0
 
 
 class Read(NamedTuple):
@@ -85,12 +87,20 @@
         release = Release(_own_entry(duty, is_released=True), _held(duty))
         end_lease(duty)
         return release
-    is_due = now_s - lease['written_at_s'] >= RENEWAL_INTERVAL_S
-    if is_due or duty.reports['unsaved'] is not None:
+    if _is_renewal_due(duty, now_s):
         return Renew(_own_entry(duty, is_released=False), _held(duty))
     return None
 
 
+def _is_renewal_due(duty: Duty, now_s: float) -> bool:
+    lease = duty.lease
+    if lease['is_ending']:
+        return lease['until_s'] - now_s < ENDING_LEFT_MIN_S
+    if duty.reports['unsaved'] is not None:
+        return True
+    return now_s - lease['written_at_s'] >= RENEWAL_INTERVAL_S
+
+
 def _held(duty: Duty) -> FoundEntry:
     """Return the object as this VM wrote it last, to be replaced."""
     return FoundEntry(None, duty.lease['revision'], duty.observed['era'] or 0)
