Skip usage windows that a restored store may have lost

A VM that takes over after a restore does not know which windows the last holder has reported unless it has heard that holder, and would send other counts.

--- a/bluebellhub/adapters/proxy/duties.py
+++ b/bluebellhub/adapters/proxy/duties.py
@@ -154,9 +154,9 @@
     announced.update({'sent_at_s': current_s, 'lease': lease})
     candidates = set(first_live_vms(site, current_s)) - {site.vm}
     others = site.vms.keys() - candidates - {site.vm}
-    send_all(runner.watcher.link, candidates, report)
+    send_all(runner.watcher.link, sorted(candidates), report)
     # Only the VMs that may take over need the usage reports.
-    send_all(runner.watcher.link, others, report._replace(reports=[]))
+    send_all(runner.watcher.link, sorted(others), report._replace(reports=[]))
 
 
 async def _give_orders(runner: DutyRunner) -> None:
--- a/bluebellhub/adapters/proxy/duty_orders.py
+++ b/bluebellhub/adapters/proxy/duty_orders.py
@@ -16,10 +16,13 @@
     begin_call,
     current_token,
     duty_kinds,
+    finish_skipping,
     is_call_due,
+    known_reports,
     next_unsent,
     record_call,
     record_sent,
+    skip_window,
 )
 from bluebellhub.duty.applying import apply_refused
 from bluebellhub.errors import (
@@ -104,19 +107,28 @@
             return unsent
     if name in desk.pending:
         return None
-    order = kind.prepare(desk.proxy, duty.reports['stored'], now_s())
-    if not isinstance(order, UsageOrder):
-        return order
-    _store_report(desk, name, order)
-    return None
+    order = kind.prepare(desk.proxy, known_reports(duty), now_s())
+    if isinstance(order, UsageOrder):
+        _store_report(desk, name, order)
+        return None
+    if name == USAGE_DUTY:
+        finish_skipping(duty)
+    return order
 
 
 def _store_report(desk: OrderDesk, name: str, order: UsageOrder) -> None:
     """Have a report written to the duty object before it is sent."""
-    if add_report(desk.proxy.site.duty, order):
+    duty = desk.proxy.site.duty
+    is_skipped = skip_window(duty, order)
+    if not is_skipped and add_report(duty, order):
         desk.pending[name] = order
         return
-    log.warning('usage report out of order', extra={'window': order.window})
+    log.warning(
+        'usage window not reported, an earlier holder may have'
+        if is_skipped
+        else 'usage report out of order',
+        extra={'window': order.window},
+    )
     duty_kinds.find(name).ended(desk.proxy, order, 'unsent', now_s())
 
 
--- a/bluebellhub/adapters/proxy/tests/duty_fleet.py
+++ b/bluebellhub/adapters/proxy/tests/duty_fleet.py
@@ -147,8 +147,12 @@
             fleet.sites[name] = None
         for name in names:
             start(fleet, name)
-        yield fleet
-        nursery.cancel_scope.cancel()
+        try:
+            yield fleet
+        finally:
+            for name in tuple(fleet.faults.frozen):
+                thaw(fleet, name)
+            nursery.cancel_scope.cancel()
 
 
 def _now_s():
--- a/bluebellhub/duty/__init__.py
+++ b/bluebellhub/duty/__init__.py
@@ -24,7 +24,14 @@
 from bluebellhub.duty.kinds import DutyKind, duty_kinds
 from bluebellhub.duty.messages import DutyReport
 from bluebellhub.duty.orders import Order, Outcome, ScaleOrder, UsageOrder
-from bluebellhub.duty.reports import add_report, next_unsent, record_sent
+from bluebellhub.duty.reports import (
+    add_report,
+    finish_skipping,
+    known_reports,
+    next_unsent,
+    record_sent,
+    skip_window,
+)
 from bluebellhub.duty.steps import (
     Acquire,
     Read,
@@ -64,8 +71,10 @@
     'begin_call',
     'current_token',
     'duty_kinds',
+    'finish_skipping',
     'is_call_due',
     'is_holding',
+    'known_reports',
     'known_holder',
     'leave',
     'make_duty',
@@ -74,4 +83,5 @@
     'next_unsent',
     'record_call',
     'record_sent',
+    'skip_window',
 ]
--- a/bluebellhub/duty/applying.py
+++ b/bluebellhub/duty/applying.py
@@ -35,6 +35,8 @@
 REFUSED_RETRY_MAX_S: Final = 8.0
 # The previous holder reads the object at once; later, others may take over.
 RECLAIM_S: Final = 5.0
+# The holder announces its lease every second.
+HEARD_S: Final = 1.5
 # Holders do not alternate within the time that the platform states; the
 # margin covers the travel of the calls.
 ALTERNATION_MARGIN_S: Final = 0.5
@@ -166,10 +168,30 @@
             'unreached': entry.unreached,
         }
     )
+    duty.reports['may_be_lost'] = _may_have_lost_reports(duty, entry, now_s)
     duty.observed.update({'found': None, 'reclaim_until_s': now_s})
     resend_stored(duty)
 
 
+def _may_have_lost_reports(duty: Duty, entry: DutyEntry, now_s: float) -> bool:
+    """Return whether a restore may have lost reports that were sent.
+
+    The holder of that time knows them, and so do the VMs that heard it.
+    """
+    observed = duty.observed
+    previous = observed['previous']
+    rose_at_s = observed['era_rose_at_s']
+    was_restored = rose_at_s > -inf
+    if previous is not None:
+        was_restored = token_era(previous.token) < token_era(entry.token)
+    if not was_restored or now_s < observed['reclaim_until_s']:
+        return False
+    announced = observed['announced']
+    if announced is None or announced.report.holder == duty.vm:
+        return True
+    return announced.received_at_s < max(rose_at_s, duty.started_at_s) - HEARD_S
+
+
 def _alternation_end_s(duty: Duty) -> float:
     """Return when this VM may act again after another has.
 
--- a/bluebellhub/duty/duty.py
+++ b/bluebellhub/duty/duty.py
@@ -119,7 +119,9 @@
 class StoredReports(TypedDict):
     """Usage reports: those in the object, and those to be written or sent.
 
-    ``heard`` are those that holders announced, by window.
+    ``heard`` are those that holders announced, by window.  While
+    ``may_be_lost`` is set, an earlier holder may have sent reports that the
+    restored store has lost; due windows are skipped then, up to ``skipped``.
     """
 
     stored: tuple[UsageOrder, ...]
@@ -127,6 +129,8 @@
     unsent: tuple[UsageOrder, ...]
     accepted: frozenset[int]
     heard: dict[int, UsageOrder]
+    may_be_lost: bool
+    skipped: int | None
 
 
 class Duty(NamedTuple):
@@ -177,6 +181,8 @@
             'unsent': (),
             'accepted': frozenset(),
             'heard': {},
+            'may_be_lost': False,
+            'skipped': None,
         },
     )
 
--- a/bluebellhub/duty/messages.py
+++ b/bluebellhub/duty/messages.py
@@ -12,10 +12,10 @@
 class DutyReport(NamedTuple):
     """The holder's lease at a revision of the duty object.
 
-    ``left_s`` is the time that is left of it, and ``unreached`` are the VMs that
-    gave it up because the API did not respond to them.  ``reports`` are the stored usage
-    reports; they go to the VMs that may take over, because a store that is
-    restored from an older copy may have lost them.
+    ``left_s`` is the time that is left of it, and ``unreached`` are the VMs
+    that gave it up because the API did not respond to them.  ``reports`` are
+    the stored usage reports; they go to the VMs that may take over, because a
+    store that is restored from an older copy may have lost them.
     """
 
     holder: str
--- a/bluebellhub/duty/reports.py
+++ b/bluebellhub/duty/reports.py
@@ -10,12 +10,15 @@
     'REPORTS_MAX',
     'add_report',
     'apply_stored_reports',
+    'finish_skipping',
     'hear_reports',
+    'known_reports',
     'merged_reports',
     'next_unsent',
     'record_sent',
     'reports_to_write',
     'resend_stored',
+    'skip_window',
 ]
 
 # At windows of 5 s these cover a holder's lease and the next one's takeover.
@@ -37,6 +40,30 @@
     return True
 
 
+def known_reports(duty: Duty) -> tuple[UsageOrder, ...]:
+    """Return the reports after which the next window is to be reported."""
+    skipped = duty.reports['skipped']
+    if skipped is None:
+        return duty.reports['stored']
+    return (*duty.reports['stored'], UsageOrder(skipped, {}))
+
+
+def skip_window(duty: Duty, order: UsageOrder) -> bool:
+    """Skip a due window that an earlier holder may have reported.
+
+    Returns whether it is skipped.  After a restore of the store, a VM that did
+    not hear the holder until then would send other counts for it.
+    """
+    if duty.reports['may_be_lost']:
+        duty.reports['skipped'] = order.window
+    return duty.reports['may_be_lost']
+
+
+def finish_skipping(duty: Duty) -> None:
+    """Report the windows that become due from now on."""
+    duty.reports['may_be_lost'] = False
+
+
 def reports_to_write(duty: Duty) -> tuple[UsageOrder, ...]:
     """Return the reports for the holder's next write."""
     unsaved = duty.reports['unsaved']
