--- a/bluebellhub/metrics.py
+++ b/bluebellhub/metrics.py
@@ -36,6 +36,9 @@
     'quarantined': 'evidence',
     'asked_pauses': 'change',
     'departures': 'source',
+    'usage_reports': 'change',
+    'usage_windows': 'outcome',
+    'scale_orders': 'outcome',
 }
 
 
--- a/bluebellhub/tests/test_outer_names.py
+++ b/bluebellhub/tests/test_outer_names.py
@@ -23,6 +23,7 @@
 )
 from bluebellhub.settings import parse_settings
 from bluebellhub.site.version_moves import StateWrite
+from bluebellhub.usage import UsageReport
 
 SAMPLES: Final = Path(__file__).parent / 'samples'
 DEPLOYED: Final = Path(__file__).parents[2] / 'deploy' / 'settings.yaml'
@@ -156,6 +157,11 @@
     ),
     (ErrorBody, 'type message run retry_after_s'),
     (StateWrite, 'model to_version state revision'),
+    (
+        UsageReport,
+        'start_id sequence wall_s true_s first_window windows queued is_holder '
+        'is_time_known',
+    ),
 ]
 
 
@@ -186,4 +192,7 @@
         'quarantined': 'evidence',
         'asked_pauses': 'change',
         'departures': 'source',
+        'usage_reports': 'change',
+        'usage_windows': 'outcome',
+        'scale_orders': 'outcome',
     }
--- /dev/null
+++ b/bluebellhub/usage/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of usage accounting, in virtual time."""
