--- a/bluebellhub/adapters/proxy/object_handlers.py
+++ b/bluebellhub/adapters/proxy/object_handlers.py
@@ -172,6 +172,8 @@
             log.info(
                 'configuration activated', extra={'version': table.version}
             )
+            for problem in table.problems:
+                log.warning('part of the configuration ignored: {}', problem)
 
 
 @_register_combined(EVACUATION_KIND)
--- a/bluebellhub/errors.py
+++ b/bluebellhub/errors.py
@@ -12,6 +12,7 @@
     'HubError',
     'InvariantError',
     'ObjectError',
+    'ObjectFieldError',
     'PeerMessageError',
     'SettingsError',
     'StoreError',
@@ -64,6 +65,16 @@
         self.reason = reason
 
 
+class ObjectFieldError(ObjectError):
+    """A field of an object is not valid and counts as left out."""
+
+    def __init__(
+        self, kind: str, name: str, field: str, got: object, expected: str
+    ) -> None:
+        super().__init__(kind, name, f'{field}: got {got!r}, {expected}')
+        self.field = field
+
+
 class PeerMessageError(HubError):
     """A message from another VM cannot be decoded or has an unknown kind."""
 
--- a/bluebellhub/platform/object_codec.py
+++ b/bluebellhub/platform/object_codec.py
@@ -9,6 +9,7 @@
 
 from bluebellhub.configuration.addresses import check_address
 from bluebellhub.errors import ObjectError, SettingsError
+from bluebellhub.platform.scaling_codec import read_scaling
 from bluebellhub.platform.store import StoredEntry
 from bluebellhub.platform.wire import (
     WireAccount,
@@ -75,20 +76,29 @@
 
 
 def read_table(spec: Any) -> RoutingTable:
-    """Decode a configuration; raises `ObjectError` if it is not valid."""
+    """Decode a configuration; raises `ObjectError` if it is not valid.
+
+    Bounds of replicas that are not valid are a problem of the table, and their
+    service is not scaled.
+    """
     try:
         wire = msgspec.convert(spec, WireConfig)
     except msgspec.ValidationError as error:
         raise ObjectError(CONFIG_KIND, CONFIG_NAME, str(error)) from None
     accounts = wire.get('tenants')
     limits = wire.get('limits')
-    return make_table(
+    problems: list[ObjectError] = []
+    table = make_table(
         wire['version'],
         [_read_route(route) for route in wire['routes']],
-        [_read_service(service) for service in wire.get('services', [])],
+        [
+            _read_service(service, problems)
+            for service in wire.get('services', [])
+        ],
         None if accounts is None else _read_accounts(accounts),
         _read_limits(limits) if limits else None,
     )
+    return table._replace(problems=tuple(problems))
 
 
 def _read_route(wire: WireRoute) -> Route:
@@ -118,14 +128,23 @@
     )
 
 
-def _read_service(wire: WireService) -> Service:
+def _read_service(wire: WireService, problems: list[ObjectError]) -> Service:
     engine = wire.get('engine')
+    scaling = None
+    if wire.get('scaling') is not None:
+        try:
+            scaling = read_scaling(
+                CONFIG_KIND, CONFIG_NAME, wire['name'], wire['scaling']
+            )
+        except ObjectError as error:
+            problems.append(error)
     return Service(
         wire['name'],
         wire.get('healthPath', '/health'),
         wire.get('coldPerS', 0.0),
         wire.get('coldStartS', 0.0),
         engine.get('stride', 1) if engine else 0,
+        scaling,
     )
 
 
--- a/bluebellhub/platform/tests/test_object_codec.py
+++ b/bluebellhub/platform/tests/test_object_codec.py
@@ -109,6 +109,42 @@
     assert table.accounts_by_key['k1'].burst == 50
 
 
+SCALING = {'minReplicas': 20, 'maxReplicas': 47, 'bootS': 8.0}
+
+
+@pytest.mark.parametrize(
+    ('scaling', 'field'),
+    [
+        (SCALING, None),
+        ({**SCALING, 'minReplicas': 47}, None),
+        (None, None),
+        ({}, 'minReplicas'),
+        ({'minReplicas': 1, 'bootS': 8.0}, 'maxReplicas'),
+        ({**SCALING, 'minReplicas': -1}, 'minReplicas'),
+        ({**SCALING, 'minReplicas': True}, 'minReplicas'),
+        ({**SCALING, 'maxReplicas': 19}, 'maxReplicas'),
+        ({**SCALING, 'maxReplicas': 10**12}, 'maxReplicas'),
+        ({**SCALING, 'bootS': -0.1}, 'bootS'),
+        ({**SCALING, 'bootS': 'soon'}, 'bootS'),
+        ({**SCALING, 'bootS': float('nan')}, 'bootS'),
+        ('many', ''),
+    ],
+)
+def test_bounds_that_are_not_valid_leave_the_rest_in_force(scaling, field):
+    """The error names the field, and the service is not scaled."""
+    services = [{'name': 's', 'scaling': scaling}, {'name': 't'}]
+    table = read_table({**CONFIG, 'services': services})
+    assert set(table.services) == {'s', 't'}
+    problems = [problem.field for problem in table.problems]
+    path = 'services[s].scaling'
+    if field is None:
+        assert problems == []
+        assert (table.services['s'].scaling is None) == (scaling is None)
+    else:
+        assert problems == [f'{path}.{field}'.rstrip('.')]
+        assert table.services['s'].scaling is None
+
+
 @pytest.mark.parametrize(
     ('fields', 'needs_key'),
     [({}, True), ({'tenants': []}, True), ({'tenants': None}, False)],
--- a/bluebellhub/platform/wire.py
+++ b/bluebellhub/platform/wire.py
@@ -1,6 +1,6 @@
 """Types of the store's objects, with the field names used on the wire."""
 
-from typing import Annotated, Final, Literal, NotRequired, TypedDict
+from typing import Annotated, Any, Final, Literal, NotRequired, TypedDict
 
 import msgspec
 
@@ -14,12 +14,15 @@
     'WireQuarantine',
     'WireRegistration',
     'WireRoute',
+    'WireScaling',
     'WireService',
     'WireSplit',
     'WireVm',
 ]
 
 SLOTS_MAX: Final = 1_000_000
+REPLICAS_MAX: Final = 1_000_000
+BOOT_MAX_S: Final = 3600.0
 
 
 class WireSplit(TypedDict):
@@ -56,14 +59,27 @@
     stride: NotRequired[int]
 
 
+class WireScaling(TypedDict):
+    """Bounds of the replicas of a service in each failure domain."""
+
+    minReplicas: Annotated[int, msgspec.Meta(ge=0, le=REPLICAS_MAX)]
+    maxReplicas: Annotated[int, msgspec.Meta(ge=0, le=REPLICAS_MAX)]
+    bootS: Annotated[float, msgspec.Meta(ge=0, le=BOOT_MAX_S)]
+
+
 class WireService(TypedDict):
-    """A service; without ``engine`` it is a plain service."""
+    """A service; without ``engine`` it is a plain service.
+
+    ``scaling`` is a `WireScaling`, checked by itself: if it is not valid, the
+    rest of the configuration holds.
+    """
 
     name: str
     healthPath: NotRequired[str]
     coldStartS: NotRequired[float]
     coldPerS: NotRequired[float]
     engine: NotRequired[WireEngine | None]
+    scaling: NotRequired[Any]
 
 
 class WireLimits(TypedDict):
--- a/bluebellhub/route/table.py
+++ b/bluebellhub/route/table.py
@@ -3,6 +3,7 @@
 from collections.abc import Iterable, Mapping
 from typing import NamedTuple, TypedDict
 
+from bluebellhub.errors import ObjectError
 from bluebellhub.request.refusal import (
     NoUpstreamError,
     UnauthenticatedError,
@@ -10,6 +11,7 @@
 )
 from bluebellhub.route.account import Account, is_limited
 from bluebellhub.route.route import Route
+from bluebellhub.scaling.bounds import ScalingBounds
 
 __all__ = [
     'ActiveConfig',
@@ -30,7 +32,8 @@
 
     A cold upstream sustains ``cold_per_s`` requests/s and stays cold for
     ``cold_start_s`` after its start; 0 means that there is no such limit.
-    ``tokens_per_event`` is 0 for a plain service.
+    ``tokens_per_event`` is 0 for a plain service.  Without ``scaling`` the
+    number of its replicas is left alone.
     """
 
     name: str
@@ -38,6 +41,7 @@
     cold_per_s: float = 0.0
     cold_start_s: float = 0.0
     tokens_per_event: int = 0
+    scaling: ScalingBounds | None = None
 
 
 class CallerLimits(NamedTuple):
@@ -54,6 +58,7 @@
 
     The routes of a host are ordered by the length of their prefix, longest
     first. ``limited`` holds the accounts that have a limit, by name.
+    ``problems`` are fields that are not valid and count as left out.
     """
 
     version: int
@@ -63,6 +68,7 @@
     limited: Mapping[str, Account]
     needs_key: bool
     limits: CallerLimits
+    problems: tuple[ObjectError, ...] = ()
 
 
 class ActiveConfig(TypedDict):
--- /dev/null
+++ b/bluebellhub/scaling/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the replicas ordered, in virtual time."""
