--- a/bluebellhub/adapters/proxy/attempt.py
+++ b/bluebellhub/adapters/proxy/attempt.py
@@ -1,6 +1,6 @@
 """One attempt at one upstream, from connecting to the response's end."""
 
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from types import MappingProxyType
 from typing import Any, Final
 
@@ -32,6 +32,10 @@
     apply_load,
     apply_needs,
 )
+from bluebellhub.adapters.proxy.started_requests import (
+    counts_at_response,
+    make_start_counter,
+)
 from bluebellhub.adapters.proxy.upstream_connection import (
     ConnectError,
     UpstreamConnection,
@@ -180,19 +184,17 @@
         first_byte_timeout_s *= FIRST_BYTE_SHARE
     with trio.fail_after(max(0.0, first_byte_timeout_s)):
         response = await _read_head(connection)
-    apply_load(proxy, connection.spec.name, response)
-    apply_response_status(
-        proxy.site, connection.spec.name, is_error=is_error(response)
-    )
-    if belongs_to_request(context, connection, response):
-        apply_needs(proxy, connection.spec.name, response)
+    _apply_statements(proxy, context, connection, response)
+    count_once = make_start_counter(proxy, context)
+    if counts_at_response(context, connection, response):
+        count_once()
     await _check_response(context, connection, response)
     if is_stream(response):
         await forward_events(
             context,
             connection,
             response,
-            lambda: _record_progress(proxy, context, connection),
+            lambda: _record_event(proxy, context, connection, count_once),
         )
     else:
         _record_progress(proxy, context, connection)
@@ -200,6 +202,20 @@
     release(proxy.idle_connections, connection, response.idle_s)
 
 
+def _apply_statements(
+    proxy: Proxy,
+    context: RequestContext,
+    connection: UpstreamConnection,
+    response: ResponseHead,
+) -> None:
+    """Apply what the upstream states about itself in the response head."""
+    name = connection.spec.name
+    apply_load(proxy, name, response)
+    apply_response_status(proxy.site, name, is_error=is_error(response))
+    if belongs_to_request(context, connection, response):
+        apply_needs(proxy, name, response)
+
+
 async def _read_head(connection: UpstreamConnection) -> ResponseHead:
     while True:
         event = await read_event(connection)
@@ -237,6 +253,17 @@
     raise AttemptError(failure)
 
 
+def _record_event(
+    proxy: Proxy,
+    context: RequestContext,
+    connection: UpstreamConnection,
+    count_once: Callable[[], None],
+) -> None:
+    """Report an event to the scheduler; count the start of the request."""
+    count_once()
+    _record_progress(proxy, context, connection)
+
+
 def _record_progress(
     proxy: Proxy, context: RequestContext, connection: UpstreamConnection
 ) -> None:
--- a/bluebellhub/adapters/proxy/gossip.py
+++ b/bluebellhub/adapters/proxy/gossip.py
@@ -18,6 +18,7 @@
 )
 from bluebellhub.adapters.proxy.state import Proxy
 from bluebellhub.adapters.proxy.statements import apply_reported_limits
+from bluebellhub.adapters.proxy.usage_reports import receive_usage_report
 from bluebellhub.clock import now_s
 from bluebellhub.faults import isolate_fault
 from bluebellhub.registry import Registry, make_registry
@@ -38,6 +39,7 @@
 from bluebellhub.site.state import Site
 from bluebellhub.site.step_reports import apply_step_report
 from bluebellhub.site.vm_reports import apply_gossip, update_other_vms_load
+from bluebellhub.usage import UsageReport
 
 __all__ = ['GossipHandler', 'gossip_handlers', 'receive_gossip', 'send_gossip']
 
@@ -123,3 +125,8 @@
             'parts of prompts quarantined by the evidence of other VMs',
             extra={'quarantined_parts': parts},
         )
+
+
+@gossip_handlers.register(UsageReport.__name__)
+def _apply_usage(proxy: Proxy, sender: str, report: UsageReport) -> None:
+    receive_usage_report(proxy, sender, report)
--- a/bluebellhub/adapters/proxy/run.py
+++ b/bluebellhub/adapters/proxy/run.py
@@ -10,6 +10,10 @@
 
 from bluebellhub.adapters.node import make_node, run_ticks
 from bluebellhub.adapters.peer_link import close_link, open_peer_link
+from bluebellhub.adapters.proxy.duty_kinds import (
+    make_duty_work,
+    observe_demands,
+)
 from bluebellhub.adapters.proxy.gossip import receive_gossip, send_gossip
 from bluebellhub.adapters.proxy.moves import run_moves
 from bluebellhub.adapters.proxy.object_handlers import (
@@ -35,6 +39,7 @@
     run_stored_quarantine,
 )
 from bluebellhub.adapters.proxy.upstream_connection import close_expired
+from bluebellhub.adapters.proxy.usage_reports import send_usage_reports
 from bluebellhub.adapters.proxy.vm_announcement import (
     announce_vm,
     keep_announcing,
@@ -98,7 +103,8 @@
     thread starts has crashed the process.
     """
     node = make_node(settings, site.scheduler, _never_probe, nursery)
-    proxy = Proxy(node, site, {}, {})
+    duty_work = make_duty_work(settings.site.duty, site.start_id)
+    proxy = Proxy(node, site, {}, {}, duty_work)
     store = make_store(settings.site.store)
     announced = False
     with isolate_fault('announcement'):
@@ -108,6 +114,9 @@
     )
     watcher = make_watcher(proxy, store, link)
     _start_tasks(settings, nursery, watcher)
+    if proxy.duty_work is not None:
+        nursery.start_soon(send_usage_reports, proxy, link)
+        nursery.start_soon(observe_demands, proxy)
     nursery.start_soon(
         partial(keep_announcing, watcher, settings, announced=announced)
     )
--- a/bluebellhub/adapters/proxy/state.py
+++ b/bluebellhub/adapters/proxy/state.py
@@ -2,6 +2,8 @@
 
 from typing import NamedTuple, TypedDict
 
+import trio
+
 from bluebellhub.adapters.exchange import Exchange
 from bluebellhub.adapters.node import Node
 from bluebellhub.adapters.proxy.caller_connection import (
@@ -14,11 +16,14 @@
 )
 from bluebellhub.adapters.proxy.upstream_connection import IdleConnections
 from bluebellhub.request.heads import Headers
+from bluebellhub.scaling import Scaling
 from bluebellhub.site.admission import Admission
 from bluebellhub.site.state import Site
+from bluebellhub.usage import Usage
 
 __all__ = [
     'BufferedResponse',
+    'DutyWork',
     'Proxy',
     'RequestContext',
     'ResponseProgress',
@@ -26,17 +31,32 @@
 ]
 
 
+class DutyWork(NamedTuple):
+    """What this VM collects for the duties that the settings name.
+
+    ``new_holders`` passes on the names of VMs that begin to collect reports.
+    """
+
+    names: frozenset[str]
+    usage: Usage
+    scaling: Scaling
+    new_holders: trio.MemorySendChannel[str]
+    holders: trio.MemoryReceiveChannel[str]
+
+
 class Proxy(NamedTuple):
     """The root: the VM's runtime and site state, and open connections.
 
     ``idle_connections`` lead to upstreams; ``caller_connections`` are keyed
-    by the `id` of the connection.
+    by the `id` of the connection. ``duty_work`` is ``None`` if the settings
+    name no duty.
     """
 
     node: Node
     site: Site
     idle_connections: IdleConnections
     caller_connections: dict[int, CallerConnection]
+    duty_work: DutyWork | None = None
 
 
 class BufferedResponse(NamedTuple):
