Send a closed window with the same counts after a restored store

A store that comes back from an older copy may lack the last reports, and the next holder then counted their windows anew, without a VM that had died since. The holder now sends what it has closed with its own report, and a VM never computes such a window again. In virtual time the window was sent with other counts before; it is sent unchanged now.

--- a/bluebellhub/adapters/proxy/duty_kinds.py
+++ b/bluebellhub/adapters/proxy/duty_kinds.py
@@ -12,7 +12,7 @@
 
 from bluebellhub.adapters.proxy.started_requests import USAGE_DUTY
 from bluebellhub.adapters.proxy.state import DutyWork, Proxy
-from bluebellhub.adapters.proxy.usage_reports import announce_holder
+from bluebellhub.adapters.proxy.usage_reports import report_at_once
 from bluebellhub.clock import now_epoch_s, now_s
 from bluebellhub.duty import (
     DutyKind,
@@ -42,6 +42,7 @@
     local_true_s,
     make_usage,
     queued_requests,
+    record_closed,
     record_holding,
 )
 
@@ -61,7 +62,7 @@
     if not names:
         return None
     bounds = UsageBounds(settings.usage_window_s, settings.usage_late_s)
-    sender, receiver = trio.open_memory_channel[str](1)
+    sender, receiver = trio.open_memory_channel[None](1)
     return DutyWork(
         frozenset(names),
         make_usage(start_id, bounds),
@@ -77,7 +78,7 @@
     if work is not None and record_holding(work.usage, current_s):
         log.info('this VM collects usage and demand')
         reset_scaling(work.scaling)
-        announce_holder(work, proxy.site.vm)
+        report_at_once(work)
     return work
 
 
@@ -98,6 +99,8 @@
     work = _hold(proxy, current_s)
     if work is None:
         return None
+    for report in reports:
+        record_closed(work.usage, report.window, report.counts)
     after_window = max((report.window for report in reports), default=None)
     due = due_window(
         work.usage,
@@ -108,6 +111,8 @@
     )
     if due is None:
         return None
+    record_closed(work.usage, due.window, due.counts)
+    report_at_once(work)
     log.info(
         'usage window closed',
         extra={
--- a/bluebellhub/adapters/proxy/state.py
+++ b/bluebellhub/adapters/proxy/state.py
@@ -34,14 +34,15 @@
 class DutyWork(NamedTuple):
     """What this VM collects for the duties that the settings name.
 
-    ``new_holders`` passes on the names of VMs that begin to collect reports.
+    Through ``report_requests`` a report of usage is asked for at once, and
+    ``reports_due`` is where its sender is told.
     """
 
     names: frozenset[str]
     usage: Usage
     scaling: Scaling
-    new_holders: trio.MemorySendChannel[str]
-    holders: trio.MemoryReceiveChannel[str]
+    report_requests: trio.MemorySendChannel[None]
+    reports_due: trio.MemoryReceiveChannel[None]
 
 
 class Proxy(NamedTuple):
--- a/bluebellhub/adapters/proxy/usage_reports.py
+++ b/bluebellhub/adapters/proxy/usage_reports.py
@@ -19,7 +19,7 @@
     record_claim,
 )
 
-__all__ = ['receive_usage_report', 'send_usage_reports']
+__all__ = ['receive_usage_report', 'report_at_once', 'send_usage_reports']
 
 INTERVAL_S: Final = 1.0
 # A VM that stops reports more often: what it counts after its last report is
@@ -46,7 +46,7 @@
         with trio.move_on_after(
             LEAVING_INTERVAL_S if is_leaving else INTERVAL_S
         ):
-            await _wait_for_new_holder(work)
+            await work.reports_due.receive()
 
 
 def _receivers(proxy: Proxy, work: DutyWork) -> list[str]:
@@ -61,11 +61,6 @@
     return make_usage_report(work.usage, queued, now_s(), now_epoch_s())
 
 
-async def _wait_for_new_holder(work: DutyWork) -> None:
-    holder = await work.holders.receive()
-    log.info('usage is reported to a new holder', extra={'holder': holder})
-
-
 def receive_usage_report(
     proxy: Proxy, sender: str, report: UsageReport
 ) -> None:
@@ -83,16 +78,16 @@
     _count(proxy, sender, change)
     if change == 'applied' and report.is_holder:
         if record_claim(work.usage, sender, current_s):
-            announce_holder(work, sender)
+            log.info('usage goes to a new holder', extra={'holder': sender})
+            report_at_once(work)
 
 
-def announce_holder(work: DutyWork, holder: str) -> None:
+def report_at_once(work: DutyWork) -> None:
     """Have the next report sent at once."""
     try:
-        work.new_holders.send_nowait(holder)
+        work.report_requests.send_nowait(None)
     except trio.WouldBlock:
-        # A report is about to be sent because of another holder.
-        log.debug('a new holder is already known')
+        log.debug('a report is about to be sent already')
 
 
 def _count(proxy: Proxy, sender: str, change: str) -> None:
--- a/bluebellhub/tests/test_outer_names.py
+++ b/bluebellhub/tests/test_outer_names.py
@@ -160,7 +160,7 @@
     (
         UsageReport,
         'start_id sequence wall_s true_s first_window windows queued is_holder '
-        'is_time_known',
+        'is_time_known closed',
     ),
 ]
 
--- a/bluebellhub/usage/__init__.py
+++ b/bluebellhub/usage/__init__.py
@@ -1,6 +1,6 @@
 """Counts of requests by window and client account, for the usage reports."""
 
-from bluebellhub.usage.due import due_window
+from bluebellhub.usage.due import due_window, record_closed
 from bluebellhub.usage.holding import (
     collectors,
     end_holding,
@@ -39,6 +39,7 @@
     'make_usage_report',
     'queued_requests',
     'record_claim',
+    'record_closed',
     'record_holding',
     'true_time_s',
 ]
--- a/bluebellhub/usage/due.py
+++ b/bluebellhub/usage/due.py
@@ -8,7 +8,7 @@
 from bluebellhub.usage.usage import ReceivedUsage, Usage
 from bluebellhub.usage.windows import oldest_sendable, window_at, window_end_s
 
-__all__ = ['due_window']
+__all__ = ['due_window', 'record_closed']
 
 # Reports of all VMs are awaited for this time after the end of a window.
 SETTLED_S: Final = 1.0
@@ -42,12 +42,23 @@
         usage, live_vms, window, now_s
     ):
         return None
+    if window in usage.closed:
+        return WindowCounts(window, dict(usage.closed[window]))
     counts: Counter[str] = Counter()
     for part in _parts(usage, window):
         counts.update(part)
     return WindowCounts(window, dict(counts))
 
 
+def record_closed(usage: Usage, window: int, counts: Mapping[str, int]) -> None:
+    """Record the report of a window, whose counts never change again.
+
+    After the store was restored, the duty object may lack the report, and the
+    window is reported once more.
+    """
+    usage.closed[window] = counts
+
+
 def _next_window(usage: Usage, after_window: int | None, true_s: float) -> int:
     """Return the window that follows the last one reported.
 
--- a/bluebellhub/usage/reports.py
+++ b/bluebellhub/usage/reports.py
@@ -28,7 +28,8 @@
     nothing more in windows that ended before that. ``queued`` are the requests
     that wait there, by service. ``is_holder`` states that the sender collects
     these reports; it sends its own to all VMs. If it ``is_time_known`` there,
-    they take their true time from it.
+    they take their true time from it. ``closed`` are the windows that were
+    reported last.
     """
 
     start_id: int
@@ -40,3 +41,4 @@
     queued: dict[str, Count] = {}
     is_holder: bool = False
     is_time_known: bool = False
+    closed: list[WindowCounts] = []
--- a/bluebellhub/usage/tests/simulated_usage.py
+++ b/bluebellhub/usage/tests/simulated_usage.py
@@ -16,6 +16,7 @@
     make_usage,
     make_usage_report,
     record_claim,
+    record_closed,
     record_holding,
 )
 
@@ -51,6 +52,7 @@
         for number, name in enumerate(names, start=1)
     }
     state = {'holder': names[0], 'silent': set(), 'faults': False, 'number': 0}
+    state['sent'] = {}
     return Fleet(vms, [], {}, {}, Counter(), state, Random(5))
 
 
@@ -111,6 +113,10 @@
     last = max(fleet.reported, default=None)
     due = due_window(usage, live, last, true_s, now_s)
     if due is not None:
+        record_closed(usage, due.window, due.counts)
+        _report(fleet, name, now_s)
+        sent = fleet.state['sent'].setdefault(due.window, due.counts)
+        assert sent == due.counts, 'a window was sent with other counts'
         late_s = START_S + now_s - (due.window + 1) * BOUNDS.window_s
         fleet.reported[due.window] = (due.counts, late_s)
 
--- a/bluebellhub/usage/tests/test_reported_windows.py
+++ b/bluebellhub/usage/tests/test_reported_windows.py
@@ -40,6 +40,12 @@
     fleet.state['faults'] = True
 
 
+def restore(fleet):
+    """Restore a store that lacks the last two reports."""
+    for window in sorted(fleet.reported)[-2:]:
+        fleet.reported.pop(window)
+
+
 def jump(error_s, *names):
     return [(21.3, set_error(error_s, *names)), (34.1, set_error(0.0, *names))]
 
@@ -64,6 +70,13 @@
         0.05,
         8.5,
     ),
+    # The reports are sent once more, with the same counts. The new holder has
+    # not received those of the VM that died.
+    'the store is restored and the holder changes': (
+        [(22.9, stop('hub-4')), (29.5, restore), (29.5, hold('hub-2'))],
+        0.05,
+        14.5,
+    ),
     'a wall clock is 5 s ahead': (jump(5.0, 'hub-3'), 0.01, 2.2),
     'a wall clock is 5 s behind': (jump(-5.0, 'hub-3'), 0.01, 2.2),
     'three wall clocks are ahead': (
--- a/bluebellhub/usage/true_time.py
+++ b/bluebellhub/usage/true_time.py
@@ -8,8 +8,9 @@
 
 from collections import deque
 from collections.abc import Iterable
+from math import inf
 from statistics import median
-from typing import Final, NamedTuple
+from typing import Final, NamedTuple, TypedDict
 
 __all__ = [
     'TrueTime',
@@ -30,6 +31,8 @@
 TOLERANCE_S: Final = 0.25
 # With its own clock these are enough for a median that one cannot change.
 OTHER_CLOCKS_MIN: Final = 2
+# The median of hundreds of clocks is not computed for each message.
+MEDIAN_VALID_S: Final = 0.25
 
 
 class Observation(NamedTuple):
@@ -39,16 +42,24 @@
     seen_at_s: float
 
 
+class Median(TypedDict):
+    """The median offset, and when it was computed."""
+
+    offset_s: float
+    computed_at_s: float
+
+
 class TrueTime(NamedTuple):
     """The root: observed wall clocks by VM, and true times of holders."""
 
     walls: dict[str, deque[Observation]]
     reference: deque[Observation]
+    median: Median
 
 
 def make_true_time() -> TrueTime:
     """Create the state of a VM that knows its own wall clock only."""
-    return TrueTime({}, deque())
+    return TrueTime({}, deque(), {'offset_s': 0.0, 'computed_at_s': -inf})
 
 
 def observe_wall(
@@ -75,32 +86,40 @@
     ``wall_s`` is this VM's wall clock, which is returned unless it differs, and
     while too few others are known to tell which one is wrong.
     """
-    if not is_time_known(true_time, now_s):
-        return wall_s
     offset_s = _latest(true_time.reference, now_s)
     if offset_s is None:
         offset_s = _median_offset(true_time, wall_s - now_s, now_s)
+    if offset_s is None:
+        return wall_s
     corrected_s = now_s + offset_s
     return corrected_s if abs(wall_s - corrected_s) > TOLERANCE_S else wall_s
 
 
 def is_time_known(true_time: TrueTime, now_s: float) -> bool:
     """Return whether one wrong wall clock makes no difference."""
-    known = [
-        vm
-        for vm, seen in true_time.walls.items()
-        if _latest(seen, now_s) is not None
-    ]
-    is_told = _latest(true_time.reference, now_s) is not None
-    return is_told or len(known) >= OTHER_CLOCKS_MIN
+    if _latest(true_time.reference, now_s) is not None:
+        return True
+    return len(_wall_offsets(true_time, now_s)) >= OTHER_CLOCKS_MIN
 
 
 def _median_offset(
     true_time: TrueTime, local_offset_s: float, now_s: float
-) -> float:
+) -> float | None:
+    """Return the median offset, or ``None`` if too few clocks are known."""
+    last = true_time.median
+    if 0 <= now_s - last['computed_at_s'] <= MEDIAN_VALID_S:
+        return last['offset_s']
+    offsets = _wall_offsets(true_time, now_s)
+    if len(offsets) < OTHER_CLOCKS_MIN:
+        return None
+    last['offset_s'] = median([local_offset_s, *offsets])
+    last['computed_at_s'] = now_s
+    return last['offset_s']
+
+
+def _wall_offsets(true_time: TrueTime, now_s: float) -> list[float]:
     offsets = [_latest(seen, now_s) for seen in true_time.walls.values()]
-    known = [offset_s for offset_s in offsets if offset_s is not None]
-    return median([local_offset_s, *known])
+    return [offset_s for offset_s in offsets if offset_s is not None]
 
 
 def _latest(seen: Iterable[Observation], now_s: float) -> float | None:
--- a/bluebellhub/usage/usage.py
+++ b/bluebellhub/usage/usage.py
@@ -37,6 +37,9 @@
 # Corrections of the clock up to this size do not lead back into a window that
 # this VM has reported as complete.
 STEP_BACK_MAX_S: Final = 1.0
+# Windows that the next holder may not find in the duty object any more, after
+# the store was restored from an older copy.
+CLOSED_SENT: Final = 3
 # Queues in a report count for this time.
 QUEUED_VALID_S: Final = 3.0
 
@@ -76,7 +79,8 @@
     """The root: this VM's counts by window, and those of other VMs.
 
     ``received`` holds the reports by VM and start. ``claims`` holds when each
-    of the VMs that collect reports last said so.
+    of the VMs that collect reports last said so. ``closed`` are the windows
+    that a holder has reported; their counts never change.
     """
 
     start_id: int
@@ -85,6 +89,7 @@
     counts: dict[int, Counter[str]]
     received: dict[str, dict[int, ReceivedUsage]]
     claims: dict[str, float]
+    closed: dict[int, Mapping[str, int]]
     flags: UsageFlags
 
 
@@ -97,6 +102,7 @@
         {},
         {},
         {},
+        {},
         {
             'sequence': 0,
             'first_window': None,
@@ -142,6 +148,8 @@
     flags['sequence'] += 1
     oldest = oldest_kept(usage.bounds, true_s)
     _drop_before(usage.counts, oldest)
+    _drop_before(usage.closed, oldest)
+    is_holder = now_s < flags['holding_until_s']
     first = window_at(usage.bounds, true_s)
     if flags['first_window'] is not None:
         first = flags['first_window']
@@ -151,16 +159,21 @@
         wall_s,
         true_s,
         first,
-        [
-            WindowCounts(window, dict(counts))
-            for window, counts in sorted(usage.counts.items())
-        ],
+        _listed(usage.counts),
         dict(queued),
-        now_s < flags['holding_until_s'],
+        is_holder,
         is_time_known(usage.true_time, now_s),
+        _listed(usage.closed)[-CLOSED_SENT:] if is_holder else [],
     )
 
 
+def _listed(windows: Mapping[int, Mapping[str, int]]) -> list[WindowCounts]:
+    return [
+        WindowCounts(window, dict(counts))
+        for window, counts in sorted(windows.items())
+    ]
+
+
 def apply_usage_report(
     usage: Usage, vm: str, report: UsageReport, now_s: float, wall_s: float
 ) -> Change:
@@ -177,6 +190,8 @@
     observe_wall(usage.true_time, vm, report.wall_s, now_s)
     if report.is_holder and report.is_time_known:
         observe_reference(usage.true_time, report.true_s, now_s)
+    for closed in report.closed:
+        usage.closed.setdefault(closed.window, closed.counts)
     true_s = true_time_s(usage.true_time, now_s, wall_s)
     starts[report.start_id] = _merge(known, report, now_s, true_s)
     _drop_old(usage, starts, report.start_id, true_s)
