--- a/bluebellhub/adapters/proxy/duty_kinds.py
+++ b/bluebellhub/adapters/proxy/duty_kinds.py
@@ -50,8 +50,6 @@
 
 SCALING_DUTY: Final = 'autoscale'
 OBSERVATION_INTERVAL_S: Final = 0.25
-# Outcomes of an order after which the lease has ended.
-LOST: Final = frozenset(('refused', 'unsent'))
 
 log = logbook.Logger('bluebellhub.duty_work')
 
@@ -83,8 +81,8 @@
 
 
 def _end_if_lost(work: DutyWork | None, outcome: Outcome) -> None:
-    """Stop collecting if another VM holds the duties, or none."""
-    if work is not None and outcome in LOST:
+    """Stop collecting if another VM has held the duties since."""
+    if work is not None and outcome == 'refused':
         end_holding(work.usage)
 
 
