--- a/bluebellhub/usage/due.py
+++ b/bluebellhub/usage/due.py
@@ -42,8 +42,9 @@
         usage, live_vms, window, now_s
     ):
         return None
-    if window in usage.closed:
-        return WindowCounts(window, dict(usage.closed[window]))
+    closed = usage.closed.get(window)
+    if closed is not None:
+        return WindowCounts(window, dict(closed))
     counts: Counter[str] = Counter()
     for part in _parts(usage, window):
         counts.update(part)
