--- a/bluebellhub/adapters/proxy/run.py
+++ b/bluebellhub/adapters/proxy/run.py
@@ -10,7 +10,12 @@
 
 from bluebellhub.adapters.node import make_node, run_ticks
 from bluebellhub.adapters.peer_link import close_link, open_peer_link
+from bluebellhub.adapters.proxy.bounds import read_bounds
 from bluebellhub.adapters.proxy.duties import run_duties
+from bluebellhub.adapters.proxy.duty_kinds import (
+    make_duty_work,
+    observe_demands,
+)
 from bluebellhub.adapters.proxy.gossip import receive_gossip, send_gossip
 from bluebellhub.adapters.proxy.moves import run_moves
 from bluebellhub.adapters.proxy.object_handlers import (
@@ -36,6 +41,7 @@
     run_stored_quarantine,
 )
 from bluebellhub.adapters.proxy.upstream_connection import close_expired
+from bluebellhub.adapters.proxy.usage_reports import send_usage_reports
 from bluebellhub.adapters.proxy.vm_announcement import (
     announce_vm,
     keep_announcing,
@@ -46,12 +52,10 @@
 )
 from bluebellhub.adapters.signals import handle_signals
 from bluebellhub.clock import now_s
-from bluebellhub.duty import DutyBounds
 from bluebellhub.faults import isolate_fault
 from bluebellhub.platform.store_calls import close_store, make_store
-from bluebellhub.rates import ColdBounds, QuotaBounds, RetryBounds
-from bluebellhub.settings import DutySettings, Settings, SiteSettings
-from bluebellhub.site.state import Bounds, Site, make_site
+from bluebellhub.settings import Settings
+from bluebellhub.site.state import Site, make_site
 from bluebellhub.upstream import UpstreamSpec
 
 __all__ = ['run']
@@ -65,7 +69,6 @@
 EXIT_MARGIN_S: Final = 0.8
 POLL_INTERVAL_S: Final = 0.05
 SEED_BITS: Final = 32
-MS_PER_S: Final = 1000.0
 
 log = logbook.Logger('bluebellhub.run')
 
@@ -101,7 +104,8 @@
     thread starts has crashed the process.
     """
     node = make_node(settings, site.scheduler, _never_probe, nursery)
-    proxy = Proxy(node, site, {}, {})
+    duty_work = make_duty_work(settings.site.duty, site.start_id)
+    proxy = Proxy(node, site, {}, {}, duty_work)
     store = make_store(settings.site.store)
     announced = False
     with isolate_fault('announcement'):
@@ -111,6 +115,9 @@
     )
     watcher = make_watcher(proxy, store, link)
     _start_tasks(settings, nursery, watcher)
+    if proxy.duty_work is not None:
+        nursery.start_soon(send_usage_reports, proxy, link)
+        nursery.start_soon(observe_demands, proxy)
     nursery.start_soon(
         partial(keep_announcing, watcher, settings, announced=announced)
     )
@@ -122,7 +129,7 @@
     site = make_site(
         settings.vm,
         settings.failure_domain,
-        _read_bounds(settings.site),
+        read_bounds(settings.site),
         now_s(),
         secrets.randbits(SEED_BITS),
     )
@@ -135,22 +142,6 @@
     log.warning('unexpected probe', extra={'upstream': spec.name})
 
 
-def _read_bounds(site: SiteSettings) -> Bounds:
-    """Return the limits that all VMs share, from the settings."""
-    return Bounds(
-        QuotaBounds(site.quota_window_s, site.quota_overage, site.quota_slack),
-        RetryBounds(site.retry_window_s, site.retry_ratio, site.retry_slack),
-        ColdBounds(site.cold_overage, site.cold_slack),
-        _read_duty_bounds(site.duty),
-    )
-
-
-def _read_duty_bounds(duty: DutySettings) -> DutyBounds:
-    return DutyBounds(
-        duty.lease_ms / MS_PER_S, duty.fencing_enforced, duty.calls_per_s
-    )
-
-
 def _start_tasks(
     settings: Settings, nursery: trio.Nursery, watcher: Watcher
 ) -> None:
--- a/bluebellhub/metrics.py
+++ b/bluebellhub/metrics.py
@@ -39,6 +39,9 @@
     'duty_changes': 'change',
     'duty_calls': 'outcome',
     'duty_reports': 'use',
+    'usage_reports': 'change',
+    'usage_windows': 'outcome',
+    'scale_orders': 'outcome',
 }
 
 
--- a/bluebellhub/tests/test_outer_names.py
+++ b/bluebellhub/tests/test_outer_names.py
@@ -24,6 +24,7 @@
 )
 from bluebellhub.settings import DUTY_VARIABLE, parse_settings
 from bluebellhub.site.version_moves import StateWrite
+from bluebellhub.usage import UsageReport
 
 SAMPLES: Final = Path(__file__).parent / 'samples'
 DEPLOYED: Final = Path(__file__).parents[2] / 'deploy' / 'settings.yaml'
@@ -160,6 +161,11 @@
     ),
     (ErrorBody, 'type message run retry_after_s'),
     (StateWrite, 'model to_version state revision'),
+    (
+        UsageReport,
+        'start_id sequence wall_s true_s first_window windows queued is_holder '
+        'is_time_known closed',
+    ),
 ]
 
 
@@ -193,4 +199,7 @@
         'duty_changes': 'change',
         'duty_calls': 'outcome',
         'duty_reports': 'use',
+        'usage_reports': 'change',
+        'usage_windows': 'outcome',
+        'scale_orders': 'outcome',
     }
