Let few VMs of a failure domain watch the store and relay its changes

With many VMs, each watching all kinds of objects, calls of the store are the largest cost. Tests in virtual time cover 34 VMs in 2 domains with 18 failures.

--- a/bluebellhub/adapters/proxy/run.py
+++ b/bluebellhub/adapters/proxy/run.py
@@ -27,6 +27,7 @@
     serve_callers,
 )
 from bluebellhub.adapters.proxy.state import Proxy
+from bluebellhub.adapters.proxy.store_relaying import relay_store
 from bluebellhub.adapters.proxy.store_watch import (
     expire_objects,
     watch_store,
@@ -146,9 +147,7 @@
 ) -> None:
     proxy = watcher.proxy
     nursery.start_soon(run_ticks, proxy.node)
-    for kind in object_handlers.names():
-        nursery.start_soon(watch_store, watcher, kind)
-    nursery.start_soon(expire_objects, watcher)
+    _start_watches(nursery, watcher)
     nursery.start_soon(close_expired, proxy.idle_connections)
     nursery.start_soon(run_moves, proxy, watcher.store)
     nursery.start_soon(run_stored_quarantine, watcher)
@@ -157,6 +156,13 @@
     _start_servers(settings, nursery, proxy)
 
 
+def _start_watches(nursery: trio.Nursery, watcher: Watcher) -> None:
+    for kind in object_handlers.names():
+        nursery.start_soon(watch_store, watcher, kind)
+    nursery.start_soon(relay_store, watcher)
+    nursery.start_soon(expire_objects, watcher)
+
+
 def _start_servers(
     settings: Settings, nursery: trio.Nursery, proxy: Proxy
 ) -> None:
--- /dev/null
+++ b/bluebellhub/adapters/proxy/store_relaying.py
@@ -0,0 +1,192 @@
+"""Passes changes of the store between the VMs of a failure domain."""
+
+from typing import Final
+
+import logbook
+import trio
+
+from bluebellhub.adapters.peer_link import send_all
+from bluebellhub.adapters.proxy.gossip import gossip_handlers
+from bluebellhub.adapters.proxy.object_handlers import (
+    Watcher,
+    object_handlers,
+)
+from bluebellhub.adapters.proxy.state import Proxy
+from bluebellhub.clock import now_s
+from bluebellhub.errors import PeerMessageError
+from bluebellhub.faults import isolate_fault
+from bluebellhub.peer_messages import decode_message, encode_message
+from bluebellhub.registration import outage_age_s, record_past_outage
+from bluebellhub.site.state import Site
+from bluebellhub.site.store_messages import (
+    StoreChanges,
+    StorePositions,
+    is_valid,
+)
+from bluebellhub.site.store_relays import (
+    apply_store_positions,
+    change_recipients,
+    is_known_relay,
+    is_relay,
+    make_store_positions,
+    other_local_vms,
+    stated_outage_end_s,
+    take_relayed_changes,
+)
+from bluebellhub.site.stored_objects import Change, Position
+
+__all__ = ['apply_each', 'relay_store', 'send_changes']
+
+POSITIONS_INTERVAL_S: Final = 0.5
+# What the encoder and the decoder raise for an object that they cannot carry.
+ENCODING_ERRORS: Final = (
+    OverflowError,
+    PeerMessageError,
+    RecursionError,
+    TypeError,
+    ValueError,
+)
+
+log = logbook.Logger('bluebellhub.relaying')
+
+
+async def relay_store(watcher: Watcher) -> None:
+    """Apply relayed changes and, as a relay, tell how far this VM has read."""
+    site = watcher.proxy.site
+
+    def apply_changes(message: StoreChanges) -> None:
+        _apply_relayed(watcher, message)
+
+    site.store_relays.flags['apply_changes'] = apply_changes
+    was_relay = False
+    while True:
+        with isolate_fault('store_relay'):
+            relays = is_relay(site, now_s())
+            if relays:
+                _send_positions(watcher)
+            if relays != was_relay:
+                was_relay = relays
+                _count(site, 'began' if relays else 'ended')
+                log.info('store relay', extra={'relays': relays})
+        await trio.sleep(POSITIONS_INTERVAL_S)
+
+
+def _send_positions(watcher: Watcher) -> None:
+    site = watcher.proxy.site
+    positions = make_store_positions(site, now_s())
+    send_all(watcher.link, other_local_vms(site), positions)
+
+
+def send_changes(
+    watcher: Watcher,
+    kind: str,
+    before: Position,
+    after: Position,
+    changes: list[Change],
+) -> None:
+    """Relay what this VM has read between two positions, if it is a relay.
+
+    Changes that are too large, or that a message cannot carry, are announced
+    by the position after them only.
+    """
+    site = watcher.proxy.site
+    current_s = now_s()
+    if not changes or not is_relay(site, current_s):
+        return
+    outage_s = outage_age_s(site.registrations, current_s)
+    message = StoreChanges(
+        kind, after.era, before.revision, after.revision, changes, outage_s
+    )
+    size = _message_size(message)
+    names: list[str] = []
+    if size is not None:
+        names = change_recipients(site, size, current_s)
+    if names:
+        send_all(watcher.link, names, message)
+    else:
+        _send_positions(watcher)
+    _count(site, 'sent' if names else 'announced')
+
+
+def _message_size(message: StoreChanges) -> int | None:
+    """Return the encoded size, or ``None`` if it cannot be encoded."""
+    try:
+        encoded = encode_message(message)
+        decode_message(encoded)
+    except ENCODING_ERRORS as error:
+        log.info(
+            'changes not relayed',
+            extra={'kind': message.kind, 'cause': str(error)},
+        )
+        return None
+    return len(encoded)
+
+
+def apply_each(watcher: Watcher, kind: str, changes: list[Change]) -> None:
+    """Apply changes of a kind; an unexpected error ends only one of them."""
+    for change in changes:
+        name = change.entry.name
+        with isolate_fault('stored_object', kind=kind, name=name):
+            object_handlers.find(kind).apply_change(watcher, change)
+
+
+def _apply_relayed(watcher: Watcher, message: StoreChanges) -> None:
+    """Apply what a relay has read, unless it is known or has a gap."""
+    site = watcher.proxy.site
+    current_s = now_s()
+    if message.outage_age_s is not None:
+        record_past_outage(site.registrations, current_s - message.outage_age_s)
+    changes = take_relayed_changes(site, message, current_s)
+    if changes is None:
+        _count(site, 'gap')
+        log.info(
+            'relayed changes do not follow those known here',
+            extra={'kind': message.kind, 'before': message.before},
+        )
+        return
+    _count(site, 'applied' if changes else 'repeated')
+    apply_each(watcher, message.kind, changes)
+
+
+@gossip_handlers.register(StoreChanges.__name__)
+def _receive_changes(proxy: Proxy, sender: str, message: StoreChanges) -> None:
+    site = proxy.site
+    apply_changes = site.store_relays.flags['apply_changes']
+    is_accepted = (
+        message.kind in object_handlers.entries
+        and is_known_relay(site, sender)
+        and is_valid(message)
+    )
+    if not is_accepted:
+        _refuse(site, sender, message)
+    elif apply_changes is not None:
+        apply_changes(message)
+
+
+@gossip_handlers.register(StorePositions.__name__)
+def _receive_positions(
+    proxy: Proxy, sender: str, message: StorePositions
+) -> None:
+    site = proxy.site
+    current_s = now_s()
+    if not apply_store_positions(site, sender, message, current_s):
+        _refuse(site, sender, message)
+        return
+    ended_at_s = stated_outage_end_s(site, current_s)
+    if ended_at_s is not None:
+        record_past_outage(site.registrations, ended_at_s)
+
+
+def _refuse(
+    site: Site, sender: str, message: StoreChanges | StorePositions
+) -> None:
+    """Count a message that is malformed, older or from an unknown sender."""
+    _count(site, 'refused')
+    log.warning(
+        'message about the store refused',
+        extra={'sender': sender, 'message': type(message).__name__},
+    )
+
+
+def _count(site: Site, event: str) -> None:
+    site.scheduler.counters['store_relays', event] += 1
--- a/bluebellhub/adapters/proxy/store_watch.py
+++ b/bluebellhub/adapters/proxy/store_watch.py
@@ -1,8 +1,9 @@
 """Watches the platform's store."""
 
+from collections.abc import Awaitable, Callable
 from math import inf
 from types import MappingProxyType
-from typing import Final
+from typing import Final, TypedDict
 
 import logbook
 import trio
@@ -11,6 +12,10 @@
     Watcher,
     object_handlers,
 )
+from bluebellhub.adapters.proxy.store_relaying import (
+    apply_each,
+    send_changes,
+)
 from bluebellhub.clock import now_s
 from bluebellhub.errors import StoreError
 from bluebellhub.faults import isolate_fault, report_fault
@@ -30,8 +35,30 @@
 )
 from bluebellhub.platform.store_calls import HistoryGoneError
 from bluebellhub.registration import record_outage
+from bluebellhub.registry import Registry, make_registry
 from bluebellhub.retention import end_retention
-from bluebellhub.site.pacing import watch_delay_s, watch_timeout_s
+from bluebellhub.site.pacing import (
+    WATCHING_VMS_MAX,
+    retry_interval_s,
+    watch_delay_s,
+    watch_timeout_s,
+)
+from bluebellhub.site.state import Site
+from bluebellhub.site.store_history import (
+    has_gone_back,
+    listing_changes,
+    record_changes,
+    record_listing,
+    record_response,
+)
+from bluebellhub.site.store_relays import (
+    find_history,
+    has_relays,
+    is_relay,
+    next_step,
+    record_own_read,
+    relays_confirm,
+)
 
 __all__ = ['expire_objects', 'watch_store']
 
@@ -47,6 +74,21 @@
         QUARANTINE_KIND: 25.0,
     }
 )
+# The same in a fleet with relays. A lost response is noticed 0.7 s later, and
+# other VMs read by themselves 1.0 to 1.4 s later: changes of the first two are
+# in force within 3 s, and evacuations, within 5 s, even then.
+RELAY_WAITS_S: Final = MappingProxyType(
+    {
+        CONFIG_KIND: 1.2,
+        UPSTREAM_KIND: 1.2,
+        EVACUATION_KIND: 3.0,
+        MOVE_KIND: 10.0,
+        VM_KIND: 10.0,
+        QUARANTINE_KIND: 25.0,
+    }
+)
+RELAY_WAIT_MIN_S: Final = 0.2
+FOLLOW_INTERVAL_S: Final = 0.1
 RETRY_MIN_S: Final = 0.1
 RETRY_MAX_S: Final = 0.5
 EXPIRY_INTERVAL_S: Final = 0.25
@@ -54,6 +96,24 @@
 log = logbook.Logger('bluebellhub.watching')
 
 
+class WatchState(TypedDict):
+    """What the next call for a kind does.
+
+    It ``waits`` for changes if there are none yet, or ``lists`` all objects.
+    The last changes were read at ``changed_at_s``.
+    """
+
+    waits: bool
+    lists: bool
+    changed_at_s: float
+    pause_s: float
+
+
+StoreStep = Callable[[Watcher, str, WatchState], Awaitable[None]]
+
+store_steps: Registry[StoreStep] = make_registry('store step')
+
+
 async def watch_store(watcher: Watcher, kind: str) -> None:
     """Apply the changes of one kind of object until cancelled.
 
@@ -62,120 +122,224 @@
 
     A store that is restored while no call waits has lost its history too, but
     tells so only with its next response.  So the first call after one that
-    failed or was cancelled does not wait for changes.
+    failed or was cancelled does not wait for changes, and neither does the
+    first one after following relays.
     """
-    since = await _list_stale(watcher, kind)
-    changed_at_s = -inf
-    pause_s = RETRY_MIN_S
-    waits = since is not None
+    is_listed = await _list_stale(watcher, kind)
+    state: WatchState = {
+        'waits': is_listed,
+        'lists': not is_listed,
+        'changed_at_s': -inf,
+        'pause_s': RETRY_MIN_S,
+    }
+    followed = False
     while True:
+        step = _next_step(watcher, kind)
+        _log_following(watcher, kind, follows=step != 'watch', did=followed)
+        followed = step != 'watch'
         try:
-            with trio.CancelScope() as scope:
-                watcher.waits[kind] = scope
-                before = since
-                since = await _apply_next(watcher, kind, before, waits=waits)
-                if since != before:
-                    changed_at_s = await _delay_next_watch(
-                        watcher, changed_at_s
-                    )
+            await _take_step(watcher, kind, state, step)
         except HistoryGoneError as error:
-            _log_history_gone(kind, since, error)
-            since = None
+            _log_history_gone(watcher, kind, error)
+            state['lists'] = True
         except StoreError as error:
             _record_availability(watcher, kind, str(error))
-            await trio.sleep(pause_s)
-            pause_s = min(RETRY_MAX_S, pause_s * 2)
-            waits = False
+            await _pause(watcher, state)
         except Exception as error:
             report_fault(error, 'store_watch', kind=kind)
             await trio.sleep(RETRY_MAX_S)
-            since = None
-        else:
-            _record_availability(watcher, kind, '')
-            pause_s = RETRY_MIN_S
-            waits = not scope.cancelled_caught
+            state['lists'] = True
+
+
+async def _take_step(
+    watcher: Watcher, kind: str, state: WatchState, step: str
+) -> None:
+    """Take a step that may be cancelled; the store responds if it ends."""
+    with trio.CancelScope() as scope:
+        watcher.waits[kind] = scope
+        await store_steps.find(step)(watcher, kind, state)
+    _record_availability(watcher, kind, '')
+    state['pause_s'] = RETRY_MIN_S
+    state['waits'] = step == 'watch' and not scope.cancelled_caught
+
+
+def _next_step(watcher: Watcher, kind: str) -> str:
+    site = watcher.proxy.site
+    return next_step(site, kind, RELAY_WAITS_S[kind], now_s())
+
+
+async def _pause(watcher: Watcher, state: WatchState) -> None:
+    """Wait before the next call after one that failed."""
+    longest_s = max(RETRY_MAX_S, retry_interval_s(len(watcher.proxy.site.vms)))
+    await trio.sleep(state['pause_s'])
+    state['pause_s'] = min(longest_s, state['pause_s'] * 2)
+    state['waits'] = False
+
+
+def _log_following(
+    watcher: Watcher, kind: str, *, follows: bool, did: bool
+) -> None:
+    if follows == did:
+        return
+    event = 'followed' if follows else 'fell_back'
+    watcher.proxy.site.scheduler.counters['store_relays', event] += 1
+    log.info(
+        'store relays followed' if follows else 'store watched directly',
+        extra={'kind': kind},
+    )
 
 
 def _log_history_gone(
-    kind: str, since: Position | None, error: HistoryGoneError
+    watcher: Watcher, kind: str, error: HistoryGoneError
 ) -> None:
+    since = find_history(watcher.proxy.site, kind).state['position']
     log.info(
         'store history lost; listing all objects again',
         extra={'kind': kind, 'cause': str(error), 'since': since},
     )
 
 
-async def _list_stale(watcher: Watcher, kind: str) -> Position | None:
-    """Apply a listing that may be seconds old; return its position.
-
-    Return ``None`` if the store did not respond.
-    """
+async def _list_stale(watcher: Watcher, kind: str) -> bool:
+    """Apply a listing that may be seconds old; return whether it was read."""
     try:
         listing = await list_objects(watcher.store, kind, stale_ok=True)
     except StoreError as error:
         _record_availability(watcher, kind, str(error))
-        return None
+        return False
     with isolate_fault('store_watch', kind=kind):
-        return _apply_listing(watcher, kind, listing)
-    return None
+        _apply_listing(watcher, kind, listing)
+        return True
+    return False
 
 
-def _apply_listing(watcher: Watcher, kind: str, listing: Listing) -> Position:
-    """Apply all objects of a kind; return the position to watch from."""
+def _apply_listing(watcher: Watcher, kind: str, listing: Listing) -> None:
+    """Apply all objects of a kind."""
     handler = object_handlers.find(kind)
     era = listing.position.era
     if watcher.eras.get(kind, era) != era:
         handler.record_restore(watcher)
     watcher.eras[kind] = era
     handler.apply_listing(watcher, listing.entries)
-    watcher.proxy.site.flags['unread_kinds'].discard(kind)
-    return listing.position
+    site = watcher.proxy.site
+    record_listing(find_history(site, kind), listing.entries, listing.position)
+    site.flags['unread_kinds'].discard(kind)
+
+
+@store_steps.register('follow')
+async def _follow(watcher: Watcher, kind: str, state: WatchState) -> None:
+    """Let the relays tell of changes."""
+    await trio.sleep(FOLLOW_INTERVAL_S)
+
+
+@store_steps.register('list')
+async def _list(watcher: Watcher, kind: str, state: WatchState) -> None:
+    """List a kind; a relay passes on the difference to what it knew."""
+    site = watcher.proxy.site
+    history = find_history(site, kind)
+    asked_at = history.state['position']
+    listing = await list_objects(watcher.store, kind)
+    state['lists'] = False
+    record_response(history, now_s())
+    record_own_read(site, kind)
+    if has_gone_back(history, asked_at, listing.position):
+        return
+    changes = listing_changes(history, listing.entries, listing.position)
+    before = history.state['position']
+    _apply_listing(watcher, kind, listing)
+    if before is not None and changes is not None:
+        send_changes(watcher, kind, before, listing.position, changes)
+
+
+@store_steps.register('read')
+async def _read(watcher: Watcher, kind: str, state: WatchState) -> None:
+    """Read the changes that relays have announced."""
+    state['waits'] = False
+    await _read_or_list(watcher, kind, state)
+
+
+@store_steps.register('watch')
+async def _watch(watcher: Watcher, kind: str, state: WatchState) -> None:
+    """Read changes; if there are none yet, wait for some."""
+    history = find_history(watcher.proxy.site, kind)
+    before = None if state['lists'] else history.state['position']
+    if await _read_or_list(watcher, kind, state) != before:
+        await _delay_next_watch(watcher, state)
+
+
+async def _read_or_list(
+    watcher: Watcher, kind: str, state: WatchState
+) -> Position | None:
+    """Apply the changes of a kind or list it; return the store's position."""
+    site = watcher.proxy.site
+    history = find_history(site, kind)
+    since = history.state['position']
+    if since is None or state['lists']:
+        await _list(watcher, kind, state)
+        return history.state['position']
+    wait_s = _wait_s(site, kind) if state['waits'] else 0.0
+    sent_at_s = now_s()
+    changes, position = await watch_objects(watcher.store, kind, since, wait_s)
+    # Without changes the response is as of the end of the wait, or later.
+    responded_s = inf if changes else sent_at_s + wait_s
+    record_response(history, min(now_s(), responded_s))
+    record_own_read(site, kind)
+    found = record_changes(
+        history,
+        changes,
+        position.revision,
+        are_all_new=history.state['position'] == since,
+    )
+    apply_each(watcher, kind, found)
+    send_changes(watcher, kind, since, position, changes)
+    return position
+
 
+def _wait_s(site: Site, kind: str) -> float:
+    """Return how long a watch waits that starts now.
 
-async def _delay_next_watch(watcher: Watcher, changed_at_s: float) -> float:
+    In a fleet with relays, responses follow each other within the wait.
+    """
+    if not has_relays(site):
+        return watch_timeout_s(WATCH_WAITS_S[kind], len(site.vms))
+    since_s = now_s() - find_history(site, kind).state['heard_at_s']
+    return max(RELAY_WAIT_MIN_S, RELAY_WAITS_S[kind] - max(0.0, since_s))
+
+
+async def _delay_next_watch(watcher: Watcher, state: WatchState) -> None:
     """Delay the next watch if the last changes follow others closely."""
     site = watcher.proxy.site
     current_s = now_s()
+    vm_count = len(site.vms)
+    if has_relays(site):
+        vm_count = min(vm_count, WATCHING_VMS_MAX)
     delay_s = watch_delay_s(
-        len(site.vms), current_s - changed_at_s, current_s - site.started_at_s
+        vm_count,
+        current_s - state['changed_at_s'],
+        current_s - site.started_at_s,
     )
     await trio.sleep(delay_s)
-    return now_s()
+    state['changed_at_s'] = now_s()
 
 
-async def _apply_next(
-    watcher: Watcher, kind: str, since: Position | None, *, waits: bool
-) -> Position:
-    """List a kind or read its changes; return the new position.
+def _record_availability(watcher: Watcher, kind: str, cause: str) -> None:
+    """Record whether the store responds to the watch of registrations.
 
-    If there are no changes yet and it ``waits``, it waits for some.
+    If it fails for this VM only, while relays get responses, this is no outage.
     """
-    if since is None:
-        listing = await list_objects(watcher.store, kind)
-        return _apply_listing(watcher, kind, listing)
-    vm_count = len(watcher.proxy.site.vms)
-    wait_s = 0.0
-    if waits:
-        wait_s = watch_timeout_s(WATCH_WAITS_S[kind], vm_count)
-    changes, position = await watch_objects(watcher.store, kind, since, wait_s)
-    for change in changes:
-        name = change.entry.name
-        with isolate_fault('stored_object', kind=kind, name=name):
-            object_handlers.find(kind).apply_change(watcher, change)
-    return position
-
-
-def _record_availability(watcher: Watcher, kind: str, cause: str) -> None:
-    """Record whether the store responds to the watch of registrations."""
     if kind != UPSTREAM_KIND:
         return
-    registrations = watcher.proxy.site.registrations
-    if record_outage(registrations, now_s(), is_on=bool(cause)):
+    site = watcher.proxy.site
+    current_s = now_s()
+    fails = bool(cause) and (
+        is_relay(site, current_s)
+        or not relays_confirm(site, kind, RELAY_WAITS_S[kind], current_s)
+    )
+    if record_outage(site.registrations, current_s, is_on=fails):
         for other, scope in watcher.waits.items():
             if WATCH_WAITS_S[other] > WATCH_WAITS_S[kind]:
                 scope.cancel()
         log.info(
-            'store unavailable' if cause else 'store available again',
+            'store unavailable' if fails else 'store available again',
             extra={'cause': cause},
         )
 
--- /dev/null
+++ b/bluebellhub/adapters/proxy/tests/test_relayed_store.py
@@ -0,0 +1,189 @@
+"""Changes of the store reach all VMs in time, though few VMs watch it."""
+
+from collections.abc import Callable
+from typing import NamedTuple
+
+import pytest
+import trio
+
+from bluebellhub.adapters.proxy import store_watch
+from bluebellhub.adapters.proxy.tests.relayed_fleet import (
+    make_fleet,
+    relays_of,
+    restore,
+    run_fleet,
+    start_vm,
+    use_virtual_time,
+    write,
+)
+from bluebellhub.platform.object_codec import (
+    CONFIG_KIND,
+    EVACUATION_KIND,
+    MOVE_KIND,
+    UPSTREAM_KIND,
+)
+from bluebellhub.site import store_relays
+
+BOUNDS_S = {CONFIG_KIND: 3.0, UPSTREAM_KIND: 3.0, EVACUATION_KIND: 5.0}
+SETTLED_S = 6.0
+KINDS = (*BOUNDS_S, MOVE_KIND)
+
+
+@pytest.fixture
+def _virtual_time(monkeypatch):
+    use_virtual_time(monkeypatch, KINDS)
+
+
+class Failure(NamedTuple):
+    """What fails, by the relays and all VMs of a domain, and how it ends."""
+
+    begin: Callable
+    end: Callable = lambda fleet, relays: None
+
+
+def _fault(name, choose):
+    """Return a failure of the VMs that ``choose`` returns."""
+    return Failure(
+        lambda fleet, relays: fleet.faults[name].update(choose(relays)),
+        lambda fleet, relays: fleet.faults[name].clear(),
+    )
+
+
+def _restart(choose):
+    def begin(fleet, relays):
+        for vm in choose(relays):
+            start_vm(fleet, vm, dict(fleet.watchers[vm].proxy.site.vms))
+
+    return Failure(begin)
+
+
+def _drop_history(fleet, relays):
+    fleet.store['floor'] = fleet.store['revision'] + 1
+    fleet.store['revision'] += 1
+
+
+def _set_store(field, failing, normal):
+    return Failure(
+        lambda fleet, relays: fleet.store.update({field: failing}),
+        lambda fleet, relays: fleet.store.update({field: normal}),
+    )
+
+
+def _lose_messages(ratio):
+    return Failure(
+        lambda fleet, relays: fleet.faults.update(loss=ratio),
+        lambda fleet, relays: fleet.faults.update(loss=0.0),
+    )
+
+
+def _lose_responses():
+    return Failure(
+        lambda fleet, relays: fleet.store.update(lost=set()),
+        lambda fleet, relays: fleet.store.update(lost=None),
+    )
+
+
+FIRST, BOTH = (lambda relays: relays[:1]), (lambda relays: relays)
+FAILURES = {
+    'none': Failure(lambda fleet, relays: None),
+    'one relay frozen': _fault('frozen', FIRST),
+    'both relays frozen': _fault('frozen', BOTH),
+    'one relay cut from the store': _fault('cut_from_store', FIRST),
+    'both relays cut from the store': _fault('cut_from_store', BOTH),
+    'one relay refused by the store': _fault('store_down', FIRST),
+    'both relays refused by the store': _fault('busy', BOTH),
+    'one relay mute': _fault('mute', FIRST),
+    'both relays mute': _fault('mute', BOTH),
+    'one relay deaf': _fault('deaf', FIRST),
+    'both relays deaf': _fault('deaf', BOTH),
+    'one relay restarted': _restart(FIRST),
+    'both relays restarted': _restart(BOTH),
+    'history dropped': Failure(_drop_history),
+    'store slow': _set_store('latency_s', 0.3, 0.002),
+    'responses lost': _lose_responses(),
+    'messages lost': _lose_messages(0.3),
+    'all messages lost': _lose_messages(1.0),
+}
+
+
+def _write_some(fleet, number):
+    """Write one object of each kind with a bound; remove an older one."""
+    now_s = trio.current_time()
+    written = []
+    for kind in BOUNDS_S:
+        for name, spec in ((f'o{number % 3}', {'n': number}), ('last', {})):
+            write(fleet, kind, name, spec)
+            written.append((now_s, kind, name, fleet.store['revision']))
+        gone = f'o{(number + 1) % 3}'
+        if gone in fleet.store['objects'][kind]:
+            removed = fleet.store['objects'][kind][gone][0]
+            write(fleet, kind, gone, None)
+            written.append((now_s, kind, gone, removed + 0.5))
+    return written
+
+
+def _is_in_force(fleet, vm, kind, name, revision):
+    """Return whether a VM has applied a write or, with a half, a removal."""
+    newest, exists = fleet.applied[vm][kind].get(name, (0, False))
+    if revision == int(revision):
+        return newest >= revision
+    return not exists or newest > revision
+
+
+def _can_know(fleet, vm):
+    """Return whether a VM runs and, or its relays, reaches the store."""
+    cut = [
+        fleet.faults[fault]
+        for fault in ('cut_from_store', 'busy', 'store_down')
+    ]
+    is_cut = any(vm in vms and len(vms) > 1 for vms in cut)
+    return vm not in fleet.faults['frozen'] and not is_cut
+
+
+async def _check(fleet, written):
+    """Assert that all VMs that can know a change apply it in time."""
+    for at_s, kind, name, revision in sorted(
+        written, key=lambda change: BOUNDS_S[change[1]]
+    ):
+        await trio.sleep_until(at_s + BOUNDS_S[kind])
+        late = [
+            vm
+            for vm in fleet.watchers
+            if _can_know(fleet, vm)
+            and not _is_in_force(fleet, vm, kind, name, revision)
+        ]
+        assert not late, (at_s, kind, name, revision, late)
+
+
+async def _check_all_alike(fleet):
+    """Assert that all VMs have exactly what the store has."""
+    await trio.sleep(SETTLED_S)
+    for vm, kinds in fleet.applied.items():
+        for kind, found in kinds.items():
+            has = {name: got[0] for name, got in found.items() if got[1]}
+            stored = fleet.store['objects'][kind]
+            assert has == {name: got[0] for name, got in stored.items()}, vm
+
+
+@pytest.mark.usefixtures('_virtual_time')
+@pytest.mark.parametrize('name', FAILURES)
+@pytest.mark.parametrize('after_s', [0.0, 0.4, 1.7])
+async def test_change_is_in_force_in_time(name, after_s, autojump_clock):
+    """Else a VM would send requests to an upstream that is draining."""
+    failure = FAILURES[name]
+    async with trio.open_nursery() as nursery:
+        fleet = make_fleet(KINDS, nursery)
+        run_fleet(fleet, 34, 2)
+        _write_some(fleet, 0)
+        await trio.sleep(SETTLED_S)
+        relays = relays_of(fleet, 'd0')
+        assert len(relays) == 2
+        failure.begin(fleet, relays)
+        await trio.sleep(after_s)
+        written = _write_some(fleet, 1)
+        await trio.sleep(0.7)
+        written += _write_some(fleet, 2)
+        await _check(fleet, written)
+        failure.end(fleet, relays)
+        await _check_all_alike(fleet)
+        nursery.cancel_scope.cancel()
--- a/bluebellhub/metrics.py
+++ b/bluebellhub/metrics.py
@@ -36,6 +36,7 @@
     'quarantined': 'evidence',
     'asked_pauses': 'change',
     'departures': 'source',
+    'store_relays': 'event',
 }
 
 
--- a/bluebellhub/platform/store.py
+++ b/bluebellhub/platform/store.py
@@ -16,6 +16,7 @@
     call_store,
     read_era,
 )
+from bluebellhub.site.stored_objects import Change, Position, StoredEntry
 
 __all__ = [
     'Change',
@@ -38,32 +39,6 @@
 Decoded = TypeVar('Decoded')
 
 
-class StoredEntry(NamedTuple):
-    """An object of the store.
-
-    ``spec`` is what its author wrote, ``status`` what bluebellhub reports.
-    """
-
-    name: str
-    revision: int
-    spec: Any
-    status: Any = None
-
-
-class Change(NamedTuple):
-    """An object that was written or removed."""
-
-    entry: StoredEntry
-    is_removed: bool
-
-
-class Position(NamedTuple):
-    """A point in the store's history; the same revision has one in each era."""
-
-    revision: int
-    era: int | None
-
-
 class Listing(NamedTuple):
     """All objects of a kind, and the position from which to watch."""
 
--- a/bluebellhub/registration/registration.py
+++ b/bluebellhub/registration/registration.py
@@ -9,7 +9,9 @@
     'current_registration',
     'current_registrations',
     'make_registration_table',
+    'outage_age_s',
     'record_outage',
+    'record_past_outage',
     'record_restore',
     'register',
     'release_held',
@@ -225,6 +227,27 @@
     return changed
 
 
+def outage_age_s(
+    registrations: RegistrationTable, now_s: float
+) -> float | None:
+    """Return how long ago the store's outage ended; 0 during one.
+
+    Return ``None`` if removals take effect at once again.
+    """
+    if not _is_around_outage(registrations, now_s):
+        return None
+    outage = registrations.outage
+    return 0.0 if outage['is_on'] else max(0.0, now_s - outage['ended_at_s'])
+
+
+def record_past_outage(
+    registrations: RegistrationTable, ended_at_s: float
+) -> None:
+    """Record an outage that another VM has seen, and when it ended."""
+    outage = registrations.outage
+    outage['ended_at_s'] = max(outage['ended_at_s'], ended_at_s)
+
+
 def _record_departure(
     registrations: RegistrationTable, entry: Registration
 ) -> None:
--- a/bluebellhub/site/pacing.py
+++ b/bluebellhub/site/pacing.py
@@ -7,11 +7,21 @@
 
 from typing import Final
 
-__all__ = ['watch_delay_s', 'watch_timeout_s']
+__all__ = [
+    'WATCHING_VMS_MAX',
+    'retry_interval_s',
+    'watch_delay_s',
+    'watch_timeout_s',
+]
 
 # Watches of one kind that all VMs together may start per second.
 IDLE_WATCHES_PER_S: Final = 6.0
 CHANGED_WATCHES_PER_S: Final = 85.0
+# In a fleet with relays, bursts are delayed as in a fleet of this size: 0.5 s.
+WATCHING_VMS_MAX: Final = 42
+# Calls that fail are repeated at this rate by all VMs together: six kinds each,
+# in an outage, stay below 1,500 calls/s.
+RETRIES_PER_S: Final = 250.0
 # The longest wait that the store allows, less a margin for its response.
 WATCH_TIMEOUT_MAX_S: Final = 28.0
 # When all VMs and upstreams start together, the upstreams register one by one.
@@ -44,3 +54,12 @@
     if uptime_s < STARTUP_S:
         interval_s = max(interval_s, STARTUP_DELAY_S)
     return max(0.0, interval_s - since_change_s)
+
+
+def retry_interval_s(vm_count: int) -> float:
+    """Return how many seconds apart a VM repeats a call of a kind that fails.
+
+    >>> retry_interval_s(16), retry_interval_s(200)
+    (0.064, 0.8)
+    """
+    return vm_count / RETRIES_PER_S
--- a/bluebellhub/site/state.py
+++ b/bluebellhub/site/state.py
@@ -26,6 +26,7 @@
 from bluebellhub.scheduler.capacity import unused_window_slots
 from bluebellhub.scheduler.state import SchedulerOptions
 from bluebellhub.site.grid import Grid, make_grid, report_age_s
+from bluebellhub.site.relay_reports import StoreRelays, make_store_relays
 from bluebellhub.site.reports import Peer, RemoteDomain
 from bluebellhub.site.vm_location import VmLocation
 from bluebellhub.upstream import Upstream
@@ -111,6 +112,7 @@
     admitted_by_peers: Counter[str]
     moves: dict[str, SiteMove]
     flags: SiteFlags
+    store_relays: StoreRelays
 
 
 def make_site(
@@ -168,6 +170,7 @@
             'grid': make_grid(vm, {}),
             'unread_kinds': set(),
         },
+        make_store_relays(),
     )
 
 
--- a/bluebellhub/tests/test_outer_names.py
+++ b/bluebellhub/tests/test_outer_names.py
@@ -186,4 +186,5 @@
         'quarantined': 'evidence',
         'asked_pauses': 'change',
         'departures': 'source',
+        'store_relays': 'event',
     }
