Let the second relay of a failure domain stand by

Both relays confirmed positions with short waits, which cost more calls than the changes. The second relay now waits longer while the first one hears the store, and takes over once it does not.

--- a/bluebellhub/adapters/proxy/store_relaying.py
+++ b/bluebellhub/adapters/proxy/store_relaying.py
@@ -1,6 +1,6 @@
 """Passes changes of the store between the VMs of a failure domain."""
 
-from typing import Final
+from typing import Final, NamedTuple
 
 import logbook
 import trio
@@ -30,6 +30,7 @@
     is_relay,
     make_store_positions,
     other_local_vms,
+    stands_by,
     stated_outage_end_s,
     take_relayed_changes,
 )
@@ -37,7 +38,8 @@
 
 __all__ = ['apply_each', 'relay_store', 'send_changes']
 
-POSITIONS_INTERVAL_S: Final = 0.5
+# Positions are sent every second time.
+ROLE_INTERVAL_S: Final = 0.25
 # What the encoder and the decoder raise for an object that they cannot carry.
 ENCODING_ERRORS: Final = (
     OverflowError,
@@ -50,6 +52,13 @@
 log = logbook.Logger('bluebellhub.relaying')
 
 
+class RelayRole(NamedTuple):
+    """Whether a VM relays, and whether it does so next to a better relay."""
+
+    relays: bool
+    stands_by: bool
+
+
 async def relay_store(watcher: Watcher) -> None:
     """Apply relayed changes and, as a relay, tell how far this VM has read."""
     site = watcher.proxy.site
@@ -58,17 +67,30 @@
         _apply_relayed(watcher, message)
 
     site.store_relays.flags['apply_changes'] = apply_changes
-    was_relay = False
+    role = RelayRole(relays=False, stands_by=False)
     while True:
-        with isolate_fault('store_relay'):
-            relays = is_relay(site, now_s())
-            if relays:
-                _send_positions(watcher)
-            if relays != was_relay:
-                was_relay = relays
-                _count(site, 'began' if relays else 'ended')
-                log.info('store relay', extra={'relays': relays})
-        await trio.sleep(POSITIONS_INTERVAL_S)
+        for sends in (True, False):
+            with isolate_fault('store_relay'):
+                role = _take_role(watcher, role)
+                if sends and role.relays:
+                    _send_positions(watcher)
+            await trio.sleep(ROLE_INTERVAL_S)
+
+
+def _take_role(watcher: Watcher, before: RelayRole) -> RelayRole:
+    """Return this VM's role now; end long waits when it stands by no longer."""
+    site = watcher.proxy.site
+    current_s = now_s()
+    relays = is_relay(site, current_s)
+    role = RelayRole(relays, relays and stands_by(site, current_s))
+    if before.stands_by and not role.stands_by:
+        for scope in watcher.waits.values():
+            scope.cancel()
+    if role.relays != before.relays:
+        _count(site, 'began' if relays else 'ended')
+    if role != before:
+        log.info('store relay', extra=role._asdict())
+    return role
 
 
 def _send_positions(watcher: Watcher) -> None:
--- a/bluebellhub/adapters/proxy/store_watch.py
+++ b/bluebellhub/adapters/proxy/store_watch.py
@@ -38,6 +38,7 @@
 from bluebellhub.registry import Registry, make_registry
 from bluebellhub.retention import end_retention
 from bluebellhub.site.pacing import (
+    STANDBY_DELAY_S,
     WATCHING_VMS_MAX,
     retry_interval_s,
     watch_delay_s,
@@ -58,6 +59,7 @@
     next_step,
     record_own_read,
     relays_confirm,
+    stands_by,
 )
 
 __all__ = ['expire_objects', 'watch_store']
@@ -88,6 +90,7 @@
     }
 )
 RELAY_WAIT_MIN_S: Final = 0.2
+STANDBY_WAIT_S: Final = 10.0
 FOLLOW_INTERVAL_S: Final = 0.1
 RETRY_MIN_S: Final = 0.1
 RETRY_MAX_S: Final = 0.5
@@ -301,7 +304,10 @@
     """
     if not has_relays(site):
         return watch_timeout_s(WATCH_WAITS_S[kind], len(site.vms))
-    since_s = now_s() - find_history(site, kind).state['heard_at_s']
+    current_s = now_s()
+    if is_relay(site, current_s) and stands_by(site, current_s):
+        return max(STANDBY_WAIT_S, RELAY_WAITS_S[kind])
+    since_s = current_s - find_history(site, kind).state['heard_at_s']
     return max(RELAY_WAIT_MIN_S, RELAY_WAITS_S[kind] - max(0.0, since_s))
 
 
@@ -317,6 +323,8 @@
         current_s - state['changed_at_s'],
         current_s - site.started_at_s,
     )
+    if is_relay(site, current_s) and stands_by(site, current_s):
+        delay_s = max(delay_s, STANDBY_DELAY_S)
     await trio.sleep(delay_s)
     state['changed_at_s'] = now_s()
 
--- a/bluebellhub/site/pacing.py
+++ b/bluebellhub/site/pacing.py
@@ -8,6 +8,7 @@
 from typing import Final
 
 __all__ = [
+    'STANDBY_DELAY_S',
     'WATCHING_VMS_MAX',
     'retry_interval_s',
     'watch_delay_s',
@@ -17,8 +18,11 @@
 # Watches of one kind that all VMs together may start per second.
 IDLE_WATCHES_PER_S: Final = 6.0
 CHANGED_WATCHES_PER_S: Final = 85.0
-# In a fleet with relays, bursts are delayed as in a fleet of this size: 0.5 s.
-WATCHING_VMS_MAX: Final = 42
+# In a fleet with relays, bursts are delayed as in one of at most this size: by
+# 1 s. A response that is lost after it is repeated within 2 s all the same.
+WATCHING_VMS_MAX: Final = 85
+# A relay next to a better one delays them by 1.5 s.
+STANDBY_DELAY_S: Final = 1.5
 # Calls that fail are repeated at this rate by all VMs together: six kinds each,
 # in an outage, stay below 1,500 calls/s.
 RETRIES_PER_S: Final = 250.0
--- a/bluebellhub/site/relay_reports.py
+++ b/bluebellhub/site/relay_reports.py
@@ -23,6 +23,7 @@
     'RelayReport',
     'StoreRelays',
     'confirmed_until_s',
+    'last_heard_s',
     'make_following',
     'make_store_relays',
     'update_report',
@@ -134,6 +135,11 @@
     )
 
 
+def last_heard_s(report: RelayReport) -> float:
+    """Return when the store last responded to a relay about any kind."""
+    return max(report.heard_at_s.values(), default=-inf)
+
+
 def confirmed_until_s(
     relays: StoreRelays, kind: str, era: int | None, wait_s: float
 ) -> float:
@@ -148,7 +154,7 @@
         if found is None:
             continue
         if found.era == era or is_later_era(found.era, era):
-            silent_at_s = max(report.heard_at_s.values()) + SILENCE_MAX_S
+            silent_at_s = last_heard_s(report) + SILENCE_MAX_S
             kind_end_s = (
                 report.heard_at_s[kind] + wait_s + CONFIRMATION_MARGIN_S
             )
--- a/bluebellhub/site/store_relays.py
+++ b/bluebellhub/site/store_relays.py
@@ -19,6 +19,7 @@
 from bluebellhub.site.relay_reports import (
     Following,
     confirmed_until_s,
+    last_heard_s,
     make_following,
     update_report,
 )
@@ -51,6 +52,7 @@
     'other_local_vms',
     'record_own_read',
     'relays_confirm',
+    'stands_by',
     'stated_outage_end_s',
     'take_relayed_changes',
 ]
@@ -62,6 +64,9 @@
 START_S: Final = 1.5
 # A relay that is relieved goes on until its successor has read everything.
 LINGER_S: Final = 3.0
+# The first relay hears the store every 1.2 s and tells so every 0.5 s. If it
+# does not, the second one takes over before the other VMs fall back.
+STANDBY_AGE_MAX_S: Final = 1.8
 # A VM follows relays again once they have confirmed a kind for this time.
 HOLD_S: Final = 3.0
 # A relayed change arrives within this time of the position that includes it.
@@ -125,6 +130,20 @@
     return now_s <= flags['relay_until_s']
 
 
+def stands_by(site: Site, now_s: float) -> bool:
+    """Return whether a better relay hears the store, so that this one may wait.
+
+    Its watches then wait longer; they still return changes at once.
+    """
+    reports = site.store_relays.reports
+    order = _local_order(site)
+    return any(
+        now_s - last_heard_s(reports[name]) <= STANDBY_AGE_MAX_S
+        for name in order[: order.index(site.vm)]
+        if name in reports
+    )
+
+
 def is_known_relay(site: Site, sender: str) -> bool:
     """Return whether this VM accepts what ``sender`` says about the store."""
     return has_relays(site) and sender in other_local_vms(site)
