--- a/bluebellhub/adapters/proxy/store_relaying.py
+++ b/bluebellhub/adapters/proxy/store_relaying.py
@@ -1,5 +1,6 @@
 """Passes changes of the store between the VMs of a failure domain."""
 
+from itertools import count
 from typing import Final, NamedTuple
 
 import logbook
@@ -17,6 +18,13 @@
 from bluebellhub.faults import isolate_fault
 from bluebellhub.peer_messages import decode_message, encode_message
 from bluebellhub.registration import outage_age_s, record_past_outage
+from bluebellhub.site.relay_roles import (
+    change_recipients,
+    is_known_relay,
+    is_relay,
+    other_local_vms,
+    stands_by,
+)
 from bluebellhub.site.state import Site
 from bluebellhub.site.store_messages import (
     StoreChanges,
@@ -25,12 +33,7 @@
 )
 from bluebellhub.site.store_relays import (
     apply_store_positions,
-    change_recipients,
-    is_known_relay,
-    is_relay,
     make_store_positions,
-    other_local_vms,
-    stands_by,
     stated_outage_end_s,
     take_relayed_changes,
 )
@@ -38,8 +41,9 @@
 
 __all__ = ['apply_each', 'relay_store', 'send_changes']
 
-# Positions are sent every second time.
 ROLE_INTERVAL_S: Final = 0.25
+# Positions are sent every 0.5 s.
+POSITIONS_EVERY: Final = 2
 # What the encoder and the decoder raise for an object that they cannot carry.
 ENCODING_ERRORS: Final = (
     OverflowError,
@@ -68,13 +72,12 @@
 
     site.store_relays.flags['apply_changes'] = apply_changes
     role = RelayRole(relays=False, stands_by=False)
-    while True:
-        for sends in (True, False):
-            with isolate_fault('store_relay'):
-                role = _take_role(watcher, role)
-                if sends and role.relays:
-                    _send_positions(watcher)
-            await trio.sleep(ROLE_INTERVAL_S)
+    for number in count():
+        with isolate_fault('store_relay'):
+            role = _take_role(watcher, role)
+            if role.relays and number % POSITIONS_EVERY == 0:
+                _send_positions(watcher)
+        await trio.sleep(ROLE_INTERVAL_S)
 
 
 def _take_role(watcher: Watcher, before: RelayRole) -> RelayRole:
--- a/bluebellhub/adapters/proxy/tests/relayed_fleet.py
+++ b/bluebellhub/adapters/proxy/tests/relayed_fleet.py
@@ -2,22 +2,23 @@
 
 from collections import Counter
 from itertools import count
-from math import inf
 from random import Random
 from typing import NamedTuple
-from urllib.parse import parse_qs, urlsplit
 
-import httpcore
-import msgspec
 import trio
 
 from bluebellhub.adapters.proxy import (
     object_handlers as handlers,
     store_relaying,
+    store_steps,
     store_watch,
 )
 from bluebellhub.adapters.proxy.gossip import gossip_handlers
 from bluebellhub.adapters.proxy.state import Proxy
+from bluebellhub.adapters.proxy.tests.failing_store import (
+    Connections,
+    make_store_state,
+)
 from bluebellhub.peer_messages import decode_message, encode_message
 from bluebellhub.platform.store_calls import Store, make_era
 from bluebellhub.site.reports import Peer, VmReport
@@ -26,17 +27,17 @@
 
 __all__ = [
     'FAULTS',
+    'NEVER',
     'Fleet',
     'make_fleet',
     'relays_of',
-    'restore',
     'run_fleet',
     'start_vm',
     'use_virtual_time',
-    'write',
 ]
 
 GOSSIP_S = 0.25
+NEVER = (0, False)
 
 
 class Fleet(NamedTuple):
@@ -66,133 +67,12 @@
     vm: str
 
 
-class Connections(NamedTuple):
-    """The connections of a VM to the store."""
-
-    fleet: Fleet
-    vm: str
-
-    async def request(self, method, url, *, headers, content):
-        fleet = self.fleet
-        parts = urlsplit(url)
-        kind = parts.path.rpartition('/')[2]
-        query = {name: got[0] for name, got in parse_qs(parts.query).items()}
-        fleet.calls[kind] += 1
-        await _reach_store(self)
-        era = fleet.store['era']
-        status, answer = await _read(fleet, kind, query)
-        if fleet.store['era'] != era:
-            raise httpcore.ReadError
-        await _reach_store(self)
-        await trio.sleep(fleet.store['latency_s'])
-        lost = fleet.store['lost']
-        if answer.get('events') and lost is not None:
-            key = (self.vm, kind, answer['at'])
-            if key not in lost:
-                lost.add(key)
-                await trio.sleep_forever()
-        response = httpcore.Response(
-            status,
-            headers=[(b'Store-Era', b'%d' % era)],
-            content=msgspec.json.encode(answer),
-        )
-        await response.aread()
-        return response
-
-
-async def _reach_store(connections):
-    faults, vm = connections.fleet.faults, connections.vm
-    while vm in faults['frozen']:
-        await trio.sleep(0.05)
-    if vm in faults['cut_from_store']:
-        await trio.sleep_forever()
-    if vm in faults['store_down']:
-        raise httpcore.ConnectError
-    if vm in faults['busy']:
-        raise httpcore.ConnectTimeout
-
-
-async def _read(fleet, kind, query):
-    store = fleet.store
-    if 'watch' not in query:
-        items = [
-            _wire(name, revision, spec)
-            for name, (revision, spec) in store['objects'][kind].items()
-        ]
-        return 200, {'items': items, 'at': store['revision']}
-    since = int(query['watch'])
-    if since < store['floor'] or since > store['revision']:
-        return 410, {}
-    with trio.move_on_after(int(query['waitMs']) / 1000):
-        while not _events(store, kind, since):
-            await store['written'].wait()
-    return 200, {
-        'events': _events(store, kind, since),
-        'at': store['revision'],
-    }
-
-
-def _wire(name, revision, spec):
-    return {'metadata': {'name': name, 'revision': revision}, 'spec': spec}
-
-
-def _events(store, kind, since):
-    return [
-        {'object': _wire(name, found, spec), 'deleted': spec is None}
-        for revision, written, name, found, spec in store['history']
-        if written == kind and revision > since
-    ]
-
-
-def write(fleet, kind, name, spec):
-    """Write an object, or remove it if ``spec`` is ``None``."""
-    store = fleet.store
-    store['revision'] += 1
-    objects = store['objects'][kind]
-    # The event of a removal has the object as it was.
-    found = objects[name][0] if spec is None else store['revision']
-    if spec is None:
-        objects.pop(name)
-    else:
-        objects[name] = (found, spec)
-    store['history'].append((store['revision'], kind, name, found, spec))
-    _wake(store)
-
-
-def _wake(store):
-    store['written'].set()
-    store['written'] = trio.Event()
-
-
-def restore(fleet, copy):
-    """Go back to an older copy, in a new era."""
-    store = fleet.store
-    kept = {kind: dict(found) for kind, found in copy['objects'].items()}
-    store.update(
-        objects=kept,
-        history=list(copy['history']),
-        revision=copy['revision'],
-        floor=0,
-        era=store['era'] + 1,
-    )
-    _wake(store)
-
-
 FAULTS = ('frozen', 'cut_from_store', 'store_down', 'busy', 'mute', 'deaf')
 
 
 def make_fleet(kinds, nursery, seed=0):
     """Create a fleet without VMs and an empty store."""
-    store = {
-        'objects': {kind: {} for kind in kinds},
-        'history': [],
-        'revision': 1,
-        'floor': 0,
-        'era': 1,
-        'latency_s': 0.002,
-        'lost': None,
-        'written': trio.Event(),
-    }
+    store = make_store_state(kinds)
     faults = {fault: set() for fault in FAULTS}
     faults['loss'] = 0.0
     return Fleet(
@@ -283,7 +163,7 @@
 
 def _deliver_held(fleet):
     """Deliver the messages of which neither end is frozen."""
-    held = fleet.held[:]
+    held = tuple(fleet.held)
     fleet.held.clear()
     for sender, name, encoded in held:
         if {sender, name} & fleet.faults['frozen']:
@@ -296,7 +176,7 @@
 
 def use_virtual_time(monkeypatch, kinds):
     """Let the watches use trio's clock, fake links and recording handlers."""
-    for module in (handlers, store_relaying, store_watch):
+    for module in (handlers, store_relaying, store_steps, store_watch):
         monkeypatch.setattr(module, 'now_s', trio.current_time)
     monkeypatch.setattr(store_relaying, 'send_all', _send_all)
     for kind in kinds:
@@ -311,30 +191,11 @@
     def state_of(watcher):
         return watcher.link.fleet.applied[watcher.link.vm][kind]
 
-    def record(state, entry):
-        newest, _ = state.get(entry.name, (-inf, False))
-        assert entry.revision >= newest, (kind, entry, newest)
-        state[entry.name] = (entry.revision, True)
-
     def apply_listing(watcher, entries):
-        state = state_of(watcher)
-        found = {entry.name for entry in entries}
-        for name in state.keys() - found:
-            state[name] = (state[name][0], False)
-        for entry in entries:
-            record(state, entry)
+        _record_listing(state_of(watcher), entries)
 
     def apply_change(watcher, change):
-        state = state_of(watcher)
-        if not change.is_removed:
-            newest, exists = state.get(change.entry.name, (-inf, False))
-            is_repeated = newest == change.entry.revision and not exists
-            assert not is_repeated, 'a removed object is back'
-            record(state, change.entry)
-        elif change.entry.name in state:
-            newest, _ = state[change.entry.name]
-            assert change.entry.revision >= newest
-            state[change.entry.name] = (newest, False)
+        _record_change(state_of(watcher), change)
 
     def record_restore(watcher):
         state_of(watcher).clear()
@@ -342,3 +203,22 @@
     return handlers.ObjectHandler(
         apply_listing, apply_change, record_restore, lambda watcher: None
     )
+
+
+def _record_listing(state, entries):
+    found = {entry.name for entry in entries}
+    for name in state.keys() - found:
+        state[name] = (state[name][0], False)
+    for entry in entries:
+        newest, _ = state.get(entry.name, NEVER)
+        assert entry.revision >= newest, (entry, newest)
+        state[entry.name] = (entry.revision, True)
+
+
+def _record_change(state, change):
+    name, revision = change.entry.name, change.entry.revision
+    known = state.get(name, NEVER)
+    assert revision >= known[0], (change, known)
+    # A removal has the revision of the removed object.
+    assert change.is_removed or (revision, False) != known, change
+    state[name] = (revision, not change.is_removed)
--- a/bluebellhub/adapters/proxy/tests/test_relayed_store.py
+++ b/bluebellhub/adapters/proxy/tests/test_relayed_store.py
@@ -7,15 +7,18 @@
 import pytest
 import trio
 
-from bluebellhub.adapters.proxy import store_watch
+from bluebellhub.adapters.proxy import store_steps
+from bluebellhub.adapters.proxy.tests.failing_store import (
+    restore,
+    write_object,
+)
 from bluebellhub.adapters.proxy.tests.relayed_fleet import (
+    NEVER,
     make_fleet,
     relays_of,
-    restore,
     run_fleet,
     start_vm,
     use_virtual_time,
-    write,
 )
 from bluebellhub.platform.object_codec import (
     CONFIG_KIND,
@@ -113,19 +116,19 @@
     written = []
     for kind in BOUNDS_S:
         for name, spec in ((f'o{number % 3}', {'n': number}), ('last', {})):
-            write(fleet, kind, name, spec)
+            write_object(fleet, kind, name, spec)
             written.append((now_s, kind, name, fleet.store['revision']))
         gone = f'o{(number + 1) % 3}'
         if gone in fleet.store['objects'][kind]:
             removed = fleet.store['objects'][kind][gone][0]
-            write(fleet, kind, gone, None)
+            write_object(fleet, kind, gone, None)
             written.append((now_s, kind, gone, removed + 0.5))
     return written
 
 
 def _is_in_force(fleet, vm, kind, name, revision):
     """Return whether a VM has applied a write or, with a half, a removal."""
-    newest, exists = fleet.applied[vm][kind].get(name, (0, False))
+    newest, exists = fleet.applied[vm][kind].get(name, NEVER)
     if revision == int(revision):
         return newest >= revision
     return not exists or newest > revision
@@ -170,9 +173,9 @@
     *((name, 0.4) for name in FAILURES),
     *(
         (name, after_s)
+        for after_s in (0.0, 1.7)
         for name in FAILURES
         if name.startswith('both')
-        for after_s in (0.0, 1.7)
     ),
 ]
 
@@ -202,7 +205,7 @@
 
 @pytest.mark.usefixtures('_virtual_time')
 @pytest.mark.parametrize('seed', [1, 2])
-async def test_fleet_of_195_vms_keeps_up(seed, autojump_clock):
+async def test_large_fleet_keeps_up(seed, autojump_clock):
     """Failures of the relays of any domain follow each other at random."""
     async with trio.open_nursery() as nursery:
         fleet = make_fleet(KINDS, nursery, seed)
@@ -252,9 +255,9 @@
         await trio.sleep(SETTLED_S)
         fleet.calls.clear()
         for number in range(100):
-            write(fleet, UPSTREAM_KIND, f'u{number % 7}', {'n': number})
+            write_object(fleet, UPSTREAM_KIND, f'u{number % 7}', {'n': number})
             if number % 4 == 0:
-                write(fleet, MOVE_KIND, 's', {'n': number})
+                write_object(fleet, MOVE_KIND, 's', {'n': number})
             await trio.sleep(0.3)
         nursery.cancel_scope.cancel()
     return sum(fleet.calls.values())
@@ -266,7 +269,7 @@
 ):
     """The load is that of the measured fleet: over 130 calls/min by VM."""
     with_relays = await _count_calls(70, 5)
-    for module in (store_relays, store_watch):
+    for module in (store_relays, store_steps):
         monkeypatch.setattr(module, 'has_relays', lambda site: False)
     without = await _count_calls(70, 5)
     assert without > 70 * 130 / 2
@@ -274,7 +277,7 @@
 
 
 @pytest.mark.usefixtures('_virtual_time')
-async def test_object_of_1_mb_is_read_by_each_vm(autojump_clock):
+async def test_large_object_is_read_by_each_vm(autojump_clock):
     """Relayed to 64 VMs over 5 Mbit/s it would take minutes."""
     async with trio.open_nursery() as nursery:
         fleet = make_fleet(KINDS, nursery)
@@ -282,7 +285,7 @@
         await trio.sleep(SETTLED_S)
         fleet.calls.clear()
         fleet.sent.clear()
-        write(fleet, CONFIG_KIND, 'main', {'text': 'x' * 1_000_000})
+        write_object(fleet, CONFIG_KIND, 'main', {'text': 'x' * 1_000_000})
         at_s, revision = trio.current_time(), fleet.store['revision']
         await trio.sleep(1.0)
         await _check(fleet, [(at_s, CONFIG_KIND, 'main', revision)])
--- a/bluebellhub/site/store_relays.py
+++ b/bluebellhub/site/store_relays.py
@@ -1,28 +1,27 @@
-"""Which VMs watch the store, and what the others do.
+"""How a VM keeps up with the store: by itself, or by following relays.
 
-From 17 VMs on, two of each failure domain watch all kinds of objects. They
-relay each change to the other VMs of the domain, and tell them twice a second
-how far they have read and when the store last responded. The others follow
-them, and read by themselves what they missed. A VM watches by itself as long
-as no relay has heard of the store recently.
+The relays of its failure domain pass on each change, and tell twice a second
+how far they have read and when the store last responded. A VM follows them,
+and reads by itself what it missed. It watches the store by itself as long as
+no relay has heard of the store recently.
 """
 
-from functools import lru_cache
 from math import inf
 from typing import Final, Literal
 
-import xxhash
-
 from bluebellhub.registration import outage_age_s
-from bluebellhub.site.grid import ROW_MAX, local_vm_names
-from bluebellhub.site.liveness import live_vm_names
 from bluebellhub.site.relay_reports import (
     Following,
     confirmed_until_s,
-    last_heard_s,
     make_following,
     update_report,
 )
+from bluebellhub.site.relay_roles import (
+    has_relays,
+    is_known_relay,
+    is_relay,
+    local_order,
+)
 from bluebellhub.site.state import Site
 from bluebellhub.site.store_history import (
     KindHistory,
@@ -42,126 +41,32 @@
 __all__ = [
     'Step',
     'apply_store_positions',
-    'change_recipients',
     'find_history',
-    'has_relays',
-    'is_known_relay',
-    'is_relay',
     'make_store_positions',
     'next_step',
-    'other_local_vms',
     'record_own_read',
     'relays_confirm',
-    'stands_by',
     'stated_outage_end_s',
     'take_relayed_changes',
 ]
 
 Step = Literal['watch', 'follow', 'read', 'list']
 
-RELAY_COUNT: Final = 2
-# A VM that starts knows after this time which others are live.
-START_S: Final = 1.5
-# A relay that is relieved goes on until its successor has read everything.
-LINGER_S: Final = 3.0
-# The first relay hears the store every 1.2 s and tells so every 0.5 s. If it
-# does not, the second one takes over before the other VMs fall back.
-STANDBY_AGE_MAX_S: Final = 1.8
 # A VM follows relays again once they have confirmed a kind for this time.
 HOLD_S: Final = 3.0
 # A relayed change arrives within this time of the position that includes it.
 READ_DELAY_S: Final = 0.3
 # The VMs of a domain that read or fall back together do so within this time.
 SPREAD_S: Final = 0.3
-# Changes up to the first size come from both relays. Those up to the second
-# come from one: at 5 Mbit/s half of a domain of 65 VMs takes 0.8 s. Each VM
-# reads larger ones from the store.
-BOTH_MAX_BYTES: Final = 2048
-RELAYED_MAX_BYTES: Final = 16_384
 # Positions of a live relay are at most this old.
 REPORT_AGE_MAX_S: Final = 1.2
 
 
-def has_relays(site: Site) -> bool:
-    """Return whether the fleet is large enough for relays."""
-    return len(site.vms) > ROW_MAX
-
-
 def find_history(site: Site, kind: str) -> KindHistory:
     """Return the history of a kind, which is empty at first."""
     return site.store_relays.histories.setdefault(kind, make_history())
 
 
-@lru_cache(maxsize=8)
-def _relay_order(names: tuple[str, ...]) -> tuple[str, ...]:
-    """Return the VMs of a domain in the order in which they become relays."""
-    return tuple(
-        sorted(
-            names,
-            key=lambda name: xxhash.xxh64_intdigest(
-                f'store-relay/{name}'.encode()
-            ),
-        )
-    )
-
-
-def _local_order(site: Site) -> tuple[str, ...]:
-    return _relay_order(tuple(local_vm_names(site.flags['grid'])))
-
-
-def other_local_vms(site: Site) -> list[str]:
-    """Return the other VMs of this failure domain, live or not."""
-    return [name for name in _local_order(site) if name != site.vm]
-
-
-def _first_live(site: Site, now_s: float) -> list[str]:
-    live = {site.vm, *live_vm_names(site, now_s)}
-    order = [name for name in _local_order(site) if name in live]
-    return order[:RELAY_COUNT]
-
-
-def is_relay(site: Site, now_s: float) -> bool:
-    """Return whether this VM watches the store for its failure domain."""
-    if not has_relays(site) or now_s - site.started_at_s < START_S:
-        return False
-    flags = site.store_relays.flags
-    if site.vm in _first_live(site, now_s):
-        flags['relay_until_s'] = now_s + LINGER_S
-    return now_s <= flags['relay_until_s']
-
-
-def stands_by(site: Site, now_s: float) -> bool:
-    """Return whether a better relay hears the store, so that this one may wait.
-
-    Its watches then wait longer; they still return changes at once.
-    """
-    reports = site.store_relays.reports
-    order = _local_order(site)
-    return any(
-        now_s - last_heard_s(reports[name]) <= STANDBY_AGE_MAX_S
-        for name in order[: order.index(site.vm)]
-        if name in reports
-    )
-
-
-def is_known_relay(site: Site, sender: str) -> bool:
-    """Return whether this VM accepts what ``sender`` says about the store."""
-    return has_relays(site) and sender in other_local_vms(site)
-
-
-def change_recipients(site: Site, size: int, now_s: float) -> list[str]:
-    """Return the VMs that this relay sends changes of ``size`` bytes to."""
-    others = other_local_vms(site)
-    if size > RELAYED_MAX_BYTES:
-        return []
-    relays = _first_live(site, now_s)
-    if size <= BOTH_MAX_BYTES or len(relays) < RELAY_COUNT:
-        return others
-    if site.vm not in relays:
-        return []
-    return others[relays.index(site.vm) :: RELAY_COUNT]
-
-
 def make_store_positions(site: Site, now_s: float) -> StorePositions:
     """Return what this relay tells about the store."""
     kinds = {}
@@ -254,7 +159,7 @@
 
 def _spread_s(site: Site) -> float:
     """Return this VM's part of the time over which calls are spread."""
-    order = _local_order(site)
+    order = local_order(site)
     return SPREAD_S * order.index(site.vm) / len(order)
 
 
