--- a/bluebellhub/adapters/proxy/store_relaying.py
+++ b/bluebellhub/adapters/proxy/store_relaying.py
@@ -44,6 +44,7 @@
 ROLE_INTERVAL_S: Final = 0.25
 # Positions are sent every 0.5 s.
 POSITIONS_EVERY: Final = 2
+REFUSALS_PER_LOG: Final = 100
 # What the encoder and the decoder raise for an object that they cannot carry.
 ENCODING_ERRORS: Final = (
     OverflowError,
@@ -207,10 +208,16 @@
 ) -> None:
     """Count a message that is malformed, older or from an unknown sender."""
     _count(site, 'refused')
-    log.warning(
-        'message about the store refused',
-        extra={'sender': sender, 'message': type(message).__name__},
-    )
+    count = site.scheduler.counters['store_relays', 'refused']
+    if count % REFUSALS_PER_LOG == 1:
+        log.warning(
+            'message about the store refused',
+            extra={
+                'sender': sender,
+                'message': type(message).__name__,
+                'count': count,
+            },
+        )
 
 
 def _count(site: Site, event: str) -> None:
