Count a response of the store from its call

A relay that is frozen after a response was sent would state it as new when it resumes. A response with changes may be as old as its call, an idle one as old as the end of its wait.

--- a/bluebellhub/adapters/proxy/store_steps.py
+++ b/bluebellhub/adapters/proxy/store_steps.py
@@ -1,7 +1,6 @@
 """Steps by which a VM keeps up with one kind of object in the store."""
 
 from collections.abc import Awaitable, Callable
-from math import inf
 from types import MappingProxyType
 from typing import Final, TypedDict
 
@@ -136,9 +135,10 @@
     site = watcher.proxy.site
     history = find_history(site, kind)
     asked_at = history.state['position']
+    sent_at_s = now_s()
     listing = await list_objects(watcher.store, kind)
     state['lists'] = False
-    record_response(history, now_s())
+    record_response(history, sent_at_s)
     record_own_read(site, kind)
     if has_gone_back(history, asked_at, listing.position):
         return
@@ -178,9 +178,11 @@
     wait_s = _wait_s(site, kind) if state['waits'] else 0.0
     sent_at_s = now_s()
     changes, position = await watch_objects(watcher.store, kind, since, wait_s)
-    # Without changes the response is as of the end of the wait, or later.
-    responded_s = inf if changes else sent_at_s + wait_s
-    record_response(history, min(now_s(), responded_s))
+    # A VM that was frozen may read a response long after it was sent, so the
+    # response counts from the earliest time that it can be of.
+    if not changes:
+        sent_at_s = min(now_s(), sent_at_s + wait_s)
+    record_response(history, sent_at_s)
     record_own_read(site, kind)
     found = record_changes(
         history,
--- a/bluebellhub/adapters/proxy/tests/test_relayed_store.py
+++ b/bluebellhub/adapters/proxy/tests/test_relayed_store.py
@@ -273,6 +273,23 @@
     assert with_relays * 6 < without
 
 
+@pytest.mark.usefixtures('_virtual_time')
+async def test_late_response_confirms_no_more_than_its_call(autojump_clock):
+    """A relay that was frozen reads responses from before the freeze."""
+    async with _running_fleet(34, 2) as fleet:
+        fleet.store['latency_s'] = 0.6
+        at_s = trio.current_time()
+        write_object(fleet, UPSTREAM_KIND, 'u', {})
+        await trio.sleep(0.61)
+        for vm in relays_of(fleet, 'd0'):
+            site = fleet.watchers[vm].proxy.site
+            message = store_relays.make_store_positions(site, at_s)
+            age_s = message.kinds[UPSTREAM_KIND].age_s
+            assert fleet.applied[vm][UPSTREAM_KIND]['u'][1]
+            assert age_s > 0
+        fleet.store['latency_s'] = 0.002
+
+
 @pytest.mark.usefixtures('_virtual_time')
 async def test_large_object_is_read_by_each_vm(autojump_clock):
     """Relayed to 64 VMs over 5 Mbit/s it would take minutes."""
