--- a/bluebellhub/adapters/proxy/run.py
+++ b/bluebellhub/adapters/proxy/run.py
@@ -27,12 +27,10 @@
     serve_metrics,
     serve_readiness,
 )
-from bluebellhub.adapters.proxy.server import (
-    close_idle_connections,
-    has_active_requests,
-    serve_callers,
-)
+from bluebellhub.adapters.proxy.server import serve_callers
 from bluebellhub.adapters.proxy.state import Proxy
+from bluebellhub.adapters.proxy.stopping import finish_requests
+from bluebellhub.adapters.proxy.store_relaying import relay_store
 from bluebellhub.adapters.proxy.store_watch import (
     expire_objects,
     watch_store,
@@ -60,13 +58,6 @@
 
 __all__ = ['run']
 
-# Callers are routed elsewhere after two failed readiness checks, which are
-# one second apart.
-READINESS_LAG_S: Final = 2.3
-# Requests that arrive later than this after SIGTERM are accepted only if
-# their time limit ends before the VM stops.
-ACCEPT_ALL_S: Final = 2.8
-EXIT_MARGIN_S: Final = 0.8
 POLL_INTERVAL_S: Final = 0.05
 SEED_BITS: Final = 32
 
@@ -86,7 +77,7 @@
             nursery.start_soon(watch_settings, path, settings)
             log.info('started', extra={'vm': settings.vm})
             await stopping.wait()
-            await _stop(settings, watcher.proxy)
+            await finish_requests(settings, watcher.proxy)
             nursery.cancel_scope.cancel()
         with trio.move_on_after(POLL_INTERVAL_S, shield=True):
             await close_store(watcher.store)
@@ -147,9 +138,7 @@
 ) -> None:
     proxy = watcher.proxy
     nursery.start_soon(run_ticks, proxy.node)
-    for kind in object_handlers.names():
-        nursery.start_soon(watch_store, watcher, kind)
-    nursery.start_soon(expire_objects, watcher)
+    _start_watches(nursery, watcher)
     nursery.start_soon(close_expired, proxy.idle_connections)
     nursery.start_soon(run_moves, proxy, watcher.store)
     nursery.start_soon(run_stored_quarantine, watcher)
@@ -164,6 +153,13 @@
     nursery.start_soon(send_gossip, watcher.proxy, watcher.link)
 
 
+def _start_watches(nursery: trio.Nursery, watcher: Watcher) -> None:
+    for kind in object_handlers.names():
+        nursery.start_soon(watch_store, watcher, kind)
+    nursery.start_soon(relay_store, watcher)
+    nursery.start_soon(expire_objects, watcher)
+
+
 def _start_servers(
     settings: Settings, nursery: trio.Nursery, proxy: Proxy
 ) -> None:
@@ -172,25 +168,3 @@
     nursery.start_soon(serve_readiness, proxy, site.ready_listen)
     if site.metrics_listen:
         nursery.start_soon(serve_metrics, proxy, site.metrics_listen)
-
-
-async def _stop(settings: Settings, proxy: Proxy) -> None:
-    """Shut down within the grace period.
-
-    The VM first reports that it is not ready, then closes idle connections,
-    then accepts only requests that end in time, and waits for the rest.
-    """
-    scheduler = proxy.node.scheduler
-    log.info('stopping', extra={'running': len(scheduler.requests)})
-    started_s = trio.current_time()
-    grace_s = settings.site.grace_s
-    proxy.site.flags['leaving'] = True
-    await trio.sleep(min(READINESS_LAG_S, grace_s * 0.3))
-    close_idle_connections(proxy)
-    await trio.sleep(min(ACCEPT_ALL_S - READINESS_LAG_S, grace_s * 0.1))
-    remaining_s = grace_s - EXIT_MARGIN_S - (trio.current_time() - started_s)
-    proxy.site.flags['stops_at_s'] = now_s() + remaining_s
-    with trio.move_on_after(max(0.0, remaining_s)):
-        while scheduler.requests or has_active_requests(proxy):
-            close_idle_connections(proxy)
-            await trio.sleep(POLL_INTERVAL_S)
--- a/bluebellhub/metrics.py
+++ b/bluebellhub/metrics.py
@@ -42,6 +42,7 @@
     'usage_reports': 'change',
     'usage_windows': 'outcome',
     'scale_orders': 'outcome',
+    'store_relays': 'event',
 }
 
 
--- a/bluebellhub/site/state.py
+++ b/bluebellhub/site/state.py
@@ -27,6 +27,7 @@
 from bluebellhub.scheduler.capacity import unused_window_slots
 from bluebellhub.scheduler.state import SchedulerOptions
 from bluebellhub.site.grid import Grid, make_grid, report_age_s
+from bluebellhub.site.relay_reports import StoreRelays, make_store_relays
 from bluebellhub.site.reports import Peer, RemoteDomain
 from bluebellhub.site.vm_location import VmLocation
 from bluebellhub.upstream import Upstream
@@ -115,6 +116,7 @@
     moves: dict[str, SiteMove]
     flags: SiteFlags
     duty: Duty
+    store_relays: StoreRelays
 
 
 def make_site(
@@ -174,6 +176,7 @@
             'unread_kinds': set(),
         },
         make_duty(vm, start_id, bounds.duty, now_s),
+        make_store_relays(),
     )
 
 
--- a/bluebellhub/tests/test_outer_names.py
+++ b/bluebellhub/tests/test_outer_names.py
@@ -202,4 +202,5 @@
         'usage_reports': 'change',
         'usage_windows': 'outcome',
         'scale_orders': 'outcome',
+        'store_relays': 'event',
     }
