Decide what may leave the failure domain by the loads of the domains

A constant weight picked a local upstream up to twelve times as often as a remote one, whatever the load. Each VM now decides for each target and pair of domains, from the reports that domains exchange anyway and the queued requests, which are a new last field of both reports.

--- a/bluebellhub/adapters/proxy/attempt.py
+++ b/bluebellhub/adapters/proxy/attempt.py
@@ -49,6 +49,7 @@
 from bluebellhub.request import AttemptFailure
 from bluebellhub.request.heads import ResponseHead
 from bluebellhub.scheduler import request_sent, tokens_arrived
+from bluebellhub.scheduler.leaving import record_connect
 from bluebellhub.scheduler.state import asks_to_wait
 from bluebellhub.site.upstreams import apply_response_status
 from bluebellhub.upstream import UpstreamSpec
@@ -93,10 +94,13 @@
     Returns ``None``, or how the attempt failed.
     """
     force_new = not context.admission.request.idempotent
+    started_s = now_s()
     try:
         async with connect(
             proxy.idle_connections, spec, force_new=force_new
         ) as connection:
+            if not connection.is_reused:
+                record_connect(proxy.node.scheduler, spec, now_s() - started_s)
             return await _exchange(proxy, context, connection)
     except ConnectError as error:
         return AttemptFailure('connect_failed', str(error))
--- a/bluebellhub/adapters/proxy/gossip.py
+++ b/bluebellhub/adapters/proxy/gossip.py
@@ -22,6 +22,7 @@
 from bluebellhub.faults import isolate_fault
 from bluebellhub.registry import Registry, make_registry
 from bluebellhub.site.crash_evidence import apply_crash_evidence
+from bluebellhub.site.domain_loads import update_domain_shares
 from bluebellhub.site.domain_reports import apply_domain_report
 from bluebellhub.site.gossip import (
     make_gossip_state,
@@ -57,6 +58,7 @@
         with isolate_fault('gossip'):
             current_s = now_s()
             update_other_vms_load(site, current_s)
+            _decide_shares(site, current_s)
             gossip_state, multicasts = make_multicasts(
                 site, gossip_state, current_s
             )
@@ -66,6 +68,21 @@
         await trio.sleep(gossip_interval_s(site.flags['grid']))
 
 
+def _decide_shares(site: Site, current_s: float) -> None:
+    """Decide what may leave the failure domain; log what has changed."""
+    for change in update_domain_shares(site, current_s):
+        log.info(
+            'another failure domain is used for a new reason',
+            extra={
+                'target': change.target,
+                'domain': change.domain,
+                'reason': change.pair.reason,
+                'share': round(change.pair.share, 3),
+                'slots': round(change.pair.slots, 1),
+            },
+        )
+
+
 def _reconnect_silent(
     site: Site,
     link: PeerLink,
--- a/bluebellhub/adapters/proxy/run.py
+++ b/bluebellhub/adapters/proxy/run.py
@@ -124,6 +124,8 @@
         secrets.randbits(SEED_BITS),
     )
     site.flags['unread_kinds'].update(object_handlers.names())
+    shares = site.scheduler.domain_shares
+    shares.flags['byte_price'] = settings.site.domain_byte_price
     return site
 
 
--- a/bluebellhub/metrics.py
+++ b/bluebellhub/metrics.py
@@ -36,6 +36,8 @@
     'quarantined': 'evidence',
     'asked_pauses': 'change',
     'departures': 'source',
+    'domain_sends': 'to',
+    'domain_bytes': 'to',
 }
 
 
@@ -86,6 +88,7 @@
     )
     for target, queue in scheduler.queues.items():
         queued.set({'target': target}, size(queue))
+    _add_share_gauge(registry, scheduler)
     running = Gauge(
         'bluebellhub_running_requests',
         'Requests from this VM at an upstream.',
@@ -99,3 +102,15 @@
     for name, upstream in scheduler.upstreams.items():
         running.set({'upstream': name}, len(upstream.work))
         window.set({'upstream': name}, upstream.window.slots)
+
+
+def _add_share_gauge(registry: Registry, scheduler: Scheduler) -> None:
+    share = Gauge(
+        'bluebellhub_domain_share',
+        'Share of the requests without a place here that may go elsewhere.',
+        registry=registry,
+    )
+    for target, decision in scheduler.domain_shares.decisions.items():
+        for domain, pair in decision.pairs.items():
+            labels = {'target': target, 'to': domain, 'reason': pair.reason}
+            share.set(labels, pair.share)
--- a/bluebellhub/routing/policy.py
+++ b/bluebellhub/routing/policy.py
@@ -9,6 +9,7 @@
 from typing import Final, NamedTuple
 
 from bluebellhub.registry import Registry, make_registry
+from bluebellhub.routing.domains import leave_gain
 
 __all__ = ['Candidate', 'Policy', 'policies']
 
@@ -20,8 +21,9 @@
 COST_MIN_S: Final = 0.01
 LOAD_WEIGHT: Final = 0.4
 DECODE_TIME_WEIGHT: Final = 0.1
-# How much more often a local upstream is drawn than an equal remote one, and
-# one that is predicted to be late than one in time.
+# How much more often a local upstream is drawn than an equal remote one while
+# nothing is decided on leaving the domain, and one that is predicted to be late
+# than one in time.
 LOCAL_PREFERENCE: Final = 12.0
 LATE_PREFERENCE: Final = 0.02
 ERROR_EXPONENT: Final = 3
@@ -48,6 +50,12 @@
     number of requests that other VMs are expected to have sent to it since its
     load was reported, and ``error_ratio`` the smoothed ratio of its error
     responses.
+
+    ``stay_share`` is the ratio of requests that stay in the failure domain
+    while a local upstream takes them in time; ``None`` if nothing is decided.
+    ``domain_part`` is the ratio of the free slots that the upstream's domain
+    grants, and ``bytes_cost`` the price of sending the request there, in
+    relation to its worth.
     """
 
     upstream: str
@@ -64,6 +72,9 @@
     is_late: bool = False
     unreported: float = 0.0
     error_ratio: float = 0.0
+    stay_share: float | None = None
+    domain_part: float = 1.0
+    bytes_cost: float = 0.0
 
 
 Policy = Callable[[Sequence[Candidate], Random, int], Candidate]
@@ -118,6 +129,9 @@
     fresher the reports, the more often the fastest upstreams are drawn, and
     the less local ones are preferred.
 
+    Once it is decided what may leave the failure domain, the domain is chosen
+    first; the preference counts only until then.
+
     >>> busy = Candidate('a', 0, 0.1, 0, first_s=0.1, free_slots=1)
     >>> idle = busy._replace(upstream='b', free_slots=9)
     >>> drawn = [
@@ -127,8 +141,37 @@
     >>> drawn.count('b') > 80
     True
     """
-    weights = [_weight(candidate) for candidate in candidates]
-    return random.choices(candidates, weights)[0]
+    pool = _choose_pool(candidates, random)
+    weights = [_weight(candidate) for candidate in pool]
+    return random.choices(pool, weights)[0]
+
+
+def _choose_pool(
+    candidates: Sequence[Candidate], random: Random
+) -> Sequence[Candidate]:
+    """Return the local candidates, or those for which leaving pays.
+
+    A local upstream that fails or has just failed the request keeps it only as
+    often as it succeeds.
+    """
+    local = [entry for entry in candidates if entry.is_local]
+    remote = [entry for entry in candidates if not entry.is_local]
+    stay_share = candidates[0].stay_share
+    if stay_share is None or not local or not remote:
+        return candidates
+    good = [
+        (1.0 - entry.error_ratio) ** ERROR_EXPONENT
+        for entry in local
+        if not entry.is_late and not entry.has_failed
+    ]
+    if good and random.random() < stay_share * max(good):
+        return local
+    paying = [
+        entry
+        for entry in remote
+        if entry.bytes_cost < leave_gain(has_local=True, is_late=entry.is_late)
+    ]
+    return paying or local
 
 
 def _weight(candidate: Candidate) -> float:
@@ -137,7 +180,9 @@
     staleness = min(1.0, max(STALENESS_MIN, staleness))
     cost_s = max(_cost_s(candidate), COST_MIN_S)
     weight = candidate.free_slots / cost_s ** (1 / staleness)
-    if candidate.is_local:
+    if candidate.stay_share is not None:
+        weight *= candidate.domain_part
+    elif candidate.is_local:
         weight *= LOCAL_PREFERENCE**staleness
     if candidate.is_late:
         weight *= LATE_PREFERENCE
@@ -147,7 +192,9 @@
 
 def _cost_s(candidate: Candidate) -> float:
     """Return the latency, weighted by load and with penalties, in seconds."""
-    penalty_s = 0.0 if candidate.is_local else REMOTE_PENALTY_S
+    is_decided = candidate.stay_share is not None
+    is_near = candidate.is_local or is_decided
+    penalty_s = 0.0 if is_near else REMOTE_PENALTY_S
     if candidate.has_failed:
         penalty_s += FAILED_PENALTY_S
     decode_s = candidate.finish_s - candidate.first_s
--- a/bluebellhub/scheduler/candidate.py
+++ b/bluebellhub/scheduler/candidate.py
@@ -5,6 +5,7 @@
 from bluebellhub.routing import Candidate, cached_blocks
 from bluebellhub.routing.output_length import expected_tokens
 from bluebellhub.routing.prefix import BLOCK_TOKENS
+from bluebellhub.scheduler.leaving import leave_terms
 from bluebellhub.scheduler.state import Scheduler, upstreams_for
 from bluebellhub.upstream import Upstream, predict_first_token_s
 
@@ -30,7 +31,8 @@
     predicted_s = predict_first_token_s(upstream, uncached, now_s)
     slots = upstream.window.slots
     work = len(upstream.work) + upstream.other_vms_work
-    first_s = predicted_s * upstream.speed.delay_ratio
+    terms = leave_terms(scheduler, request, upstream)
+    first_s = predicted_s * upstream.speed.delay_ratio + terms.round_trip_s
     domain = scheduler.flags['failure_domain']
     return Candidate(
         name,
@@ -47,6 +49,9 @@
         is_late=now_s + first_s > request.deadline_s,
         unreported=unreported,
         error_ratio=upstream.error_ratio,
+        stay_share=terms.stay_share,
+        domain_part=terms.part,
+        bytes_cost=terms.cost,
     )
 
 
--- a/bluebellhub/scheduler/progress.py
+++ b/bluebellhub/scheduler/progress.py
@@ -20,6 +20,7 @@
 from bluebellhub.routing import correct_blocks
 from bluebellhub.routing.output_length import record_length
 from bluebellhub.routing.prefix import forget_upstream
+from bluebellhub.scheduler import leaving
 from bluebellhub.scheduler.crashes import suspect_prompt
 from bluebellhub.scheduler.dispatch import dispatch_queued
 from bluebellhub.scheduler.events import Event, Probe
@@ -71,6 +72,7 @@
     state = scheduler.requests.get(request_id)
     if state is not None:
         scheduler.requests[request_id] = record_sent(state)
+        leaving.record_remote_send(scheduler, state)
 
 
 def tokens_arrived(
@@ -105,6 +107,7 @@
     name = state.attempt.upstream if state.attempt else ''
     upstream = scheduler.upstreams[name]
     elapsed_s = now_s - work.sent_at_s
+    leaving.record_link_response(scheduler, upstream, work, now_s)
     speed = observe_prefill(
         upstream.speed,
         work.work_tokens,
@@ -224,6 +227,7 @@
         return
     if failure.kind in BAD_OUTCOME_KINDS:
         record_outcome(scheduler, state, upstream.spec.version, bad=True)
+    leaving.record_link_failure(scheduler, upstream, failure.kind, now_s)
     if failure.kind in UPSTREAM_FAULT_KINDS:
         restarted = failure.kind in RESTART_KINDS
         scheduler.upstreams[name] = record_failure(
--- a/bluebellhub/scheduler/state.py
+++ b/bluebellhub/scheduler/state.py
@@ -24,6 +24,7 @@
 from bluebellhub.rates import RetryBounds, RetryBudget, make_retry_budget
 from bluebellhub.request import RequestState
 from bluebellhub.routing import PrefixIndex, make_prefix_index
+from bluebellhub.routing.domain_shares import DomainShares, make_domain_shares
 from bluebellhub.routing.output_length import OutputLengths, make_lengths
 from bluebellhub.routing.prefix import forget_upstream
 from bluebellhub.upstream import Upstream
@@ -121,7 +122,7 @@
     their responses.  ``unblocked_shares`` is the share of upstreams that
     receive no long prefill, by target.  ``expired_leases`` names the cold
     upstreams whose lease has expired and whose running requests must therefore
-    stop.
+    stop.  ``domain_shares`` is what may leave the failure domain.
     """
 
     options: SchedulerOptions
@@ -153,6 +154,7 @@
     agreed_floors: dict[str, int]
     unblocked_shares: dict[str, float]
     expired_leases: set[str]
+    domain_shares: DomainShares
     counters: Counter[tuple[str, str]]
 
 
@@ -213,6 +215,7 @@
         agreed_floors={},
         unblocked_shares={},
         expired_leases=set(),
+        domain_shares=make_domain_shares(),
         counters=Counter(),
     )
 
--- a/bluebellhub/settings.py
+++ b/bluebellhub/settings.py
@@ -82,7 +82,8 @@
     SIGTERM to SIGKILL.  The others bound what all VMs together may do in a
     window: ``quota`` beyond the accounts' limits, ``retry`` beyond callers'
     requests, and ``cold`` beyond a cold upstream's rate.  Without a
-    ``retry_ratio`` only the attempts of each request are limited.
+    ``retry_ratio`` only the attempts of each request are limited.  A byte that
+    leaves the failure domain costs ``domain_byte_price`` worths of a request.
     """
 
     store: str = ''
@@ -98,6 +99,7 @@
     cold_overage: Positive = 1.0
     cold_slack: NonNegative = 0.0
     duty: DutySettings = DutySettings()
+    domain_byte_price: NonNegative = 0.0
 
 
 class Settings(NamedTuple):
--- a/bluebellhub/site/domain_reports.py
+++ b/bluebellhub/site/domain_reports.py
@@ -70,6 +70,7 @@
         {}
         if local_report.sequence % REPORTS_PER_SPEEDS
         else learned_speeds(site),
+        dict(sum_counts(report.queued for report in reports)),
     )
 
 
--- a/bluebellhub/site/reports.py
+++ b/bluebellhub/site/reports.py
@@ -51,7 +51,8 @@
 
     ``levels`` are the levels of the accounts' token buckets, included while
     another VM has just started. ``speeds`` are the learned speeds of the
-    upstreams, included in some of the reports only.
+    upstreams, included in some of the reports only. ``queued`` counts the
+    requests that wait on the VM, by target.
     """
 
     start_id: int
@@ -64,6 +65,7 @@
     decisions: dict[str, MoveDecision] = {}
     levels: dict[str, float] = {}
     speeds: dict[str, Speed] = {}
+    queued: dict[str, int] = {}
 
 
 class GossipItem(NamedTuple):
@@ -144,6 +146,7 @@
     decisions: dict[str, MoveDecision] = {}
     levels: dict[str, float] = {}
     speeds: dict[str, Speed] = {}
+    queued: dict[str, int] = {}
 
 
 class RemoteDomain(NamedTuple):
--- a/bluebellhub/site/vm_reports.py
+++ b/bluebellhub/site/vm_reports.py
@@ -5,6 +5,7 @@
 from typing import Final
 
 from bluebellhub.rates import bucket_levels
+from bluebellhub.site.domain_loads import queued_counts
 from bluebellhub.site.liveness import live_domains, live_peers, live_share
 from bluebellhub.site.peer_usage import (
     ADOPTION_S,
@@ -64,6 +65,7 @@
         {}
         if site.flags['report_count'] % REPORTS_PER_SPEEDS
         else learned_speeds(site),
+        queued_counts(site.scheduler),
     )
 
 
--- a/bluebellhub/tests/test_outer_names.py
+++ b/bluebellhub/tests/test_outer_names.py
@@ -186,4 +186,6 @@
         'quarantined': 'evidence',
         'asked_pauses': 'change',
         'departures': 'source',
+        'domain_sends': 'to',
+        'domain_bytes': 'to',
     }
