--- a/bluebellhub/routing/domain_shares.py
+++ b/bluebellhub/routing/domain_shares.py
@@ -89,14 +89,18 @@
 
 
 def may_leave(
-    shares: DomainShares, target: str, domain: str, request_id: str
+    shares: DomainShares,
+    target: str,
+    domain: str,
+    request_id: str,
+    now_s: float,
 ) -> bool:
     """Return whether a request that finds no place here may go to a domain.
 
     The same request gets the same result while the share is unchanged, however
     often it is tried.
 
-    >>> may_leave(make_domain_shares(), 'plans', 'vannes', '1')
+    >>> may_leave(make_domain_shares(), 'plans', 'vannes', '1', 0.0)
     True
     """
     pair = find_pair(shares, target, domain)
@@ -104,7 +108,7 @@
         return True
     share = pair.share
     if pair.reason != 'no_local':
-        share *= link_trust(link_of(shares, domain))
+        share *= link_trust(link_of(shares, domain), now_s)
     if share >= 1.0:
         return True
     digest = xxh3_64_intdigest(f'{domain}/{request_id}'.encode())
--- a/bluebellhub/routing/domains.py
+++ b/bluebellhub/routing/domains.py
@@ -21,14 +21,19 @@
     'leave_gain',
 ]
 
-# A domain offers slots up to this load, and needs those of others above it.
+# A domain offers slots up to this load.
 USE_MAX: Final = 0.85
+# Above this load a domain sends some requests away that seem to have a place:
+# some of its upstreams are full by then, and reports are too old to tell which.
+PUSH_USE: Final = 0.75
 # VMs drop the work of a domain from their sums after this time, so that its
 # upstreams would look idle.
 STALE_S: Final = 1.5
 # Requests that were sent after a report are not in it.  A larger rise at each
 # report made the shares of several domains oscillate.
 RISE_PER_REPORT: Final = 0.25
+# A quarter of the free slots of a plain service is often less than a request.
+RISE_MIN_SLOTS: Final = 1.0
 # A late first token is worth this much, in relation to one in time.
 LATE_WORTH: Final = 0.25
 
@@ -69,8 +74,8 @@
     """The decision on one target, by failure domain.
 
     ``push`` is the ratio of requests that leave although this domain seems to
-    have a place: more are offered than it has slots, so the place is probably
-    taken.  ``age_s`` holds the ages of the reports.
+    have a place: so many are offered that it is probably taken.  ``age_s``
+    holds the ages of the reports.
     """
 
     push: float
@@ -130,9 +135,8 @@
     share = 1.0
     if here.slots > 0:
         share = min(1.0, granted / max(1.0, _need(here)))
-    beyond = max(0.0, here.offered - here.slots)
     return DomainDecision(
-        min(beyond, granted) / max(1, here.offered),
+        min(_need(here, PUSH_USE), granted) / max(1, here.offered),
         {
             domain: pair._replace(share=share if pair.part > 0 else 0.0)
             for domain, pair in pairs.items()
@@ -188,22 +192,25 @@
 
     The same report as at the last decision allows no rise.
     """
+    rise = min(max(0.0, free), max(RISE_MIN_SLOTS, RISE_PER_REPORT * free))
     known = before.pairs.get(other.domain) if before else None
     if before is None or known is None:
-        return RISE_PER_REPORT * free
+        return rise
     if other.age_s > before.age_s[other.domain]:
         return known.slots
-    return known.slots + RISE_PER_REPORT * max(0.0, free)
+    return known.slots + rise
 
 
-def _need(load: DomainLoad) -> float:
+def _need(load: DomainLoad, use: float = USE_MAX) -> float:
     """Return the slots that the domain's callers need beyond its own.
 
+    Of its own, they use the ratio ``use``.
+
     The work of a domain that has not reported lately is unknown.
     """
     if is_stale(load):
         return 0.0
-    return max(0.0, load.offered - USE_MAX * load.slots)
+    return max(0.0, load.offered - use * load.slots)
 
 
 def _room(load: DomainLoad) -> float:
--- a/bluebellhub/scheduler/leaving.py
+++ b/bluebellhub/scheduler/leaving.py
@@ -66,7 +66,11 @@
         return False
     domain = upstream.spec.failure_domain
     return may_leave(
-        scheduler.domain_shares, request.target, domain, request.request_id
+        scheduler.domain_shares,
+        request.target,
+        domain,
+        request.request_id,
+        now_s,
     )
 
 
