--- a/bluebellhub/cli/errors.py
+++ b/bluebellhub/cli/errors.py
@@ -9,6 +9,7 @@
     SettingsError,
     StoreUnavailableError,
 )
+from bluebellhub.platform.documents import DocumentError
 
 __all__ = [
     'EXIT_FAILED',
@@ -43,6 +44,7 @@
     (ConflictError, EXIT_CONFLICT),
     (StoreUnavailableError, EXIT_UNAVAILABLE),
     (WaitTimeoutError, EXIT_TIMEOUT),
+    (DocumentError, EXIT_USAGE),
     (SettingsError, EXIT_USAGE),
     (ObjectError, EXIT_USAGE),
 )
--- a/bluebellhub/cli/main.py
+++ b/bluebellhub/cli/main.py
@@ -12,7 +12,7 @@
 from tabulate import tabulate
 
 from bluebellhub.adapters.platform import make_platform
-from bluebellhub.cli import explain, moves, objects, status
+from bluebellhub.cli import check, explain, moves, objects, status
 from bluebellhub.cli.commands import Command, CommandResult, commands
 from bluebellhub.cli.errors import exit_status
 from bluebellhub.configuration.addresses import check_address
@@ -20,7 +20,7 @@
 
 __all__ = ['main', 'make_parser']
 
-COMMAND_MODULES = (explain, moves, objects, status)
+COMMAND_MODULES = (check, explain, moves, objects, status)
 FLAG_PREFIX = 'opt_'
 EXIT_INTERRUPTED = 130
 
--- a/bluebellhub/platform/object_codec.py
+++ b/bluebellhub/platform/object_codec.py
@@ -47,9 +47,14 @@
     'move_status',
     'quarantine_name',
     'quarantine_spec',
+    'read_account',
+    'read_limits',
     'read_move',
     'read_quarantine',
     'read_registration',
+    'read_route',
+    'read_service',
+    'read_splits',
     'read_table',
     'read_vm',
     'vm_spec',
@@ -84,28 +89,30 @@
     limits = wire.get('limits')
     return make_table(
         wire['version'],
-        [_read_route(route) for route in wire['routes']],
-        [_read_service(service) for service in wire.get('services', [])],
+        [read_route(route) for route in wire['routes']],
+        [read_service(service) for service in wire.get('services', [])],
         None if accounts is None else _read_accounts(accounts),
-        _read_limits(limits) if limits else None,
+        read_limits(limits) if limits else None,
     )
 
 
-def _read_route(wire: WireRoute) -> Route:
+def read_splits(wire: WireRoute) -> tuple[Split, ...]:
+    """Decode the splits of a route, also those without weight."""
     splits = wire.get('trafficSplit') or [
         {'service': wire.get('service', ''), 'weight': 1.0}
     ]
+    return tuple(Split(split['service'], split['weight']) for split in splits)
+
+
+def read_route(wire: WireRoute) -> Route:
+    """Decode a route."""
     timeout_ms = wire['timeoutMs']
     kind = wire['kind']
     return Route(
         name=wire['name'],
         host=wire['host'],
         path_prefix=wire['pathPrefix'],
-        splits=tuple(
-            Split(split['service'], split['weight'])
-            for split in splits
-            if split['weight'] > 0
-        ),
+        splits=tuple(split for split in read_splits(wire) if split.weight > 0),
         repeat='idempotent' if kind == 'idempotent' else 'once',
         is_stream=kind == 'streaming',
         is_resumable=wire.get('resumable', False),
@@ -118,7 +125,8 @@
     )
 
 
-def _read_service(wire: WireService) -> Service:
+def read_service(wire: WireService) -> Service:
+    """Decode a service."""
     engine = wire.get('engine')
     return Service(
         wire['name'],
@@ -129,7 +137,8 @@
     )
 
 
-def _read_limits(wire: WireLimits) -> CallerLimits:
+def read_limits(wire: WireLimits) -> CallerLimits:
+    """Decode the limits on callers' requests."""
     return CallerLimits(
         wire['maxHeaderBytes'],
         wire['maxBodyBytes'],
@@ -141,18 +150,22 @@
 def _read_accounts(wire_accounts: list[WireAccount]) -> dict[str, Account]:
     by_key = {}
     for wire in wire_accounts:
-        account = Account(
-            wire['name'],
-            wire.get('ratePerS', 0.0),
-            wire.get('burst', 0.0),
-            wire.get('unit') == 'tokens',
-            wire.get('uncachedTokens', 0),
-            wire.get('priority'),
-        )
-        by_key.update(dict.fromkeys(wire['apiKeys'], account))
+        by_key.update(dict.fromkeys(wire['apiKeys'], read_account(wire)))
     return by_key
 
 
+def read_account(wire: WireAccount) -> Account:
+    """Decode a client account."""
+    return Account(
+        wire['name'],
+        wire.get('ratePerS', 0.0),
+        wire.get('burst', 0.0),
+        wire.get('unit') == 'tokens',
+        wire.get('uncachedTokens', 0),
+        wire.get('priority'),
+    )
+
+
 def read_registration(entry: StoredEntry) -> Registration:
     """Decode an upstream's registration.
 
