--- a/bluebellhub/routing/domain_shares.py
+++ b/bluebellhub/routing/domain_shares.py
@@ -4,7 +4,7 @@
 
 from xxhash import xxh3_64_intdigest
 
-from bluebellhub.routing.domains import DomainDecision, PairShare
+from bluebellhub.routing.domains import NO_LOCAL, DomainDecision, PairShare
 from bluebellhub.routing.links import Link, link_trust, make_link
 
 __all__ = [
@@ -107,7 +107,7 @@
     if pair is None:
         return True
     share = pair.share
-    if pair.reason != 'no_local':
+    if pair.reason != NO_LOCAL:
         share *= link_trust(link_of(shares, domain), now_s)
     if share >= 1.0:
         return True
--- a/bluebellhub/routing/domains.py
+++ b/bluebellhub/routing/domains.py
@@ -11,6 +11,7 @@
 from bluebellhub.registry import Registry, make_registry
 
 __all__ = [
+    'NO_LOCAL',
     'STALE_S',
     'ClosingRule',
     'DomainDecision',
@@ -21,6 +22,8 @@
     'leave_gain',
 ]
 
+# The reason to leave if no upstream is in service here.
+NO_LOCAL: Final = 'no_local'
 # A domain offers slots up to this load.
 USE_MAX: Final = 0.85
 # Above this load a domain sends some requests away that seem to have a place:
@@ -154,7 +157,7 @@
     """Return the slots that another domain grants; the share is set later."""
     reason = _closing_reason(other)
     if here.slots <= 0 and reason not in {'out', 'none'}:
-        return PairShare(max(0.0, _free_slots(other)), 0.0, 1.0, 'no_local')
+        return PairShare(max(0.0, _free_slots(other)), 0.0, 1.0, NO_LOCAL)
     if reason:
         return PairShare(0.0, 0.0, 0.0, reason)
     part = _part(here, other, others)
--- a/bluebellhub/scheduler/leaving.py
+++ b/bluebellhub/scheduler/leaving.py
@@ -13,6 +13,7 @@
     may_leave,
     request_bytes,
 )
+from bluebellhub.routing.domains import NO_LOCAL
 from bluebellhub.routing.links import (
     record_bad_response,
     record_in_time,
@@ -58,20 +59,20 @@
     """Return false if the request must not leave its failure domain.
 
     Its bytes may cost more than it is worth, or the domain of the upstream
-    takes only a share of such requests.
+    takes only a share of such requests.  Without an upstream here, the price
+    does not count, because the request would always be refused.
     """
     if _is_local(scheduler, upstream):
         return True
+    shares = scheduler.domain_shares
+    domain = upstream.spec.failure_domain
+    pair = find_pair(shares, request.target, domain)
+    if pair is not None and pair.reason == NO_LOCAL:
+        return True
     if _bytes_cost(scheduler, request) >= 1.0:
         return False
-    domain = upstream.spec.failure_domain
-    return may_leave(
-        scheduler.domain_shares,
-        request.target,
-        domain,
-        request.request_id,
-        now_s,
-    )
+    request_id = request.request_id
+    return may_leave(shares, request.target, domain, request_id, now_s)
 
 
 def leave_terms(
--- a/bluebellhub/site/tests/test_domain_loads.py
+++ b/bluebellhub/site/tests/test_domain_loads.py
@@ -97,6 +97,7 @@
         (LOCAL + REMOTE, {}, 0.001, ['near', 'near']),
         (LOCAL + REMOTE, {'queued': {'s': 12}}, 0.0, ['near', 'near']),
         (REMOTE, {'queued': {'s': 12}}, 0.0, ['far'] * 4),
+        (REMOTE, {'queued': {'s': 12}}, 0.001, ['far'] * 4),
     ],
 )
 def test_requests_leave_only_without_a_place_here(
