--- a/bluebellhub/adapters/proxy/run.py
+++ b/bluebellhub/adapters/proxy/run.py
@@ -8,37 +8,21 @@
 import logbook
 import trio
 
-from bluebellhub.adapters.node import make_node, run_ticks
+from bluebellhub.adapters.node import make_node
 from bluebellhub.adapters.peer_link import close_link, open_peer_link
 from bluebellhub.adapters.proxy.bounds import read_bounds
-from bluebellhub.adapters.proxy.duties import run_duties
 from bluebellhub.adapters.proxy.duty_kinds import (
     make_duty_work,
     observe_demands,
 )
-from bluebellhub.adapters.proxy.gossip import receive_gossip, send_gossip
-from bluebellhub.adapters.proxy.moves import run_moves
 from bluebellhub.adapters.proxy.object_handlers import (
     Watcher,
     make_watcher,
     object_handlers,
 )
-from bluebellhub.adapters.proxy.readiness import (
-    serve_metrics,
-    serve_readiness,
-)
-from bluebellhub.adapters.proxy.server import serve_callers
 from bluebellhub.adapters.proxy.state import Proxy
 from bluebellhub.adapters.proxy.stopping import finish_requests
-from bluebellhub.adapters.proxy.store_relaying import relay_store
-from bluebellhub.adapters.proxy.store_watch import (
-    expire_objects,
-    watch_store,
-)
-from bluebellhub.adapters.proxy.stored_quarantine import (
-    run_stored_quarantine,
-)
-from bluebellhub.adapters.proxy.upstream_connection import close_expired
+from bluebellhub.adapters.proxy.tasks import start_tasks
 from bluebellhub.adapters.proxy.usage_reports import send_usage_reports
 from bluebellhub.adapters.proxy.vm_announcement import (
     announce_vm,
@@ -105,7 +89,7 @@
         settings.vm, settings.peer_listen or '', site.scheduler.counters
     )
     watcher = make_watcher(proxy, store, link)
-    _start_tasks(settings, nursery, watcher)
+    start_tasks(settings, nursery, watcher)
     if proxy.duty_work is not None:
         nursery.start_soon(send_usage_reports, proxy, link)
         nursery.start_soon(observe_demands, proxy)
@@ -125,46 +109,11 @@
         secrets.randbits(SEED_BITS),
     )
     site.flags['unread_kinds'].update(object_handlers.names())
+    shares = site.scheduler.domain_shares
+    shares.flags['byte_price'] = settings.site.domain_byte_price
     return site
 
 
 async def _never_probe(spec: UpstreamSpec) -> None:
     """Log a probe, which the options of a site do not ask for."""
     log.warning('unexpected probe', extra={'upstream': spec.name})
-
-
-def _start_tasks(
-    settings: Settings, nursery: trio.Nursery, watcher: Watcher
-) -> None:
-    proxy = watcher.proxy
-    nursery.start_soon(run_ticks, proxy.node)
-    _start_watches(nursery, watcher)
-    nursery.start_soon(close_expired, proxy.idle_connections)
-    nursery.start_soon(run_moves, proxy, watcher.store)
-    nursery.start_soon(run_stored_quarantine, watcher)
-    if settings.site.duty.duties:
-        nursery.start_soon(run_duties, watcher, settings)
-    _start_gossip(nursery, watcher)
-    _start_servers(settings, nursery, proxy)
-
-
-def _start_gossip(nursery: trio.Nursery, watcher: Watcher) -> None:
-    nursery.start_soon(receive_gossip, watcher.proxy, watcher.link)
-    nursery.start_soon(send_gossip, watcher.proxy, watcher.link)
-
-
-def _start_watches(nursery: trio.Nursery, watcher: Watcher) -> None:
-    for kind in object_handlers.names():
-        nursery.start_soon(watch_store, watcher, kind)
-    nursery.start_soon(relay_store, watcher)
-    nursery.start_soon(expire_objects, watcher)
-
-
-def _start_servers(
-    settings: Settings, nursery: trio.Nursery, proxy: Proxy
-) -> None:
-    site = settings.site
-    nursery.start_soon(serve_callers, proxy, settings.listen)
-    nursery.start_soon(serve_readiness, proxy, site.ready_listen)
-    if site.metrics_listen:
-        nursery.start_soon(serve_metrics, proxy, site.metrics_listen)
--- a/bluebellhub/tests/test_outer_names.py
+++ b/bluebellhub/tests/test_outer_names.py
@@ -203,4 +203,6 @@
         'usage_windows': 'outcome',
         'scale_orders': 'outcome',
         'store_relays': 'event',
+        'domain_sends': 'to',
+        'domain_bytes': 'to',
     }
