--- a/bluebellhub/routing/domains.py
+++ b/bluebellhub/routing/domains.py
@@ -32,8 +32,8 @@
 # VMs drop the work of a domain from their sums after this time, so that its
 # upstreams would look idle.
 STALE_S: Final = 1.5
-# Requests that were sent after a report are not in it.  A larger rise at each
-# report made the shares of several domains oscillate.
+# Requests that were sent after a report are not in it, so the grants of all
+# domains that are short rise by a part of the free slots only.
 RISE_PER_REPORT: Final = 0.25
 # A quarter of the free slots of a plain service is often less than a request.
 RISE_MIN_SLOTS: Final = 1.0
--- a/bluebellhub/routing/tests/test_domain_shares.py
+++ b/bluebellhub/routing/tests/test_domain_shares.py
@@ -55,7 +55,7 @@
 
 
 def test_grants_rise_by_a_quarter_at_each_report_and_fall_at_once():
-    """Rising at once made domains that are short overshoot together."""
+    """Guards against domains that take all free slots of one old report."""
     decision = None
     granted = []
     for offered, age_s in ((4, 0.1), (4, 0.3), (4, 0.1), (16, 0.1)):
@@ -176,7 +176,7 @@
 @pytest.mark.parametrize('seed', [1, 2])
 @pytest.mark.parametrize('age_s', [0.25, 0.5, 1.0])
 def test_crossing_requests_do_not_oscillate(age_s, seed):
-    """Shares that follow old reports at once swing between none and all."""
+    """Guards against shares that swing between none and all."""
     fleet = Fleet((1.5, 0.4, 0.4), remote_age_s=age_s)
     result = simulate(fleet, is_decided=True, duration_s=30.0, seed=seed)
     settled = result.crossing[8:]
