--- a/bluebellhub/tests/test_outer_names.py
+++ b/bluebellhub/tests/test_outer_names.py
@@ -29,6 +29,9 @@
 MESSAGES: Final = dict(
     line.split() for line in (SAMPLES / 'peer_messages.txt').open()
 )
+OLDER_MESSAGES: Final = dict(
+    line.split() for line in (SAMPLES / 'older_peer_messages.txt').open()
+)
 
 
 @pytest.mark.parametrize('name', MESSAGES)
@@ -39,6 +42,16 @@
     assert isinstance(message, message_types.find(name))
 
 
+@pytest.mark.parametrize('name', OLDER_MESSAGES)
+def test_message_without_the_last_fields_is_read(name: str) -> None:
+    """VMs of the build before are updated one by one."""
+    older = decode_message(bytes.fromhex(OLDER_MESSAGES[name]))
+    newer = decode_message(bytes.fromhex(MESSAGES[name]))
+    if name == 'NewsBatch':
+        older, newer = older.items[0].report, newer.items[0].report
+    assert older == newer._replace(queued={})
+
+
 def test_every_peer_message_has_a_sample() -> None:
     assert message_types.names() == sorted(MESSAGES)
 
