--- a/bluebellhub/adapters/proxy/duties.py
+++ b/bluebellhub/adapters/proxy/duties.py
@@ -28,6 +28,7 @@
     leave,
     make_duty_report,
     next_step,
+    record_announced,
 )
 from bluebellhub.faults import isolate_fault
 from bluebellhub.platform.cloud import close_cloud, make_cloud
@@ -156,7 +157,9 @@
     others = site.vms.keys() - candidates - {site.vm}
     send_all(runner.watcher.link, sorted(candidates), report)
     # Only the VMs that may take over need the usage reports.
-    send_all(runner.watcher.link, sorted(others), report._replace(reports=[]))
+    without = report._replace(reports=[])
+    send_all(runner.watcher.link, sorted(others), without)
+    record_announced(site.duty)
 
 
 async def _give_orders(runner: DutyRunner) -> None:
--- a/bluebellhub/duty/__init__.py
+++ b/bluebellhub/duty/__init__.py
@@ -29,6 +29,7 @@
     finish_skipping,
     known_reports,
     next_unsent,
+    record_announced,
     record_sent,
     skip_window,
 )
@@ -81,6 +82,7 @@
     'make_duty_report',
     'next_step',
     'next_unsent',
+    'record_announced',
     'record_call',
     'record_sent',
     'skip_window',
--- a/bluebellhub/duty/applying.py
+++ b/bluebellhub/duty/applying.py
@@ -1,10 +1,8 @@
 """Applies what the store and the cloud API tell of the duties."""
 
-from math import inf
 from typing import Final
 
 from bluebellhub.duty.duty import (
-    CALL_TIMEOUT_S,
     LEASE_S,
     Announced,
     Duty,
@@ -13,8 +11,9 @@
 )
 from bluebellhub.duty.entry import DutyEntry, FoundEntry
 from bluebellhub.duty.messages import DutyReport
-from bluebellhub.duty.reports import apply_stored_reports, resend_stored
-from bluebellhub.duty.steps import LATE_CALL_S, Acquire, Release, Write
+from bluebellhub.duty.reports import apply_stored_reports
+from bluebellhub.duty.steps import Acquire, Release, Write
+from bluebellhub.duty.takeover import begin_holding
 from bluebellhub.duty.tokens import token_era
 
 __all__ = [
@@ -35,11 +34,6 @@
 REFUSED_RETRY_MAX_S: Final = 8.0
 # The previous holder reads the object at once; later, others may take over.
 RECLAIM_S: Final = 5.0
-# The holder announces its lease every second.
-HEARD_S: Final = 1.5
-# Holders do not alternate within the time that the platform states; the
-# margin covers the travel of the calls.
-ALTERNATION_MARGIN_S: Final = 0.5
 
 
 def apply_era(duty: Duty, era: int, now_s: float) -> None:
@@ -150,75 +144,7 @@
     )
     apply_stored_reports(duty, entry.reports)
     if is_new:
-        _begin_holding(duty, entry, now_s)
-
-
-def _begin_holding(duty: Duty, entry: DutyEntry, now_s: float) -> None:
-    """Set when the first call may be made, and resend the stored reports."""
-    may_act_at_s = max(now_s, _alternation_end_s(duty))
-    if not duty.bounds.is_fenced:
-        may_act_at_s = max(may_act_at_s, _late_calls_end_s(duty, now_s))
-    duty.calls.update(
-        {'may_act_at_s': may_act_at_s, 'unanswered': 0, 'busy': 0}
-    )
-    duty.lease.update(
-        {
-            'held_since_s': now_s,
-            'is_ending': False,
-            'unreached': entry.unreached,
-        }
-    )
-    duty.reports['may_be_lost'] = _may_have_lost_reports(duty, entry, now_s)
-    duty.observed.update({'found': None, 'reclaim_until_s': now_s})
-    resend_stored(duty)
-
-
-def _may_have_lost_reports(duty: Duty, entry: DutyEntry, now_s: float) -> bool:
-    """Return whether a restore may have lost reports that were sent.
-
-    The holder of that time knows them, and so do the VMs that heard it.
-    """
-    observed = duty.observed
-    previous = observed['previous']
-    rose_at_s = observed['era_rose_at_s']
-    was_restored = rose_at_s > -inf
-    if previous is not None:
-        was_restored = token_era(previous.token) < token_era(entry.token)
-    if not was_restored or now_s < observed['reclaim_until_s']:
-        return False
-    announced = observed['announced']
-    if announced is None or announced.report.holder == duty.vm:
-        return True
-    return announced.received_at_s < max(rose_at_s, duty.started_at_s) - HEARD_S
-
-
-def _alternation_end_s(duty: Duty) -> float:
-    """Return when this VM may act again after another has.
-
-    Before its start an earlier process of this VM may have acted.
-    """
-    previous = duty.observed['previous']
-    if previous is None or previous.holder == duty.vm:
-        return -inf
-    last_s = max(duty.started_at_s, duty.calls['acted_at_s'])
-    return last_s + duty.bounds.lease_s + ALTERNATION_MARGIN_S
-
-
-def _late_calls_end_s(duty: Duty, now_s: float) -> float:
-    """Return when no call with an earlier token is executed any more.
-
-    A holder that did not release the lease made no call in the last second of
-    it; one of this VM's earlier processes may have made one until now.
-    """
-    previous = duty.observed['previous']
-    own_end_s = duty.calls['unanswered_at_s'] + LATE_CALL_S
-    if previous is None or previous.is_released:
-        return own_end_s
-    if previous.holder != duty.vm:
-        return max(own_end_s, now_s + LATE_CALL_S - CALL_TIMEOUT_S)
-    if previous.start_id != duty.start_id:
-        return now_s + LATE_CALL_S
-    return own_end_s
+        begin_holding(duty, entry, now_s)
 
 
 def apply_conflict(duty: Duty, found: FoundEntry | None, now_s: float) -> None:
--- a/bluebellhub/duty/reports.py
+++ b/bluebellhub/duty/reports.py
@@ -15,6 +15,7 @@
     'known_reports',
     'merged_reports',
     'next_unsent',
+    'record_announced',
     'record_sent',
     'reports_to_write',
     'resend_stored',
@@ -42,10 +43,8 @@
 
 def known_reports(duty: Duty) -> tuple[UsageOrder, ...]:
     """Return the reports after which the next window is to be reported."""
-    skipped = duty.reports['skipped']
-    if skipped is None:
-        return duty.reports['stored']
-    return (*duty.reports['stored'], UsageOrder(skipped, {}))
+    stored, skipped = duty.reports['stored'], duty.reports['skipped']
+    return stored if skipped is None else (*stored, UsageOrder(skipped, {}))
 
 
 def skip_window(duty: Duty, order: UsageOrder) -> bool:
@@ -117,12 +116,24 @@
 def next_unsent(
     duty: Duty, is_current: Callable[[UsageOrder], bool]
 ) -> UsageOrder | None:
-    """Return the first report to be sent; drop those of no more use."""
+    """Return the first report to be sent; drop those of no more use.
+
+    It is sent only once it is announced, so that other VMs know it also if a
+    restore of the store loses it.
+    """
     unsent = tuple(
         report for report in duty.reports['unsent'] if is_current(report)
     )
     duty.reports['unsent'] = unsent
-    return unsent[0] if unsent else None
+    announced = duty.reports['announced']
+    ready = (report for report in unsent if report.window in announced)
+    return next(ready, None)
+
+
+def record_announced(duty: Duty) -> None:
+    """Record that the reports of the object were announced."""
+    windows = (report.window for report in duty.reports['stored'])
+    duty.reports['announced'] = frozenset(windows)
 
 
 def record_sent(duty: Duty, order: UsageOrder) -> None:
--- a/bluebellhub/duty/steps.py
+++ b/bluebellhub/duty/steps.py
@@ -135,12 +135,16 @@
 
 
 def _may_release(duty: Duty, now_s: float) -> bool:
-    """Return whether no call can be executed after the next holder's."""
+    """Return whether no call can be executed after the next holder's.
+
+    That includes the previous holder's calls, if this VM waits for their end.
+    """
     if duty.calls['is_running']:
         return False
     if duty.bounds.is_fenced:
         return True
-    return now_s >= duty.calls['unanswered_at_s'] + LATE_CALL_S
+    late_end_s = duty.calls['unanswered_at_s'] + LATE_CALL_S
+    return now_s >= max(late_end_s, duty.calls['may_act_at_s'])
 
 
 def _candidate_step(
