--- a/bluebellhub/site/tests/test_gossip.py
+++ b/bluebellhub/site/tests/test_gossip.py
@@ -8,7 +8,12 @@
     make_multicasts,
 )
 from bluebellhub.site.grid import gossip_interval_s
-from bluebellhub.site.liveness import first_live_vm, live_vm_count
+from bluebellhub.site.liveness import (
+    first_live_vm,
+    first_live_vms,
+    live_vm_count,
+)
+from bluebellhub.site.reports import GossipItem, VmReport
 from bluebellhub.site.state import Bounds, make_site, set_vms
 from bluebellhub.site.tests.simulated_fleet import deliver
 from bluebellhub.site.tests.small_site import (
@@ -18,7 +23,7 @@
 )
 from bluebellhub.site.upstreams import apply_registration, apply_routing_table
 from bluebellhub.site.vm_location import VmLocation
-from bluebellhub.site.vm_reports import update_other_vms_load
+from bluebellhub.site.vm_reports import apply_gossip, update_other_vms_load
 
 
 def _make_sites(count, domains=3, start_s=-60.0, first_seed=0):
@@ -137,3 +142,27 @@
     gossip_state, _ = make_multicasts(site, gossip_states['hub-000'], now_s)
     _, multicasts = make_multicasts(site, gossip_state, now_s)
     assert not multicasts
+
+
+@pytest.mark.parametrize(
+    ('peers', 'expected'),
+    [
+        ([], ['hub-4']),
+        (['hub-2'], ['hub-2']),
+        (['hub-3'], ['hub-3', 'hub-4']),
+        (['hub-3', 'hub-5', 'hub-2'], ['hub-2', 'hub-3']),
+    ],
+)
+def test_first_live_vm_of_each_domain_may_hold_duties(peers, expected):
+    """VMs that disagree on the candidates would leave a duty to nobody."""
+    site = make_site('hub-4', 'd0', Bounds(), 0.0)
+    names = [f'hub-{number}' for number in range(1, 6)]
+    set_vms(
+        site,
+        {name: VmLocation('', f'd{int(name[-1]) % 2}') for name in names},
+    )
+    for name in peers:
+        report = VmReport(1, 9.0, 1, {}, {}, {})
+        apply_gossip(site, [GossipItem(name, report)], 5.0)
+    assert first_live_vms(site, 5.5) == expected
+    assert first_live_vms(site, 9.0) == ['hub-4']
--- a/spec/duty.pml
+++ b/spec/duty.pml
@@ -24,7 +24,7 @@
 #define LEASE 2
 #define CALL 1
 #define LATE 2
-#define END 7
+#define END 6
 #define NEVER 255
 #define ERA_STEP 8
 #define WRITES_MAX 3         /* bounds the search */
