--- a/spec/check.sh
+++ b/spec/check.sh
@@ -47,5 +47,14 @@
 judge orders NO_CONDITION yes
 judge orders RETRY_ON_LOSS yes
 judge orders NO_MARK yes
+judge duty "" no
+judge duty EXPIRY_FROM_RESPONSE yes
+judge duty NO_CHECK_AT_SENDING yes
+judge duty SHORT_OBSERVATION yes
+judge duty UNCONDITIONAL_WRITE yes
+judge duty RELEASE_AT_ONCE yes
+judge duty NO_SETTLING yes
+judge duty NO_ERA yes
+judge duty NO_RESTORE_WAIT yes
 echo "$passed passed, $failed failed"
 [ "$failed" -eq 0 ]
--- a/spec/duty.pml
+++ b/spec/duty.pml
@@ -3,8 +3,9 @@
  * cloud API, which does not check tokens.
  *
  * Every event is one atomic step and any event may happen at any time.  A
- * frozen VM is one that makes no step while the clock advances.  A write may
- * take effect late, and its response may arrive late or never.  A call is
+ * frozen VM is one that makes no step while the clock advances.  A write takes
+ * effect at most LATE ticks after it was sent, or never, and its response counts
+ * for CALL ticks, which are the time limit of a call, or never.  A call is
  * executed at most LATE ticks after it was sent, or never.  The store may be
  * replaced once by an older copy, in a new era.
  *
@@ -234,11 +235,20 @@
     if
     :: call[v] == 2 && now > call_at[v] + LATE -> end_call(v)
     :: else
+    fi;
+    if
+    :: write[v] >= 2 && now > write_at[v] + CALL -> end_write(v)
+    :: write[v] == 1 && now > write_at[v] + LATE -> end_write(v)
+    :: else
     fi
 }
 
+/* The VMs are alike and the clock is relative: VM 0 writes first, at 0. */
+#define has_begun (revision > 0 || era > 0)
+
 #define EVENTS(v) \
-    :: atomic { write[v] == 0 && token[v] == 0 -> read(v) } \
+    :: atomic { (v == 0 || has_begun) && write[v] == 0 && token[v] == 0 -> \
+        read(v) } \
     :: atomic { writes < WRITES_MAX && write[v] == 0 && token[v] == 0 && \
         call[v] != 1 && \
         seen_revision[v] != NEVER && is_free(v) -> \
@@ -246,8 +256,6 @@
     :: atomic { writes < WRITES_MAX && write[v] == 0 && token[v] > 0 -> send_write(v, false, false) } \
     :: atomic { write[v] == 1 -> apply_write(v) } \
     :: atomic { write[v] >= 2 -> take_response(v) } \
-    :: atomic { write[v] >= 2 && now > write_at[v] + CALL && write_takes[v] -> \
-        end_write(v) } \
     :: atomic { call[v] == 0 && may_act(v) -> \
         call[v] = 1; call_token[v] = token[v] } \
     :: atomic { call[v] == 1 && may_send(v) -> call[v] = 2; call_at[v] = now } \
@@ -261,7 +269,7 @@
 {
     forget(0); forget(1);
     do
-    :: atomic { now < END -> now++; expire(0); expire(1) }
+    :: atomic { now < END && (has_begun || write[0] > 0) -> now++; expire(0); expire(1) }
     :: atomic { !copied && era == 0 -> copied = true; copy_holder = holder;
         copy_count = count; copy_revision = revision }
     :: atomic { copied && era == 0 -> era = 1; holder = copy_holder;
