Use the slowdown that upstreams state, and report it to other VMs

The fourth figure of the load header was decoded and dropped, so an upstream that was throttled kept its share of the requests until its learned speed had followed. The upstream now keeps the ratio with its time; the predicted first token, step and finish are multiplied by it, with a half-life of 0.5 s, and what is learned as the usual speed leaves it out. VmReport and DomainReport have a new last field with at most 32 slowdowns of the last second.

A malformed load was logged with every response; it is now logged at most once a minute and still counted.

The samples of NewsBatch and DomainNews get the new field; the earlier bytes are kept as a sample that must still be read.

--- a/bluebellhub/adapters/proxy/run.py
+++ b/bluebellhub/adapters/proxy/run.py
@@ -98,7 +98,7 @@
     thread starts has crashed the process.
     """
     node = make_node(settings, site.scheduler, _never_probe, nursery)
-    proxy = Proxy(node, site, {}, {})
+    proxy = Proxy(node, site, {}, {}, {})
     store = make_store(settings.site.store)
     announced = False
     with isolate_fault('announcement'):
--- a/bluebellhub/adapters/proxy/state.py
+++ b/bluebellhub/adapters/proxy/state.py
@@ -30,13 +30,15 @@
     """The root: the VM's runtime and site state, and open connections.
 
     ``idle_connections`` lead to upstreams; ``caller_connections`` are keyed
-    by the `id` of the connection.
+    by the `id` of the connection.  ``logged_at_s`` holds when kinds of lines
+    were logged that are logged rarely.
     """
 
     node: Node
     site: Site
     idle_connections: IdleConnections
     caller_connections: dict[int, CallerConnection]
+    logged_at_s: dict[str, float]
 
 
 class BufferedResponse(NamedTuple):
--- a/bluebellhub/adapters/proxy/statements.py
+++ b/bluebellhub/adapters/proxy/statements.py
@@ -26,6 +26,7 @@
 ]
 
 LOGGED_MAX_BYTES: Final = 64
+LOG_INTERVAL_S: Final = 60.0
 
 log = logbook.Logger('bluebellhub.statements')
 
@@ -104,12 +105,26 @@
 def apply_load(proxy: Proxy, name: str, response: ResponseHead) -> None:
     """Apply the load in a response; a malformed one changes nothing."""
     if response.load is not None:
-        apply_response_load(proxy.site, name, response.load)
+        apply_response_load(proxy.site, name, response.load, now_s())
     if response.malformed_load is not None:
-        _log_malformed('load', name, response.malformed_load)
+        if _may_log(proxy, 'load'):
+            _log_malformed('load', name, response.malformed_load)
         proxy.node.scheduler.counters['refused_reports', name] += 1
 
 
+def _may_log(proxy: Proxy, kind: str) -> bool:
+    """Return whether a line of this kind may be logged, and note that it is.
+
+    Loads come with every response, and a faulty upstream would fill the log.
+    """
+    current_s = now_s()
+    logged_at_s = proxy.logged_at_s.get(kind)
+    if logged_at_s is not None and current_s - logged_at_s < LOG_INTERVAL_S:
+        return False
+    proxy.logged_at_s[kind] = current_s
+    return True
+
+
 def _log_malformed(kind: str, name: str, stated: bytes) -> None:
     start = stated[:LOGGED_MAX_BYTES].decode('latin-1')
     log.warning(
--- a/bluebellhub/adapters/proxy/tests/scripted_upstreams.py
+++ b/bluebellhub/adapters/proxy/tests/scripted_upstreams.py
@@ -106,7 +106,7 @@
                 apply_registration(site, entry, now_s())
             settings = Settings('hub-1', 'd', '127.0.0.1:1')
             node = make_node(settings, site.scheduler, _probe, nursery)
-            proxy = Proxy(node, site, {}, {})
+            proxy = Proxy(node, site, {}, {}, {})
             nursery.start_soon(run_ticks, node)
             port = await listen(nursery, partial(serve_connection, proxy))
             yield RunningHub(proxy, port, received)
--- a/bluebellhub/scheduler/candidate.py
+++ b/bluebellhub/scheduler/candidate.py
@@ -6,7 +6,11 @@
 from bluebellhub.routing.output_length import expected_tokens
 from bluebellhub.routing.prefix import BLOCK_TOKENS
 from bluebellhub.scheduler.state import Scheduler, upstreams_for
-from bluebellhub.upstream import Upstream, predict_first_token_s
+from bluebellhub.upstream import (
+    Upstream,
+    predict_first_token_s,
+    predict_step_s,
+)
 
 __all__ = ['idle_first_token_s', 'make_candidate', 'unreported_requests']
 
@@ -40,7 +44,7 @@
         resumed=state.first_token_at_s is not None,
         load=work / slots,
         first_s=first_s,
-        finish_s=first_s + _decode_time_s(scheduler, state, upstream),
+        finish_s=first_s + _decode_time_s(scheduler, state, upstream, now_s),
         is_local=upstream.spec.failure_domain == domain,
         has_failed=state.last_upstream == name,
         free_slots=max(1, slots - work),
@@ -63,7 +67,10 @@
 
 
 def _decode_time_s(
-    scheduler: Scheduler, state: RequestState, upstream: Upstream
+    scheduler: Scheduler,
+    state: RequestState,
+    upstream: Upstream,
+    now_s: float,
 ) -> float:
     """Predict the seconds from the first to the last token."""
     request = state.request
@@ -73,7 +80,7 @@
         scheduler.lengths, request.account, request.route, request.output_tokens
     )
     left = max(0, tokens - state.tokens)
-    return left * upstream.speed.step_s
+    return left * predict_step_s(upstream, now_s)
 
 
 def idle_first_token_s(scheduler: Scheduler, state: RequestState) -> float:
--- a/bluebellhub/scheduler/capacity.py
+++ b/bluebellhub/scheduler/capacity.py
@@ -16,6 +16,7 @@
     Upstream,
     backlog_tokens,
     is_straggler,
+    prefill_rate,
 )
 
 __all__ = [
@@ -187,7 +188,7 @@
     if request.tier.rank == 0:
         return True
     upstream = placement.upstream
-    rate = upstream.speed.prefill_tokens_per_s
+    rate = prefill_rate(upstream, placement.now_s)
     backlog_s = backlog_tokens(upstream, placement.now_s) / rate
     if upstream.spec.name in placement.unblocked:
         after_s = backlog_s + placement.candidate.uncached_tokens / rate
--- a/bluebellhub/scheduler/progress.py
+++ b/bluebellhub/scheduler/progress.py
@@ -42,6 +42,7 @@
     record_failure,
     record_load_report,
 )
+from bluebellhub.upstream.slowdown import ratio_at
 from bluebellhub.upstream.speed import observe_step
 
 __all__ = [
@@ -105,11 +106,13 @@
     name = state.attempt.upstream if state.attempt else ''
     upstream = scheduler.upstreams[name]
     elapsed_s = now_s - work.sent_at_s
+    # What is learned is the usual speed, without a passing slowdown.
+    usual = 1 / ratio_at(upstream.slowdown, now_s)
     speed = observe_prefill(
         upstream.speed,
         work.work_tokens,
-        elapsed_s,
-        work.predicted_s,
+        elapsed_s * usual,
+        work.predicted_s * usual,
         upstream.spec.learn_min_tokens,
     )
     if not scheduler.options.adapts_windows:
@@ -180,6 +183,7 @@
     first_s = state.first_token_at_s
     if first_s is not None and state.tokens > 1 and state.attempts == 1:
         step_s = (now_s - first_s) / (state.tokens - 1)
+        step_s /= ratio_at(upstream.slowdown, now_s)
         scheduler.upstreams[name] = upstream._replace(
             speed=observe_step(upstream.speed, step_s)
         )
--- a/bluebellhub/site/domain_reports.py
+++ b/bluebellhub/site/domain_reports.py
@@ -20,6 +20,7 @@
     merge_starts,
 )
 from bluebellhub.site.reports import DomainReport, RemoteDomain, VmReport
+from bluebellhub.site.slowdowns import apply_slowdowns, make_slowdowns
 from bluebellhub.site.state import Site
 from bluebellhub.site.version_moves import record_outcome_counts
 from bluebellhub.site.vm_reports import (
@@ -70,6 +71,7 @@
         {}
         if local_report.sequence % REPORTS_PER_SPEEDS
         else learned_speeds(site),
+        make_slowdowns(site, now_s),
     )
 
 
@@ -107,6 +109,7 @@
     _charge_usage(site, before, report, context)
     adopt_levels(site, report.uptime_s, report.levels, context)
     merge_learned_speeds(site, report.speeds)
+    apply_slowdowns(site, report.slowdowns, now_s)
     for vm, outcome_counts in report.outcome_counts.items():
         record_outcome_counts(site, vm, outcome_counts)
     apply_leader_decisions(site, report.first_vm, report.decisions, context)
--- a/bluebellhub/site/gossip.py
+++ b/bluebellhub/site/gossip.py
@@ -10,7 +10,6 @@
 from bluebellhub.site.domain_reports import make_domain_report
 from bluebellhub.site.grid import (
     REMOTE_INTERVAL_S,
-    Grid,
     column_peers,
     remote_peers,
     row_peers,
@@ -25,6 +24,7 @@
     StepReport,
     VmReport,
 )
+from bluebellhub.site.slowdowns import older_slowdowns
 from bluebellhub.site.state import Site
 from bluebellhub.site.stated_limits import (
     LimitsSent,
@@ -108,7 +108,7 @@
         local_item = GossipItem(site.vm, report)
         items.append(local_item)
         multicasts.append(Multicast(row_peers(grid), GossipBatch([local_item])))
-    items.extend(_unrelayed_items(site, state, grid))
+    items.extend(_unrelayed_items(site, state, now_s))
     live = live_vm_names(site, now_s)
     if items:
         multicasts.append(
@@ -169,25 +169,33 @@
 def _is_due(state: GossipState, report: VmReport, now_s: float) -> bool:
     """Return whether the report differs from the last one or a refresh is due.
 
-    A change of the speeds alone does not count.
+    A change of the speeds alone does not count, and slowdowns count only if one
+    was stated since.
     """
     sent = state.last_report
     if sent is None or now_s - state.sent_at_s >= REFRESH_INTERVAL_S:
         return True
+    since_s = now_s - state.sent_at_s
+    if any(stated.age_s < since_s for stated in report.slowdowns.values()):
+        return True
     unchanged = report._replace(
-        sequence=sent.sequence, uptime_s=sent.uptime_s, speeds=sent.speeds
+        sequence=sent.sequence,
+        uptime_s=sent.uptime_s,
+        speeds=sent.speeds,
+        slowdowns=sent.slowdowns,
     )
     return unchanged != sent
 
 
 def _unrelayed_items(
-    site: Site, state: GossipState, grid: Grid
+    site: Site, state: GossipState, now_s: float
 ) -> list[GossipItem]:
     """Return the row's reports that were not relayed to the column yet.
 
     Learned speeds are not relayed: each VM merges them into its own speeds, so
     they reach all VMs in its own reports.
     """
+    grid = site.flags['grid']
     if len(grid.rows) == 1:
         return []
     items = []
@@ -198,5 +206,11 @@
         report_id = (peer.report.start_id, peer.report.sequence)
         if state.relayed.get(name) != report_id:
             state.relayed[name] = report_id
-            items.append(GossipItem(name, peer.report._replace(speeds={})))
+            relayed = peer.report._replace(
+                speeds={},
+                slowdowns=older_slowdowns(
+                    peer.report.slowdowns, now_s - peer.received_at_s
+                ),
+            )
+            items.append(GossipItem(name, relayed))
     return items
--- a/bluebellhub/site/reports.py
+++ b/bluebellhub/site/reports.py
@@ -18,6 +18,7 @@
     'Peer',
     'RemoteDomain',
     'ReportedLimit',
+    'ReportedSlowdown',
     'StepReport',
     'VmReport',
 ]
@@ -37,6 +38,13 @@
     is_bad: bool = False
 
 
+class ReportedSlowdown(NamedTuple):
+    """The slowdown that an upstream stated ``age_s`` seconds ago."""
+
+    ratio: float
+    age_s: float
+
+
 class VmReport(NamedTuple):
     """A VM's work in progress and its usage of the accounts' limits.
 
@@ -51,7 +59,8 @@
 
     ``levels`` are the levels of the accounts' token buckets, included while
     another VM has just started. ``speeds`` are the learned speeds of the
-    upstreams, included in some of the reports only.
+    upstreams, included in some of the reports only. ``slowdowns`` are the
+    newest that upstreams stated to the VM, if they are fresh.
     """
 
     start_id: int
@@ -64,6 +73,7 @@
     decisions: dict[str, MoveDecision] = {}
     levels: dict[str, float] = {}
     speeds: dict[str, Speed] = {}
+    slowdowns: dict[str, ReportedSlowdown] = {}
 
 
 class GossipItem(NamedTuple):
@@ -144,6 +154,7 @@
     decisions: dict[str, MoveDecision] = {}
     levels: dict[str, float] = {}
     speeds: dict[str, Speed] = {}
+    slowdowns: dict[str, ReportedSlowdown] = {}
 
 
 class RemoteDomain(NamedTuple):
--- a/bluebellhub/site/tests/test_upstreams.py
+++ b/bluebellhub/site/tests/test_upstreams.py
@@ -95,7 +95,7 @@
 )
 def test_load_in_response_limits_dispatch(load, placed):
     site = make_small_site(make_registration())
-    apply_response_load(site, 'u1', load)
+    apply_response_load(site, 'u1', load, 0.0)
     _, events = send(site)
     assert bool(dispatched_upstreams(events)) is placed
 
--- a/bluebellhub/site/upstreams.py
+++ b/bluebellhub/site/upstreams.py
@@ -19,6 +19,7 @@
 from bluebellhub.scheduler import add_upstream, confirm_end, remove_upstream
 from bluebellhub.site.state import Site
 from bluebellhub.upstream import UpstreamSpec, make_upstream, mark_cold
+from bluebellhub.upstream.slowdown import Slowdown, bounded_ratio
 
 __all__ = [
     'apply_registration',
@@ -126,7 +127,9 @@
     site.scheduler.domains_out.update(domains)
 
 
-def apply_response_load(site: Site, name: str, load: UpstreamLoad) -> None:
+def apply_response_load(
+    site: Site, name: str, load: UpstreamLoad, now_s: float
+) -> None:
     """Apply the load that an upstream states in a response.
 
     What exceeds this VM's own requests counts as the load of other VMs.
@@ -135,8 +138,11 @@
     if upstream is None:
         return
     other_requests = load.running + load.waiting - len(upstream.work)
+    slowdown = upstream.slowdown
+    if load.slowdown is not None:
+        slowdown = Slowdown(bounded_ratio(load.slowdown), now_s, is_own=True)
     site.scheduler.upstreams[name] = upstream._replace(
-        other_vms_work=max(0, other_requests)
+        other_vms_work=max(0, other_requests), slowdown=slowdown
     )
 
 
--- a/bluebellhub/site/vm_reports.py
+++ b/bluebellhub/site/vm_reports.py
@@ -17,6 +17,7 @@
     usage_since,
 )
 from bluebellhub.site.reports import GossipItem, MoveDecision, Peer, VmReport
+from bluebellhub.site.slowdowns import apply_slowdowns, make_slowdowns
 from bluebellhub.site.state import Site
 from bluebellhub.site.version_moves import (
     apply_decisions,
@@ -64,6 +65,7 @@
         {}
         if site.flags['report_count'] % REPORTS_PER_SPEEDS
         else learned_speeds(site),
+        make_slowdowns(site, now_s, own_only=True),
     )
 
 
@@ -138,11 +140,17 @@
         site.admitted_by_peers.update(usage)
         charge_accounts(site, usage, context)
     adopt_levels(site, report.uptime_s, report.levels, context)
-    merge_learned_speeds(site, report.speeds)
+    _apply_speeds(site, report, context.now_s)
     record_outcome_counts(site, item.vm, report.outcome_counts)
     apply_leader_decisions(site, item.vm, report.decisions, context)
 
 
+def _apply_speeds(site: Site, report: VmReport, now_s: float) -> None:
+    """Apply the learned speeds and the stated slowdowns of upstreams."""
+    merge_learned_speeds(site, report.speeds)
+    apply_slowdowns(site, report.slowdowns, now_s)
+
+
 def apply_leader_decisions(
     site: Site,
     sender: str,
--- a/bluebellhub/tests/test_outer_names.py
+++ b/bluebellhub/tests/test_outer_names.py
@@ -29,6 +29,10 @@
 MESSAGES: Final = dict(
     line.split() for line in (SAMPLES / 'peer_messages.txt').open()
 )
+# Messages that have got a last field since, as written before.
+EARLIER_MESSAGES: Final = dict(
+    line.split() for line in (SAMPLES / 'earlier_peer_messages.txt').open()
+)
 
 
 @pytest.mark.parametrize('name', MESSAGES)
@@ -39,6 +43,19 @@
     assert isinstance(message, message_types.find(name))
 
 
+@pytest.mark.parametrize('name', EARLIER_MESSAGES)
+def test_peer_message_of_an_earlier_build_lacks_only_last_fields(
+    name: str,
+) -> None:
+    """A field without a default would end gossip during a rolling update."""
+    earlier = bytes.fromhex(EARLIER_MESSAGES[name])
+    encoded = encode_message(decode_message(earlier))
+    assert decode_message(encoded) == decode_message(earlier)
+    assert decode_message(encoded) != decode_message(
+        bytes.fromhex(MESSAGES[name])
+    )
+
+
 def test_every_peer_message_has_a_sample() -> None:
     assert message_types.names() == sorted(MESSAGES)
 
--- a/bluebellhub/upstream/upstream.py
+++ b/bluebellhub/upstream/upstream.py
@@ -6,6 +6,7 @@
 
 from bluebellhub.invariants import check_invariant
 from bluebellhub.rates.cold_rate import ColdRate
+from bluebellhub.upstream.slowdown import Slowdown, ratio_at
 from bluebellhub.upstream.speed import Speed, make_speed
 from bluebellhub.upstream.window import Window, make_window, restart
 
@@ -22,6 +23,8 @@
     'mark_cold',
     'pending_tokens',
     'predict_first_token_s',
+    'prefill_rate',
+    'predict_step_s',
     'record_failure',
     'record_load_report',
     'remove_work',
@@ -103,7 +106,7 @@
     requests from other VMs in progress.  ``cold_rate`` limits the requests
     per second from this VM while the upstream is cold.  ``error_ratio`` is the
     smoothed ratio of error responses.  ``incarnation`` changes with each start
-    of an upstream that keeps its name.
+    of an upstream that keeps its name.  ``slowdown`` is what it stated last.
     """
 
     spec: UpstreamSpec
@@ -119,6 +122,7 @@
     cold_rate: ColdRate | None = None
     error_ratio: float = 0.0
     incarnation: str = ''
+    slowdown: Slowdown = Slowdown()
 
 
 def make_upstream(spec: UpstreamSpec, *, warm: bool = False) -> Upstream:
@@ -142,6 +146,17 @@
     )
 
 
+def prefill_rate(upstream: Upstream, now_s: float) -> float:
+    """Return the expected prefill rate in tokens per second."""
+    slowdown = ratio_at(upstream.slowdown, now_s)
+    return upstream.speed.prefill_tokens_per_s / slowdown
+
+
+def predict_step_s(upstream: Upstream, now_s: float) -> float:
+    """Predict the seconds between two tokens."""
+    return upstream.speed.step_s * ratio_at(upstream.slowdown, now_s)
+
+
 def backlog_tokens(upstream: Upstream, now_s: float) -> float:
     """Estimate the number of tokens that wait for prefill now.
 
@@ -159,7 +174,7 @@
         local += work.uncached_tokens
         if work.sent_at_s > taken_at_s:
             sent_since += work.uncached_tokens
-    rate = upstream.speed.prefill_tokens_per_s
+    rate = prefill_rate(upstream, now_s)
     done = (now_s - upstream.other_vms_at_s) * rate
     known = local + max(0.0, upstream.other_vms_tokens - done)
     if report is None:
@@ -173,8 +188,8 @@
 ) -> float:
     """Predict the seconds from dispatch to the first token."""
     ahead = backlog_tokens(upstream, now_s)
-    rate = upstream.speed.prefill_tokens_per_s
-    return (ahead + uncached_tokens) / rate + upstream.speed.step_s
+    rate = prefill_rate(upstream, now_s)
+    return (ahead + uncached_tokens) / rate + predict_step_s(upstream, now_s)
 
 
 def add_work(
