Send only this VM's share of what the upstreams can take

A VM sent to every slot that the last report showed free, up to 0.5 s old, and so did 60 to 195 others. The engines' queues never emptied, and nearly all that was admitted came late.

VMs now report the requests per second that they get, by target and rank (a new last field of VmReport and DomainReport). Each VM estimates the rate at which the upstreams take requests, from their slots, the time that a request holds one and the reported work, and sends its own requests at the ratio that this rate leaves, higher ranks first. While it is less than one, a request is refused after 0.3 of the longest wait. A request is placed where a slot is free or about to become free; one that would be late only where a slot is free now. What is in time is the route's objective, not the time allowed in the queue.

--- a/bluebellhub/request/state.py
+++ b/bluebellhub/request/state.py
@@ -32,7 +32,8 @@
     request.  ``time_limit_s`` limits the complete response, if the caller
     states it.  ``prompt_parts`` are ids of parts of the prompt; one that
     crashes upstreams is recognised by its id, and so is a request that comes
-    again.
+    again.  The first token should come within ``objective_s`` seconds; if it is
+    ``None``, the limit of the tier applies.
     """
 
     request_id: str
@@ -48,12 +49,20 @@
     executions_max: int = 4
     time_limit_s: float | None = None
     prompt_parts: tuple[str, ...] = ()
+    objective_s: float | None = None
 
     @property
     def deadline_s(self) -> float:
         """Latest time for the first token."""
         return self.arrived_at_s + self.tier.first_token_s
 
+    @property
+    def first_due_s(self) -> float:
+        """Time until which the first token is in time for its caller."""
+        if self.objective_s is None:
+            return self.deadline_s
+        return self.arrived_at_s + self.objective_s
+
     @property
     def ends_at_s(self) -> float:
         """Time after which a response is of no use to the caller."""
--- a/bluebellhub/scheduler/candidate.py
+++ b/bluebellhub/scheduler/candidate.py
@@ -5,7 +5,8 @@
 from bluebellhub.routing import Candidate, cached_blocks
 from bluebellhub.routing.output_length import expected_tokens
 from bluebellhub.routing.prefix import BLOCK_TOKENS
-from bluebellhub.scheduler.state import Scheduler, upstreams_for
+from bluebellhub.scheduler.shares import slot_wait_s
+from bluebellhub.scheduler.state import Scheduler, share_of, upstreams_for
 from bluebellhub.upstream import (
     Upstream,
     predict_first_token_s,
@@ -35,6 +36,8 @@
     slots = upstream.window.slots
     work = len(upstream.work) + upstream.other_vms_work
     first_s = predicted_s * upstream.speed.delay_ratio
+    share = share_of(scheduler, request.target)
+    first_s += slot_wait_s(share, upstream, now_s)
     domain = scheduler.flags['failure_domain']
     return Candidate(
         name,
@@ -48,7 +51,7 @@
         is_local=upstream.spec.failure_domain == domain,
         has_failed=state.last_upstream == name,
         free_slots=max(1, slots - work),
-        is_late=now_s + first_s > request.deadline_s,
+        is_late=now_s + first_s > request.first_due_s,
         unreported=unreported,
         error_ratio=upstream.error_ratio,
     )
--- a/bluebellhub/scheduler/capacity.py
+++ b/bluebellhub/scheduler/capacity.py
@@ -11,7 +11,12 @@
 from bluebellhub.registry import Registry, make_registry
 from bluebellhub.request import Request
 from bluebellhub.routing import Candidate
-from bluebellhub.scheduler.state import Scheduler, upstreams_for
+from bluebellhub.scheduler.shares import expected_free
+from bluebellhub.scheduler.state import (
+    Scheduler,
+    share_of,
+    upstreams_for,
+)
 from bluebellhub.upstream import (
     Upstream,
     backlog_tokens,
@@ -81,12 +86,19 @@
     After a failure domain has returned to service, its slots ramp up.
     """
     slots = min(scheduler.slots(upstream, now_s), upstream.window.slots)
+    return min(slots, _ramped_slots(scheduler, upstream, now_s))
+
+
+def _ramped_slots(
+    scheduler: Scheduler, upstream: Upstream, now_s: float
+) -> int:
+    """Return the slots of the upstream that all VMs may use now."""
     ramping = scheduler.ramping_domains.get(upstream.spec.failure_domain)
     if ramping is None:
-        return slots
+        return upstream.window.slots
     domain, since_s = ramping
     share = ramp_share(domain, now_s - since_s)
-    return min(slots, max(1, int(upstream.window.slots * share)))
+    return max(1, int(upstream.window.slots * share))
 
 
 def has_capacity(placement: Placement) -> bool:
@@ -126,11 +138,22 @@
 
 @disciplines.register('shared')
 def admit_shared(placement: Placement) -> bool:
-    """Admit while the usable slots of the upstream are not all in use."""
-    slots = usable_slots(
-        placement.scheduler, placement.upstream, placement.now_s
-    )
-    return len(placement.upstream.work) < slots
+    """Admit where a slot is free, or will be before the request arrives.
+
+    Nothing is sent to the end of a queue.  A late request gets a slot that is
+    free now.
+    """
+    scheduler = placement.scheduler
+    upstream = placement.upstream
+    slots = _ramped_slots(scheduler, upstream, placement.now_s)
+    if len(upstream.work) >= slots:
+        return False
+    if slots - len(upstream.work) - upstream.other_vms_work >= 1:
+        return True
+    if placement.candidate.is_late:
+        return False
+    share = share_of(scheduler, placement.request.target)
+    return expected_free(share, upstream, slots, placement.now_s) > 0
 
 
 def _has_slot(placement: Placement) -> bool:
--- /dev/null
+++ b/bluebellhub/scheduler/credit.py
@@ -0,0 +1,55 @@
+"""The share of a target's capacity that this VM uses."""
+
+from bluebellhub.request import Request
+from bluebellhub.scheduler.shares import (
+    admission_ratio,
+    has_credit,
+    take_credit,
+)
+from bluebellhub.scheduler.state import (
+    Scheduler,
+    is_leaving,
+    share_of,
+    upstreams_for,
+)
+from bluebellhub.upstream import Upstream
+
+__all__ = ['capacity_ratio', 'charge_credit', 'is_within_share']
+
+
+def capacity_ratio(
+    scheduler: Scheduler, target: str, rank: int, now_s: float
+) -> float:
+    """Return which ratio of the requests of a rank can be sent now."""
+    upstreams = _serving_upstreams(scheduler, target, now_s)
+    return admission_ratio(share_of(scheduler, target), upstreams, rank, now_s)
+
+
+def is_within_share(
+    scheduler: Scheduler, request: Request, now_s: float
+) -> bool:
+    """Return whether this VM may send one more request now."""
+    if scheduler.options.discipline != 'shared':
+        return True
+    target = request.target
+    upstreams = _serving_upstreams(scheduler, target, now_s)
+    share = share_of(scheduler, target)
+    return has_credit(share, upstreams, request.tier.rank, now_s)
+
+
+def charge_credit(scheduler: Scheduler, request: Request) -> None:
+    """Charge a request that is sent now to the share."""
+    take_credit(share_of(scheduler, request.target), request.tier.rank)
+
+
+def _serving_upstreams(
+    scheduler: Scheduler, target: str, now_s: float
+) -> list[Upstream]:
+    """Return the upstreams of a target that get new work."""
+    return [
+        upstream
+        for upstream in upstreams_for(scheduler, target)
+        if upstream.spec.failure_domain not in scheduler.domains_out
+        and now_s >= upstream.paused_until_s
+        and not is_leaving(scheduler, upstream)
+    ]
--- a/bluebellhub/scheduler/dispatch.py
+++ b/bluebellhub/scheduler/dispatch.py
@@ -20,6 +20,7 @@
     prefer_unblocked,
     unblocked_names,
 )
+from bluebellhub.scheduler.credit import charge_credit, is_within_share
 from bluebellhub.scheduler.eligibility import is_eligible
 from bluebellhub.scheduler.events import Dispatch, Event
 from bluebellhub.scheduler.finish import refuse
@@ -102,6 +103,8 @@
 ) -> bool:
     """Dispatch the head of the queue; return false if it stays queued."""
     state = scheduler.requests[entry.request_id]
+    if not is_within_share(scheduler, state.request, now_s):
+        return False
     candidates = candidates_for(scheduler, state, now_s)
     if not candidates:
         return _preempt(scheduler, events, state, now_s)
@@ -113,6 +116,7 @@
     remove(queue, entry.request_id)
     charge(queue, entry)
     events.append(start_attempt(scheduler, state, chosen, now_s))
+    charge_credit(scheduler, state.request)
     return True
 
 
--- a/bluebellhub/scheduler/progress.py
+++ b/bluebellhub/scheduler/progress.py
@@ -31,7 +31,13 @@
 )
 from bluebellhub.scheduler.queued_request import make_queued_request
 from bluebellhub.scheduler.retry_budgets import earn_credit, retry_budgets
-from bluebellhub.scheduler.state import Scheduler, queue_of, signals_of
+from bluebellhub.scheduler.shares import observe_plain
+from bluebellhub.scheduler.state import (
+    Scheduler,
+    queue_of,
+    share_of,
+    signals_of,
+)
 from bluebellhub.upstream import (
     LoadReport,
     Work,
@@ -148,6 +154,9 @@
     request = state.request
     if state.attempt is not None:
         _observe_end(scheduler, state, now_s, cached_tokens)
+    if state.attempt is not None and state.tokens <= 1:
+        took_s = now_s - state.attempt.started_at_s
+        observe_plain(share_of(scheduler, request.target), took_s)
     ended = release_attempt(scheduler, state)
     earn_credit(scheduler)
     record_length(
--- /dev/null
+++ b/bluebellhub/scheduler/shares.py
@@ -0,0 +1,236 @@
+"""This VM's share of the requests that all upstreams of a target can take.
+
+Reports of other VMs are older than the time in which all VMs together fill a
+free slot.  If each VM sent to every slot that looks free, as many requests as
+there are VMs would queue for it.  Instead, each VM sends at its share of the
+rate at which the upstreams take requests: slots that become free, and a part of
+those that are free.  The share is in proportion to the requests that the VMs
+get, by their reports, and higher ranks have theirs first.
+"""
+
+from collections.abc import Mapping, Sequence
+from math import inf
+from typing import Final, NamedTuple, TypedDict
+
+from bluebellhub.rates.sliding import (
+    SlidingWindow,
+    add,
+    make_sliding_window,
+    total,
+)
+from bluebellhub.upstream import Upstream, predict_step_s, prefill_rate
+
+__all__ = [
+    'RankShare',
+    'TargetShare',
+    'admission_ratio',
+    'count_arrival',
+    'expected_free',
+    'has_credit',
+    'make_target_share',
+    'observe_plain',
+    'own_demand',
+    'set_other_demand',
+    'slot_wait_s',
+    'take_credit',
+]
+
+DEMAND_WINDOW_S: Final = 2.0
+# Requests that may be sent at once after a pause.
+CREDIT_MAX: Final = 2.0
+# A VM always has a share, so that it notices when capacity is back.
+RATIO_MIN: Final = 0.02
+# Part of the slots short of the target that is given out in a second.  With
+# more than the age of the reports allows, all VMs overshoot in turn.
+FREE_GAIN_PER_S: Final = 2.0
+# Work that all VMs aim at, in relation to the slots: loads vary between two
+# reports, so with less, slots would be idle while requests are refused.
+WORK_TARGET_RATIO: Final = 1.15
+SMOOTHING_FACTOR: Final = 0.1
+HOLD_MIN_S: Final = 0.02
+# Seconds of departures that are expected before a request arrives in a slot.
+LOOKAHEAD_S: Final = 0.25
+
+
+class MeanWork(TypedDict):
+    """Smoothed tokens of a request, and the seconds of one without tokens."""
+
+    requests: int
+    prompt_tokens: float
+    output_tokens: float
+    plain_s: float
+
+
+class RankShare(NamedTuple):
+    """Requests of one rank, and how many of them may be sent at once."""
+
+    arrivals: SlidingWindow
+    credit: float
+    refilled_at_s: float
+
+
+class TargetShare(NamedTuple):
+    """Aggregate root: the demand for one target, by rank.
+
+    ``other_demand`` holds the requests per second that other VMs get.
+    """
+
+    ranks: dict[int, RankShare]
+    other_demand: dict[int, float]
+    mean: MeanWork
+
+
+def make_target_share() -> TargetShare:
+    """Create the share of a target without requests."""
+    mean: MeanWork = {
+        'requests': 0,
+        'prompt_tokens': 0.0,
+        'output_tokens': 0.0,
+        'plain_s': 0.0,
+    }
+    return TargetShare({}, {}, mean)
+
+
+def count_arrival(
+    share: TargetShare, rank: int, work: tuple[int, int], now_s: float
+) -> None:
+    """Count a request of a caller, also one that comes again.
+
+    ``work`` are the tokens of its prompt and those expected of its response.
+    """
+    _observe_work(share, *work)
+    found = share.ranks.get(rank)
+    if found is None:
+        window = make_sliding_window(DEMAND_WINDOW_S)
+        found = RankShare(window, CREDIT_MAX, now_s)
+        share.ranks[rank] = found
+    add(found.arrivals, 1.0, now_s)
+
+
+def own_demand(share: TargetShare, now_s: float) -> dict[int, float]:
+    """Return the requests per second that this VM gets, by rank."""
+    counts = {
+        rank: total(found.arrivals, now_s)
+        for rank, found in share.ranks.items()
+    }
+    return {
+        rank: count / DEMAND_WINDOW_S for rank, count in counts.items() if count
+    }
+
+
+def set_other_demand(share: TargetShare, demand: Mapping[int, float]) -> None:
+    """Set the requests per second that the other VMs get, by rank."""
+    share.other_demand.clear()
+    share.other_demand.update(demand)
+
+
+def observe_plain(share: TargetShare, took_s: float) -> None:
+    """Update the mean time of requests without tokens."""
+    mean = share.mean
+    if mean['plain_s']:
+        took_s = mean['plain_s'] + SMOOTHING_FACTOR * (took_s - mean['plain_s'])
+    mean['plain_s'] = took_s
+
+
+def _observe_work(
+    share: TargetShare, prompt_tokens: int, output_tokens: int
+) -> None:
+    """Update the mean work; the first requests count more than later ones."""
+    mean = share.mean
+    mean['requests'] += 1
+    factor = max(SMOOTHING_FACTOR, 1 / mean['requests'])
+    mean['prompt_tokens'] += factor * (prompt_tokens - mean['prompt_tokens'])
+    mean['output_tokens'] += factor * (output_tokens - mean['output_tokens'])
+
+
+def hold_s(share: TargetShare, upstream: Upstream, now_s: float) -> float:
+    """Predict for how long a request holds a slot of the upstream."""
+    mean = share.mean
+    prefill_s = mean['prompt_tokens'] / prefill_rate(upstream, now_s)
+    decode_s = mean['output_tokens'] * predict_step_s(upstream, now_s)
+    if mean['output_tokens'] <= 1:
+        return max(HOLD_MIN_S, mean['plain_s'])
+    return max(HOLD_MIN_S, prefill_s + decode_s)
+
+
+def expected_free(
+    share: TargetShare, upstream: Upstream, slots: int, now_s: float
+) -> float:
+    """Return how many slots are free, or become free before a request arrives.
+
+    Other VMs fill those that become free as fast; this is for the comparison of
+    upstreams.
+    """
+    work = len(upstream.work) + upstream.other_vms_work
+    if not _is_known(share):
+        return float(slots - work)
+    ending = min(work, slots) / hold_s(share, upstream, now_s) * LOOKAHEAD_S
+    return slots - work + ending
+
+
+def _is_known(share: TargetShare) -> bool:
+    """Return whether it is known for how long requests hold a slot."""
+    return share.mean['output_tokens'] > 1 or share.mean['plain_s'] > 0
+
+
+def slot_wait_s(share: TargetShare, upstream: Upstream, now_s: float) -> float:
+    """Predict for how long a request waits for a slot of the upstream."""
+    slots = upstream.window.slots
+    ahead = len(upstream.work) + upstream.other_vms_work - slots + 1
+    if ahead <= 0:
+        return 0.0
+    return ahead * hold_s(share, upstream, now_s) / slots
+
+
+def _capacity_per_s(
+    share: TargetShare, upstreams: Sequence[Upstream], now_s: float
+) -> float:
+    """Return the requests per second that all VMs may send together."""
+    if not _is_known(share):
+        return inf
+    capacity = 0.0
+    for upstream in upstreams:
+        slots = upstream.window.slots
+        work = len(upstream.work) + upstream.other_vms_work
+        served = slots / hold_s(share, upstream, now_s)
+        capacity += max(
+            0.0, served + FREE_GAIN_PER_S * (slots * WORK_TARGET_RATIO - work)
+        )
+    return capacity
+
+
+def admission_ratio(
+    share: TargetShare, upstreams: Sequence[Upstream], rank: int, now_s: float
+) -> float:
+    """Return which ratio of the requests of a rank can be sent now.
+
+    Higher ranks have their requests sent first, on all VMs.
+    """
+    demand = own_demand(share, now_s)
+    for other_rank, per_s in share.other_demand.items():
+        demand[other_rank] = demand.get(other_rank, 0.0) + per_s
+    before = sum(per_s for other, per_s in demand.items() if other < rank)
+    left = _capacity_per_s(share, upstreams, now_s) - before
+    return max(RATIO_MIN, left / max(demand.get(rank, 0.0), 1e-9))
+
+
+def has_credit(
+    share: TargetShare, upstreams: Sequence[Upstream], rank: int, now_s: float
+) -> bool:
+    """Return whether this VM's share allows a request of the rank now."""
+    ratio = admission_ratio(share, upstreams, rank, now_s)
+    found = share.ranks.get(rank)
+    if found is None or ratio >= 1:
+        return True
+    per_s = own_demand(share, now_s).get(rank, 0.0) * ratio
+    passed_s = now_s - found.refilled_at_s
+    credit = min(CREDIT_MAX, found.credit + passed_s * per_s)
+    share.ranks[rank] = found._replace(credit=credit, refilled_at_s=now_s)
+    return credit >= 1.0
+
+
+def take_credit(share: TargetShare, rank: int) -> None:
+    """Charge a request that is sent now."""
+    found = share.ranks.get(rank)
+    if found is not None:
+        share.ranks[rank] = found._replace(credit=max(0.0, found.credit - 1.0))
--- a/bluebellhub/scheduler/shedding.py
+++ b/bluebellhub/scheduler/shedding.py
@@ -20,19 +20,27 @@
 )
 from bluebellhub.scheduler.candidate import make_candidate
 from bluebellhub.scheduler.capacity import usable_slots
+from bluebellhub.scheduler.credit import capacity_ratio
 from bluebellhub.scheduler.crashes import refuse_quarantined
 from bluebellhub.scheduler.dispatch import dispatch_queued
 from bluebellhub.scheduler.eligibility import is_eligible
 from bluebellhub.scheduler.events import Event
 from bluebellhub.scheduler.finish import refuse
 from bluebellhub.scheduler.requeueing import requeue_expired
-from bluebellhub.scheduler.state import Scheduler, queue_of, upstreams_for
+from bluebellhub.scheduler.state import (
+    Scheduler,
+    queue_of,
+    upstreams_for,
+)
 
 __all__ = ['may_shed', 'shed', 'tick', 'total_slots']
 
 RETRY_AFTER_S: Final = 4.0
 RETRY_QUEUE_SHARE: Final = 0.6
 FLOOR_REQUEST_TIMEOUT_S: Final = 0.6
+# Part of the longest wait in the queue after which a request is refused while
+# the upstreams cannot take all requests.
+SHORT_WAIT_SHARE: Final = 0.3
 LOWEST_RANK: Final = max(tier.rank for tier in DEFAULT_TIERS)
 
 
@@ -134,21 +142,30 @@
     scheduler: Scheduler, events: list[Event], target: str, now_s: float
 ) -> None:
     """Refuse requests that have been queued for as long as allowed."""
-    for entry in list(queue_of(scheduler, target).waiting.values()):
+    queue = queue_of(scheduler, target)
+    short = {
+        rank
+        for rank in ranks(queue)
+        if capacity_ratio(scheduler, target, rank, now_s) < 1
+    }
+    for entry in list(queue.waiting.values()):
         state = scheduler.requests[entry.request_id]
-        if now_s >= _queue_deadline_s(state):
+        if now_s >= _queue_deadline_s(state, is_short=entry.rank in short):
             refuse(scheduler, events, state, _overdue_error(state))
 
 
-def _queue_deadline_s(state: RequestState) -> float:
+def _queue_deadline_s(state: RequestState, *, is_short: bool) -> float:
     """Return the time until which the request may stay queued.
 
+    While capacity ``is_short``, waiting makes it late; its caller is told
+    early, to try again in time, and those behind it are not late because of it.
     A request that was sent before may wait longer, for a retry: for a share
     of the time in which a response is of use to its caller.
     """
     request = state.request
     if not state.attempts:
-        return request.deadline_s
+        share = SHORT_WAIT_SHARE if is_short else 1.0
+        return request.arrived_at_s + request.tier.first_token_s * share
     left_s = request.ends_at_s - request.arrived_at_s
     return request.arrived_at_s + left_s * RETRY_QUEUE_SHARE
 
--- a/bluebellhub/scheduler/state.py
+++ b/bluebellhub/scheduler/state.py
@@ -26,6 +26,7 @@
 from bluebellhub.routing import PrefixIndex, make_prefix_index
 from bluebellhub.routing.output_length import OutputLengths, make_lengths
 from bluebellhub.routing.prefix import forget_upstream
+from bluebellhub.scheduler.shares import TargetShare, make_target_share
 from bluebellhub.upstream import Upstream
 from bluebellhub.version_move.comparison import OutcomeCounts
 from bluebellhub.version_move.gate import MoveGate
@@ -41,6 +42,7 @@
     'make_scheduler',
     'queue_of',
     'remove_upstream',
+    'share_of',
     'signals_of',
     'upstreams_for',
 ]
@@ -121,7 +123,7 @@
     their responses.  ``unblocked_shares`` is the share of upstreams that
     receive no long prefill, by target.  ``expired_leases`` names the cold
     upstreams whose lease has expired and whose running requests must therefore
-    stop.
+    stop.  ``shares`` is this VM's part of the capacity, by target.
     """
 
     options: SchedulerOptions
@@ -154,6 +156,7 @@
     unblocked_shares: dict[str, float]
     expired_leases: set[str]
     counters: Counter[tuple[str, str]]
+    shares: dict[str, TargetShare]
 
 
 def unlimited_cold_share(upstream: Upstream) -> float:
@@ -214,6 +217,7 @@
         unblocked_shares={},
         expired_leases=set(),
         counters=Counter(),
+        shares={},
     )
 
 
@@ -292,3 +296,12 @@
         queue = make_queue()
         scheduler.queues[target] = queue
     return queue
+
+
+def share_of(scheduler: Scheduler, target: str) -> TargetShare:
+    """Return this VM's share of a target; creates it if missing."""
+    share = scheduler.shares.get(target)
+    if share is None:
+        share = make_target_share()
+        scheduler.shares[target] = share
+    return share
--- a/bluebellhub/scheduler/submit.py
+++ b/bluebellhub/scheduler/submit.py
@@ -21,6 +21,7 @@
     ShedError,
     UnknownTargetError,
 )
+from bluebellhub.routing.output_length import expected_tokens
 from bluebellhub.scheduler.candidate import idle_first_token_s
 from bluebellhub.scheduler.crashes import check_prompt
 from bluebellhub.scheduler.dispatch import dispatch_queued
@@ -28,7 +29,8 @@
 from bluebellhub.scheduler.finish import refuse
 from bluebellhub.scheduler.queued_request import make_queued_request
 from bluebellhub.scheduler.shedding import may_shed, shed, total_slots
-from bluebellhub.scheduler.state import Scheduler, queue_of
+from bluebellhub.scheduler.shares import count_arrival
+from bluebellhub.scheduler.state import Scheduler, queue_of, share_of
 
 __all__ = ['account_limits', 'submit']
 
@@ -60,6 +62,12 @@
     except RefusalError as error:
         refuse(scheduler, events, state, error, counted=False)
         return events
+    share = share_of(scheduler, request.target)
+    output_tokens = expected_tokens(
+        scheduler.lengths, request.account, request.route, request.output_tokens
+    )
+    work = (request.prompt_tokens, output_tokens)
+    count_arrival(share, request.tier.rank, work, now_s)
     _enqueue(scheduler, events, state, now_s)
     events.extend(dispatch_queued(scheduler, request.target, now_s))
     return events
--- a/bluebellhub/site/admission.py
+++ b/bluebellhub/site/admission.py
@@ -152,4 +152,5 @@
         executions_max=max(1, route.attempts_max),
         time_limit_s=limit_s,
         prompt_parts=head.prompt_parts,
+        objective_s=route.objective_s,
     )
--- a/bluebellhub/site/domain_reports.py
+++ b/bluebellhub/site/domain_reports.py
@@ -5,6 +5,7 @@
 from typing import Final
 
 from bluebellhub.rates import bucket_levels
+from bluebellhub.site.demand import sum_demand
 from bluebellhub.site.liveness import (
     REMOTE_LIVENESS_TIMEOUT_S,
     live_peers,
@@ -72,6 +73,7 @@
         if local_report.sequence % REPORTS_PER_SPEEDS
         else learned_speeds(site),
         make_slowdowns(site, now_s),
+        sum_demand(report.demand for report in reports),
     )
 
 
--- a/bluebellhub/site/reports.py
+++ b/bluebellhub/site/reports.py
@@ -60,7 +60,8 @@
     ``levels`` are the levels of the accounts' token buckets, included while
     another VM has just started. ``speeds`` are the learned speeds of the
     upstreams, included in some of the reports only. ``slowdowns`` are the
-    newest that upstreams stated to the VM, if they are fresh.
+    newest that upstreams stated to the VM, if they are fresh. ``demand`` are
+    the requests per second that the VM gets, by target and rank.
     """
 
     start_id: int
@@ -74,6 +75,7 @@
     levels: dict[str, float] = {}
     speeds: dict[str, Speed] = {}
     slowdowns: dict[str, ReportedSlowdown] = {}
+    demand: dict[str, dict[int, float]] = {}
 
 
 class GossipItem(NamedTuple):
@@ -155,6 +157,7 @@
     levels: dict[str, float] = {}
     speeds: dict[str, Speed] = {}
     slowdowns: dict[str, ReportedSlowdown] = {}
+    demand: dict[str, dict[int, float]] = {}
 
 
 class RemoteDomain(NamedTuple):
--- a/bluebellhub/site/vm_reports.py
+++ b/bluebellhub/site/vm_reports.py
@@ -5,6 +5,7 @@
 from typing import Final
 
 from bluebellhub.rates import bucket_levels
+from bluebellhub.site.demand import make_demand, set_reported_demand
 from bluebellhub.site.liveness import live_domains, live_peers, live_share
 from bluebellhub.site.peer_usage import (
     ADOPTION_S,
@@ -16,7 +17,13 @@
     merge_starts,
     usage_since,
 )
-from bluebellhub.site.reports import GossipItem, MoveDecision, Peer, VmReport
+from bluebellhub.site.reports import (
+    DomainReport,
+    GossipItem,
+    MoveDecision,
+    Peer,
+    VmReport,
+)
 from bluebellhub.site.slowdowns import apply_slowdowns, make_slowdowns
 from bluebellhub.site.state import Site
 from bluebellhub.site.version_moves import (
@@ -66,6 +73,7 @@
         if site.flags['report_count'] % REPORTS_PER_SPEEDS
         else learned_speeds(site),
         make_slowdowns(site, now_s, own_only=True),
+        make_demand(site, now_s),
     )
 
 
@@ -191,14 +199,13 @@
 
 def update_other_vms_load(site: Site, now_s: float) -> None:
     """Set each upstream's load from other VMs to the sum of their reports."""
-    work_counts = [peer.report.work for peer in live_peers(site, now_s)]
-    prefill_counts = [
-        peer.report.prefill_tokens for peer in live_peers(site, now_s)
+    reports: list[VmReport | DomainReport] = [
+        *(peer.report for peer in live_peers(site, now_s)),
+        *(domain.report for domain in live_domains(site, now_s)),
     ]
-    for domain in live_domains(site, now_s):
-        work_counts.append(domain.report.work)
-        prefill_counts.append(domain.report.prefill_tokens)
-    work, prefill_tokens = sum_counts(work_counts), sum_counts(prefill_counts)
+    set_reported_demand(site, (report.demand for report in reports))
+    work = sum_counts(report.work for report in reports)
+    prefill_tokens = sum_counts(report.prefill_tokens for report in reports)
     upstreams = site.scheduler.upstreams
     for name, upstream in upstreams.items():
         if upstream.other_vms_work == work[name] == 0:
