Order requests by rank, account and time left when capacity is short

Up to three requests of each account are tried in the order of the queue: rank, the account's share, the time at which the prefill has to begin. While capacity is short, a request that an idle upstream could not serve in time is refused at once, and a rank is refused only with all lower ones. Slots short of the target are given out faster where reports are fresh.

--- a/bluebellhub/admission/queue.py
+++ b/bluebellhub/admission/queue.py
@@ -14,6 +14,7 @@
     'QueuedRequest',
     'charge',
     'head',
+    'heads',
     'make_queue',
     'put',
     'queued_cost_s',
@@ -25,6 +26,8 @@
 ]
 
 REQUEST_COST_S: Final = 0.005
+HEADS_OF_ACCOUNT: Final = 3
+HEADS_MAX: Final = 24
 
 
 class QueuedRequest(NamedTuple):
@@ -107,6 +110,21 @@
     return None
 
 
+def heads(queue: Queue) -> list[QueuedRequest]:
+    """Return the next requests, a few of each account, in their order.
+
+    A request that fits nowhere, or whose account has used its share, does not
+    keep those behind it from being sent.
+    """
+    found: list[QueuedRequest] = []
+    for tier in queue.tiers.values():
+        for _, account in tier.account_order:
+            found.extend(tier.by_account[account][:HEADS_OF_ACCOUNT])
+            if len(found) >= HEADS_MAX:
+                return found
+    return found
+
+
 def remove(queue: Queue, request_id: str) -> QueuedRequest | None:
     """Remove and return a request without charging its account."""
     entry = queue.waiting.pop(request_id, None)
--- a/bluebellhub/scheduler/candidate.py
+++ b/bluebellhub/scheduler/candidate.py
@@ -5,8 +5,9 @@
 from bluebellhub.routing import Candidate, cached_blocks
 from bluebellhub.routing.output_length import expected_tokens
 from bluebellhub.routing.prefix import BLOCK_TOKENS
+from bluebellhub.scheduler.credit import share_of
 from bluebellhub.scheduler.shares import slot_wait_s
-from bluebellhub.scheduler.state import Scheduler, share_of, upstreams_for
+from bluebellhub.scheduler.state import Scheduler, upstreams_for
 from bluebellhub.upstream import (
     Upstream,
     predict_first_token_s,
--- a/bluebellhub/scheduler/capacity.py
+++ b/bluebellhub/scheduler/capacity.py
@@ -11,10 +11,10 @@
 from bluebellhub.registry import Registry, make_registry
 from bluebellhub.request import Request
 from bluebellhub.routing import Candidate
+from bluebellhub.scheduler.credit import share_of
 from bluebellhub.scheduler.shares import expected_free
 from bluebellhub.scheduler.state import (
     Scheduler,
-    share_of,
     upstreams_for,
 )
 from bluebellhub.upstream import (
--- a/bluebellhub/scheduler/credit.py
+++ b/bluebellhub/scheduler/credit.py
@@ -1,20 +1,28 @@
 """The share of a target's capacity that this VM uses."""
 
-from bluebellhub.request import Request
+from bluebellhub.request import Request, RequestState
 from bluebellhub.scheduler.shares import (
+    TargetShare,
     admission_ratio,
     has_credit,
+    make_target_share,
+    observe_plain,
     take_credit,
 )
 from bluebellhub.scheduler.state import (
     Scheduler,
     is_leaving,
-    share_of,
     upstreams_for,
 )
 from bluebellhub.upstream import Upstream
 
-__all__ = ['capacity_ratio', 'charge_credit', 'is_within_share']
+__all__ = [
+    'capacity_ratio',
+    'charge_credit',
+    'is_within_share',
+    'record_plain',
+    'share_of',
+]
 
 
 def capacity_ratio(
@@ -42,6 +50,15 @@
     take_credit(share_of(scheduler, request.target), request.tier.rank)
 
 
+def record_plain(
+    scheduler: Scheduler, state: RequestState, now_s: float
+) -> None:
+    """Record how long a response without tokens took."""
+    if state.attempt is not None and state.tokens <= 1:
+        took_s = now_s - state.attempt.started_at_s
+        observe_plain(share_of(scheduler, state.request.target), took_s)
+
+
 def _serving_upstreams(
     scheduler: Scheduler, target: str, now_s: float
 ) -> list[Upstream]:
@@ -53,3 +70,12 @@
         and now_s >= upstream.paused_until_s
         and not is_leaving(scheduler, upstream)
     ]
+
+
+def share_of(scheduler: Scheduler, target: str) -> TargetShare:
+    """Return this VM's share of a target; creates it if missing."""
+    share = scheduler.shares.get(target)
+    if share is None:
+        share = make_target_share(scheduler.flags['report_age_s'])
+        scheduler.shares[target] = share
+    return share
--- a/bluebellhub/scheduler/dispatch.py
+++ b/bluebellhub/scheduler/dispatch.py
@@ -3,7 +3,14 @@
 from collections.abc import Sequence
 from typing import Final, NamedTuple
 
-from bluebellhub.admission import Queue, QueuedRequest, charge, head, remove
+from bluebellhub.admission import (
+    Queue,
+    QueuedRequest,
+    charge,
+    head,
+    heads,
+    remove,
+)
 from bluebellhub.backpressure import record_limited_send
 from bluebellhub.faults import report_fault
 from bluebellhub.rates import record_cold_send
@@ -61,27 +68,40 @@
     """
     events: list[Event] = []
     queue = queue_of(scheduler, target)
-    while True:
-        entry = head(queue)
-        if entry is None:
-            return events
-        try:
-            is_dispatched = _dispatch_head(
-                scheduler, events, queue, entry, now_s
-            )
-        except Exception as error:
-            report_fault(
-                error,
-                'dispatch',
-                request=entry.request_id,
-            )
-            _refuse_head(scheduler, events, queue, entry)
-            continue
-        if not is_dispatched:
-            return events
+    is_changed = True
+    while is_changed:
+        is_changed = any(
+            _try_dispatch(scheduler, events, queue, entry, now_s)
+            for entry in _next_entries(scheduler, queue)
+        )
+    return events
+
+
+def _next_entries(scheduler: Scheduler, queue: Queue) -> list[QueuedRequest]:
+    """Return the requests to dispatch, the first that is possible of them."""
+    if scheduler.options.discipline == 'shared':
+        return heads(queue)
+    entry = head(queue)
+    return [] if entry is None else [entry]
+
+
+def _try_dispatch(
+    scheduler: Scheduler,
+    events: list[Event],
+    queue: Queue,
+    entry: QueuedRequest,
+    now_s: float,
+) -> bool:
+    """Return whether the request left the queue, also because of an error."""
+    try:
+        return _dispatch_entry(scheduler, events, queue, entry, now_s)
+    except Exception as error:
+        report_fault(error, 'dispatch', request=entry.request_id)
+        _refuse_entry(scheduler, events, queue, entry)
+        return True
 
 
-def _refuse_head(
+def _refuse_entry(
     scheduler: Scheduler,
     events: list[Event],
     queue: Queue,
@@ -94,14 +114,14 @@
         refuse(scheduler, events, state, InternalError('dispatch failed'))
 
 
-def _dispatch_head(
+def _dispatch_entry(
     scheduler: Scheduler,
     events: list[Event],
     queue: Queue,
     entry: QueuedRequest,
     now_s: float,
 ) -> bool:
-    """Dispatch the head of the queue; return false if it stays queued."""
+    """Dispatch a queued request; return false if it stays queued."""
     state = scheduler.requests[entry.request_id]
     if not is_within_share(scheduler, state.request, now_s):
         return False
--- a/bluebellhub/scheduler/progress.py
+++ b/bluebellhub/scheduler/progress.py
@@ -13,31 +13,19 @@
     record_sent,
     record_tokens,
 )
-from bluebellhub.request.refusal import (
-    AnswerMismatchError,
-    UpstreamFailedError,
-)
+from bluebellhub.request.refusal import AnswerMismatchError, UpstreamFailedError
 from bluebellhub.routing import correct_blocks
 from bluebellhub.routing.output_length import record_length
 from bluebellhub.routing.prefix import forget_upstream
 from bluebellhub.scheduler.crashes import suspect_prompt
+from bluebellhub.scheduler.credit import record_plain
 from bluebellhub.scheduler.dispatch import dispatch_queued
 from bluebellhub.scheduler.events import Event, Probe
 from bluebellhub.scheduler.finish import close_request, refuse, release_attempt
-from bluebellhub.scheduler.outcomes import (
-    record_outcome,
-    record_step,
-    was_slow,
-)
+from bluebellhub.scheduler.outcomes import record_outcome, record_step, was_slow
 from bluebellhub.scheduler.queued_request import make_queued_request
 from bluebellhub.scheduler.retry_budgets import earn_credit, retry_budgets
-from bluebellhub.scheduler.shares import observe_plain
-from bluebellhub.scheduler.state import (
-    Scheduler,
-    queue_of,
-    share_of,
-    signals_of,
-)
+from bluebellhub.scheduler.state import Scheduler, queue_of, signals_of
 from bluebellhub.upstream import (
     LoadReport,
     Work,
@@ -154,9 +142,7 @@
     request = state.request
     if state.attempt is not None:
         _observe_end(scheduler, state, now_s, cached_tokens)
-    if state.attempt is not None and state.tokens <= 1:
-        took_s = now_s - state.attempt.started_at_s
-        observe_plain(share_of(scheduler, request.target), took_s)
+    record_plain(scheduler, state, now_s)
     ended = release_attempt(scheduler, state)
     earn_credit(scheduler)
     record_length(
--- a/bluebellhub/scheduler/queued_request.py
+++ b/bluebellhub/scheduler/queued_request.py
@@ -1,7 +1,7 @@
 """Creation of queued requests."""
 
 from bluebellhub.admission import QueuedRequest
-from bluebellhub.request import RequestState
+from bluebellhub.request import Request, RequestState
 from bluebellhub.routing.output_length import expected_tokens
 from bluebellhub.scheduler.state import Scheduler, upstreams_for
 
@@ -18,7 +18,7 @@
     if contract is not None:
         weight *= contract.weight
     return QueuedRequest(
-        request.deadline_s,
+        _latest_start_s(scheduler, request),
         request.request_id,
         request.account,
         request.tier.rank,
@@ -27,6 +27,19 @@
     )
 
 
+def _latest_start_s(scheduler: Scheduler, request: Request) -> float:
+    """Return the time by which requests of an account are ordered.
+
+    Where VMs share the upstreams, this is when the prefill has to begin, so a
+    large prompt goes before a small one that is due at the same time.
+    """
+    upstreams = upstreams_for(scheduler, request.target)
+    if scheduler.options.discipline != 'shared' or not upstreams:
+        return request.deadline_s
+    rate = upstreams[0].speed.prefill_tokens_per_s
+    return request.first_due_s - request.prompt_tokens / rate
+
+
 def _expected_slot_time_s(scheduler: Scheduler, state: RequestState) -> float:
     """Predict for how many seconds the request will hold a slot.
 
--- a/bluebellhub/scheduler/shares.py
+++ b/bluebellhub/scheduler/shares.py
@@ -42,7 +42,8 @@
 RATIO_MIN: Final = 0.02
 # Part of the slots short of the target that is given out in a second.  With
 # more than the age of the reports allows, all VMs overshoot in turn.
-FREE_GAIN_PER_S: Final = 2.0
+FREE_GAIN: Final = 1.0
+FREE_GAIN_MAX_PER_S: Final = 5.0
 # Work that all VMs aim at, in relation to the slots: loads vary between two
 # reports, so with less, slots would be idle while requests are refused.
 WORK_TARGET_RATIO: Final = 1.15
@@ -53,12 +54,16 @@
 
 
 class MeanWork(TypedDict):
-    """Smoothed tokens of a request, and the seconds of one without tokens."""
+    """Smoothed tokens of a request, and the seconds of one without tokens.
+
+    Loads that other VMs report are up to ``report_age_s`` old.
+    """
 
     requests: int
     prompt_tokens: float
     output_tokens: float
     plain_s: float
+    report_age_s: float
 
 
 class RankShare(NamedTuple):
@@ -80,13 +85,14 @@
     mean: MeanWork
 
 
-def make_target_share() -> TargetShare:
+def make_target_share(report_age_s: float = 0.0) -> TargetShare:
     """Create the share of a target without requests."""
     mean: MeanWork = {
         'requests': 0,
         'prompt_tokens': 0.0,
         'output_tokens': 0.0,
         'plain_s': 0.0,
+        'report_age_s': report_age_s,
     }
     return TargetShare({}, {}, mean)
 
@@ -189,12 +195,16 @@
     if not _is_known(share):
         return inf
     capacity = 0.0
+    age_s = share.mean['report_age_s']
+    gain_per_s = FREE_GAIN_MAX_PER_S
+    if age_s:
+        gain_per_s = min(gain_per_s, FREE_GAIN / age_s)
     for upstream in upstreams:
         slots = upstream.window.slots
         work = len(upstream.work) + upstream.other_vms_work
         served = slots / hold_s(share, upstream, now_s)
         capacity += max(
-            0.0, served + FREE_GAIN_PER_S * (slots * WORK_TARGET_RATIO - work)
+            0.0, served + gain_per_s * (slots * WORK_TARGET_RATIO - work)
         )
     return capacity
 
--- a/bluebellhub/scheduler/shedding.py
+++ b/bluebellhub/scheduler/shedding.py
@@ -7,7 +7,12 @@
 from collections.abc import Callable
 from typing import Final
 
-from bluebellhub.admission import ranks, requests_below, requests_of_rank
+from bluebellhub.admission import (
+    Queue,
+    ranks,
+    requests_below,
+    requests_of_rank,
+)
 from bluebellhub.contract import DEFAULT_TIERS
 from bluebellhub.faults import isolate_fault
 from bluebellhub.invariants import check_invariant
@@ -18,10 +23,13 @@
     ShedError,
     UpstreamFailedError,
 )
-from bluebellhub.scheduler.candidate import make_candidate
+from bluebellhub.scheduler.candidate import (
+    idle_first_token_s,
+    make_candidate,
+)
 from bluebellhub.scheduler.capacity import usable_slots
-from bluebellhub.scheduler.credit import capacity_ratio
 from bluebellhub.scheduler.crashes import refuse_quarantined
+from bluebellhub.scheduler.credit import capacity_ratio
 from bluebellhub.scheduler.dispatch import dispatch_queued
 from bluebellhub.scheduler.eligibility import is_eligible
 from bluebellhub.scheduler.events import Event
@@ -149,11 +157,34 @@
         if capacity_ratio(scheduler, target, rank, now_s) < 1
     }
     for entry in list(queue.waiting.values()):
-        state = scheduler.requests[entry.request_id]
-        if now_s >= _queue_deadline_s(state, is_short=entry.rank in short):
+        state = scheduler.requests.get(entry.request_id)
+        if state is None:
+            continue
+        is_short = entry.rank in short
+        if is_short and _is_hopeless(scheduler, state, now_s):
+            refuse(scheduler, events, state, _overdue_error(state))
+        elif now_s >= _queue_deadline_s(state, is_short=is_short):
+            _refuse_lower(scheduler, events, queue, entry.rank)
             refuse(scheduler, events, state, _overdue_error(state))
 
 
+def _refuse_lower(
+    scheduler: Scheduler, events: list[Event], queue: Queue, rank: int
+) -> None:
+    """Refuse what is queued below a rank that is refused itself."""
+    for entry in requests_below(queue, rank):
+        state = scheduler.requests[entry.request_id]
+        refuse(scheduler, events, state, _overdue_error(state))
+
+
+def _is_hopeless(
+    scheduler: Scheduler, state: RequestState, now_s: float
+) -> bool:
+    """Return whether even an idle upstream is too slow for the objective."""
+    first_s = idle_first_token_s(scheduler, state)
+    return now_s + first_s > state.request.first_due_s
+
+
 def _queue_deadline_s(state: RequestState, *, is_short: bool) -> float:
     """Return the time until which the request may stay queued.
 
--- a/bluebellhub/scheduler/state.py
+++ b/bluebellhub/scheduler/state.py
@@ -26,7 +26,7 @@
 from bluebellhub.routing import PrefixIndex, make_prefix_index
 from bluebellhub.routing.output_length import OutputLengths, make_lengths
 from bluebellhub.routing.prefix import forget_upstream
-from bluebellhub.scheduler.shares import TargetShare, make_target_share
+from bluebellhub.scheduler.shares import TargetShare
 from bluebellhub.upstream import Upstream
 from bluebellhub.version_move.comparison import OutcomeCounts
 from bluebellhub.version_move.gate import MoveGate
@@ -42,7 +42,6 @@
     'make_scheduler',
     'queue_of',
     'remove_upstream',
-    'share_of',
     'signals_of',
     'upstreams_for',
 ]
@@ -296,12 +295,3 @@
         queue = make_queue()
         scheduler.queues[target] = queue
     return queue
-
-
-def share_of(scheduler: Scheduler, target: str) -> TargetShare:
-    """Return this VM's share of a target; creates it if missing."""
-    share = scheduler.shares.get(target)
-    if share is None:
-        share = make_target_share()
-        scheduler.shares[target] = share
-    return share
--- a/bluebellhub/scheduler/submit.py
+++ b/bluebellhub/scheduler/submit.py
@@ -24,13 +24,14 @@
 from bluebellhub.routing.output_length import expected_tokens
 from bluebellhub.scheduler.candidate import idle_first_token_s
 from bluebellhub.scheduler.crashes import check_prompt
+from bluebellhub.scheduler.credit import share_of
 from bluebellhub.scheduler.dispatch import dispatch_queued
 from bluebellhub.scheduler.events import Event
 from bluebellhub.scheduler.finish import refuse
 from bluebellhub.scheduler.queued_request import make_queued_request
-from bluebellhub.scheduler.shedding import may_shed, shed, total_slots
 from bluebellhub.scheduler.shares import count_arrival
-from bluebellhub.scheduler.state import Scheduler, queue_of, share_of
+from bluebellhub.scheduler.shedding import may_shed, shed, total_slots
+from bluebellhub.scheduler.state import Scheduler, queue_of
 
 __all__ = ['account_limits', 'submit']
 
--- a/bluebellhub/site/demand.py
+++ b/bluebellhub/site/demand.py
@@ -4,8 +4,8 @@
 from collections.abc import Iterable, Mapping
 from math import isfinite
 
+from bluebellhub.scheduler.credit import share_of
 from bluebellhub.scheduler.shares import own_demand, set_other_demand
-from bluebellhub.scheduler.state import share_of
 from bluebellhub.site.state import Site
 
 __all__ = ['make_demand', 'set_reported_demand', 'sum_demand']
--- a/bluebellhub/site/state.py
+++ b/bluebellhub/site/state.py
@@ -180,3 +180,5 @@
     grid = make_grid(site.vm, site.vms)
     site.flags['grid'] = grid
     site.scheduler.flags['report_age_s'] = report_age_s(grid)
+    for share in site.scheduler.shares.values():
+        share.mean['report_age_s'] = report_age_s(grid)
--- a/bluebellhub/site/tests/overloaded_fleet.py
+++ b/bluebellhub/site/tests/overloaded_fleet.py
@@ -23,6 +23,7 @@
     tokens_arrived,
 )
 from bluebellhub.site.admission import UNLIMITED, admit_request
+from bluebellhub.site.priority import RequestPriority, queue_rank
 from bluebellhub.site.state import Bounds, make_site, set_vms
 from bluebellhub.site.tests.small_site import (
     make_registration,
@@ -44,7 +45,7 @@
 from bluebellhub.site.vm_location import VmLocation
 from bluebellhub.standins.virtual_clock import call_at, make_clock, run_until
 
-__all__ = ['Result', 'simulate']
+__all__ = ['Result', 'make_vm', 'simulate']
 
 TICK_S = 0.05
 TIMEOUT_S = 6.0
@@ -87,7 +88,7 @@
         for number, name in enumerate(names)
     }
     sites = [
-        _make_vm(load, name, places, seed + number)
+        make_vm(load, name, places, seed + number)
         for number, name in enumerate(names)
     ]
     fleet = Fleet(
@@ -102,7 +103,7 @@
     return _summarize(fleet)
 
 
-def _make_vm(load, name, places, seed):
+def make_vm(load, name, places, seed):
     site = make_site(name, places[name].domain, Bounds(), -60.0, seed)
     set_vms(site, places)
     routes = [
@@ -184,7 +185,9 @@
     ) and not any(engine.queue for engine in engines)
     queue = site.scheduler.queues['s']
     fleet.result['upset', ''] += any(
-        rank > kind.rank for rank in queue.tiers if queue.tiers[rank].by_account
+        rank > queue_rank(RequestPriority(kind.rank, kind.rank))
+        for rank in queue.tiers
+        if queue.tiers[rank].by_account
     )
     left_s = arrived_s + TIMEOUT_S - now_s
     retry_s = event.error.retry_after_s or 0.0
