Divide a VM's share of the capacity fairly among client accounts

An account that sent eight times as much as each of three others took the place of theirs: requests were sent in the order of arrival, since a queue of one or two requests holds no history of an account. The credit of a rank is now kept for each account, at its part by max-min fairness over the requests of the last 2 s; a repeated request counts again.

--- a/bluebellhub/scheduler/credit.py
+++ b/bluebellhub/scheduler/credit.py
@@ -42,12 +42,15 @@
     target = request.target
     upstreams = _serving_upstreams(scheduler, target, now_s)
     share = share_of(scheduler, target)
-    return has_credit(share, upstreams, request.tier.rank, now_s)
+    return has_credit(
+        share, upstreams, request.tier.rank, request.account, now_s
+    )
 
 
 def charge_credit(scheduler: Scheduler, request: Request) -> None:
     """Charge a request that is sent now to the share."""
-    take_credit(share_of(scheduler, request.target), request.tier.rank)
+    share = share_of(scheduler, request.target)
+    take_credit(share, request.tier.rank, request.account)
 
 
 def record_plain(
--- a/bluebellhub/scheduler/shares.py
+++ b/bluebellhub/scheduler/shares.py
@@ -21,11 +21,12 @@
 from bluebellhub.upstream import Upstream, predict_step_s, prefill_rate
 
 __all__ = [
-    'RankShare',
+    'AccountShare',
     'TargetShare',
     'admission_ratio',
     'count_arrival',
     'expected_free',
+    'fair_rate_per_s',
     'has_credit',
     'make_target_share',
     'observe_plain',
@@ -66,8 +67,8 @@
     report_age_s: float
 
 
-class RankShare(NamedTuple):
-    """Requests of one rank, and how many of them may be sent at once."""
+class AccountShare(NamedTuple):
+    """Requests of one account and rank, and how many may be sent at once."""
 
     arrivals: SlidingWindow
     credit: float
@@ -75,12 +76,12 @@
 
 
 class TargetShare(NamedTuple):
-    """Aggregate root: the demand for one target, by rank.
+    """Aggregate root: the demand for one target, by rank and account.
 
     ``other_demand`` holds the requests per second that other VMs get.
     """
 
-    ranks: dict[int, RankShare]
+    accounts: dict[tuple[int, str], AccountShare]
     other_demand: dict[int, float]
     mean: MeanWork
 
@@ -98,32 +99,46 @@
 
 
 def count_arrival(
-    share: TargetShare, rank: int, work: tuple[int, int], now_s: float
+    share: TargetShare,
+    rank: int,
+    account: str,
+    work: tuple[int, int],
+    now_s: float,
 ) -> None:
     """Count a request of a caller, also one that comes again.
 
     ``work`` are the tokens of its prompt and those expected of its response.
     """
     _observe_work(share, *work)
-    found = share.ranks.get(rank)
+    found = share.accounts.get((rank, account))
     if found is None:
         window = make_sliding_window(DEMAND_WINDOW_S)
-        found = RankShare(window, CREDIT_MAX, now_s)
-        share.ranks[rank] = found
+        found = AccountShare(window, CREDIT_MAX, now_s)
+        share.accounts[rank, account] = found
     add(found.arrivals, 1.0, now_s)
 
 
-def own_demand(share: TargetShare, now_s: float) -> dict[int, float]:
-    """Return the requests per second that this VM gets, by rank."""
+def _account_demand(
+    share: TargetShare, now_s: float
+) -> dict[tuple[int, str], float]:
+    """Return the requests per second that this VM gets, by rank and account."""
     counts = {
-        rank: total(found.arrivals, now_s)
-        for rank, found in share.ranks.items()
+        key: total(found.arrivals, now_s)
+        for key, found in share.accounts.items()
     }
     return {
-        rank: count / DEMAND_WINDOW_S for rank, count in counts.items() if count
+        key: count / DEMAND_WINDOW_S for key, count in counts.items() if count
     }
 
 
+def own_demand(share: TargetShare, now_s: float) -> dict[int, float]:
+    """Return the requests per second that this VM gets, by rank."""
+    demand: dict[int, float] = {}
+    for (rank, _), per_s in _account_demand(share, now_s).items():
+        demand[rank] = demand.get(rank, 0.0) + per_s
+    return demand
+
+
 def set_other_demand(share: TargetShare, demand: Mapping[int, float]) -> None:
     """Set the requests per second that the other VMs get, by rank."""
     share.other_demand.clear()
@@ -224,23 +239,53 @@
     return max(RATIO_MIN, left / max(demand.get(rank, 0.0), 1e-9))
 
 
+def fair_rate_per_s(
+    share: TargetShare, ratio: float, rank: int, account: str, now_s: float
+) -> float:
+    """Return the account's part of what this VM may send of a rank.
+
+    Each account gets what it asks for, up to a level that is the same for all
+    (max-min fairness).  One that asks for more than the others, or whose
+    callers retry at once, is refused the surplus.
+    """
+    demand = {
+        name: per_s
+        for (found, name), per_s in _account_demand(share, now_s).items()
+        if found == rank
+    }
+    left = ratio * sum(demand.values())
+    for position, name in enumerate(sorted(demand, key=demand.__getitem__)):
+        level = left / (len(demand) - position)
+        if name == account or demand[name] >= level:
+            return min(demand.get(account, 0.0), level)
+        left -= demand[name]
+    return 0.0
+
+
 def has_credit(
-    share: TargetShare, upstreams: Sequence[Upstream], rank: int, now_s: float
+    share: TargetShare,
+    upstreams: Sequence[Upstream],
+    rank: int,
+    account: str,
+    now_s: float,
 ) -> bool:
-    """Return whether this VM's share allows a request of the rank now."""
+    """Return whether the account's share allows a request of the rank now."""
     ratio = admission_ratio(share, upstreams, rank, now_s)
-    found = share.ranks.get(rank)
+    found = share.accounts.get((rank, account))
     if found is None or ratio >= 1:
         return True
-    per_s = own_demand(share, now_s).get(rank, 0.0) * ratio
+    per_s = fair_rate_per_s(share, ratio, rank, account, now_s)
     passed_s = now_s - found.refilled_at_s
     credit = min(CREDIT_MAX, found.credit + passed_s * per_s)
-    share.ranks[rank] = found._replace(credit=credit, refilled_at_s=now_s)
+    share.accounts[rank, account] = found._replace(
+        credit=credit, refilled_at_s=now_s
+    )
     return credit >= 1.0
 
 
-def take_credit(share: TargetShare, rank: int) -> None:
+def take_credit(share: TargetShare, rank: int, account: str) -> None:
     """Charge a request that is sent now."""
-    found = share.ranks.get(rank)
+    found = share.accounts.get((rank, account))
     if found is not None:
-        share.ranks[rank] = found._replace(credit=max(0.0, found.credit - 1.0))
+        credit = max(0.0, found.credit - 1.0)
+        share.accounts[rank, account] = found._replace(credit=credit)
--- a/bluebellhub/scheduler/submit.py
+++ b/bluebellhub/scheduler/submit.py
@@ -68,7 +68,7 @@
         scheduler.lengths, request.account, request.route, request.output_tokens
     )
     work = (request.prompt_tokens, output_tokens)
-    count_arrival(share, request.tier.rank, work, now_s)
+    count_arrival(share, request.tier.rank, request.account, work, now_s)
     _enqueue(scheduler, events, state, now_s)
     events.extend(dispatch_queued(scheduler, request.target, now_s))
     return events
