State when a refused caller can expect a place

A refusal said 4 s whatever the load and the caller's time, and all callers that were refused together came back together. Retry-After is now the time in which the account's share allows what it has queued and what was refused in the last 2 s; up to a quarter is random, and it is at least 0.2 s and at most a third of the remaining time. A VM without upstreams or configuration bounds its 1 s alike.

--- a/bluebellhub/scheduler/candidate.py
+++ b/bluebellhub/scheduler/candidate.py
@@ -14,7 +14,12 @@
     predict_step_s,
 )
 
-__all__ = ['idle_first_token_s', 'make_candidate', 'unreported_requests']
+__all__ = [
+    'idle_first_token_s',
+    'is_hopeless',
+    'make_candidate',
+    'unreported_requests',
+]
 
 
 def make_candidate(
@@ -101,3 +106,11 @@
         prefill_s = uncached / upstream.speed.prefill_max_tokens_per_s
         predictions.append(prefill_s)
     return min(predictions, default=0.0)
+
+
+def is_hopeless(
+    scheduler: Scheduler, state: RequestState, now_s: float
+) -> bool:
+    """Return whether even an idle upstream is too slow for the objective."""
+    first_s = idle_first_token_s(scheduler, state)
+    return now_s + first_s > state.request.first_due_s
--- a/bluebellhub/scheduler/credit.py
+++ b/bluebellhub/scheduler/credit.py
@@ -1,9 +1,13 @@
 """The share of a target's capacity that this VM uses."""
 
+from bluebellhub.admission import requests_of_rank
+from bluebellhub.backpressure.retry_after import bounded_retry_s
 from bluebellhub.request import Request, RequestState
 from bluebellhub.scheduler.shares import (
+    DEMAND_WINDOW_S,
     TargetShare,
     admission_ratio,
+    fair_rate_per_s,
     has_credit,
     make_target_share,
     observe_plain,
@@ -12,6 +16,7 @@
 from bluebellhub.scheduler.state import (
     Scheduler,
     is_leaving,
+    queue_of,
     upstreams_for,
 )
 from bluebellhub.upstream import Upstream
@@ -21,6 +26,7 @@
     'charge_credit',
     'is_within_share',
     'record_plain',
+    'retry_after_s',
     'share_of',
 ]
 
@@ -53,6 +59,30 @@
     take_credit(share, request.tier.rank, request.account)
 
 
+def retry_after_s(
+    scheduler: Scheduler, request: Request, now_s: float
+) -> float:
+    """Return when the account can expect a place for the refused request.
+
+    That is when its share allows what it has queued here and this request, and
+    the requests that were refused lately, which come back before it.
+    """
+    target = request.target
+    rank = request.tier.rank
+    ratio = min(1.0, capacity_ratio(scheduler, target, rank, now_s))
+    share = share_of(scheduler, target)
+    per_s = fair_rate_per_s(share, ratio, rank, request.account, now_s)
+    ahead = sum(
+        entry.account == request.account
+        for entry in requests_of_rank(queue_of(scheduler, target), rank)
+    )
+    remaining_s = request.ends_at_s - now_s
+    wait_s = remaining_s
+    if per_s:
+        wait_s = ahead / per_s + DEMAND_WINDOW_S * (1 - ratio) / ratio
+    return bounded_retry_s(wait_s, remaining_s, scheduler.random)
+
+
 def record_plain(
     scheduler: Scheduler, state: RequestState, now_s: float
 ) -> None:
--- a/bluebellhub/scheduler/shares.py
+++ b/bluebellhub/scheduler/shares.py
@@ -21,6 +21,7 @@
 from bluebellhub.upstream import Upstream, predict_step_s, prefill_rate
 
 __all__ = [
+    'DEMAND_WINDOW_S',
     'AccountShare',
     'TargetShare',
     'admission_ratio',
--- a/bluebellhub/scheduler/shedding.py
+++ b/bluebellhub/scheduler/shedding.py
@@ -8,7 +8,7 @@
 from typing import Final
 
 from bluebellhub.admission import (
-    Queue,
+    QueuedRequest,
     ranks,
     requests_below,
     requests_of_rank,
@@ -23,13 +23,10 @@
     ShedError,
     UpstreamFailedError,
 )
-from bluebellhub.scheduler.candidate import (
-    idle_first_token_s,
-    make_candidate,
-)
+from bluebellhub.scheduler.candidate import is_hopeless, make_candidate
 from bluebellhub.scheduler.capacity import usable_slots
 from bluebellhub.scheduler.crashes import refuse_quarantined
-from bluebellhub.scheduler.credit import capacity_ratio
+from bluebellhub.scheduler.credit import capacity_ratio, retry_after_s
 from bluebellhub.scheduler.dispatch import dispatch_queued
 from bluebellhub.scheduler.eligibility import is_eligible
 from bluebellhub.scheduler.events import Event
@@ -161,28 +158,36 @@
         if state is None:
             continue
         is_short = entry.rank in short
-        if is_short and _is_hopeless(scheduler, state, now_s):
-            refuse(scheduler, events, state, _overdue_error(state))
+        if is_short and is_hopeless(scheduler, state, now_s):
+            refuse(
+                scheduler,
+                events,
+                state,
+                _overdue_error(scheduler, state, now_s),
+            )
         elif now_s >= _queue_deadline_s(state, is_short=is_short):
-            _refuse_lower(scheduler, events, queue, entry.rank)
-            refuse(scheduler, events, state, _overdue_error(state))
+            _refuse_lower(scheduler, events, entry, now_s)
+            refuse(
+                scheduler,
+                events,
+                state,
+                _overdue_error(scheduler, state, now_s),
+            )
 
 
 def _refuse_lower(
-    scheduler: Scheduler, events: list[Event], queue: Queue, rank: int
+    scheduler: Scheduler,
+    events: list[Event],
+    refused: QueuedRequest,
+    now_s: float,
 ) -> None:
-    """Refuse what is queued below a rank that is refused itself."""
-    for entry in requests_below(queue, rank):
+    """Refuse what is queued below the rank of a request that is refused."""
+    target = scheduler.requests[refused.request_id].request.target
+    for entry in requests_below(queue_of(scheduler, target), refused.rank):
         state = scheduler.requests[entry.request_id]
-        refuse(scheduler, events, state, _overdue_error(state))
-
-
-def _is_hopeless(
-    scheduler: Scheduler, state: RequestState, now_s: float
-) -> bool:
-    """Return whether even an idle upstream is too slow for the objective."""
-    first_s = idle_first_token_s(scheduler, state)
-    return now_s + first_s > state.request.first_due_s
+        refuse(
+            scheduler, events, state, _overdue_error(scheduler, state, now_s)
+        )
 
 
 def _queue_deadline_s(state: RequestState, *, is_short: bool) -> float:
@@ -201,11 +206,14 @@
     return request.arrived_at_s + left_s * RETRY_QUEUE_SHARE
 
 
-def _overdue_error(state: RequestState) -> RefusalError:
+def _overdue_error(
+    scheduler: Scheduler, state: RequestState, now_s: float
+) -> RefusalError:
     """Return the refusal of a request that was queued for too long."""
     if execution_status(state) == 'unknown':
         return UpstreamFailedError('no upstream for another attempt')
-    return ShedError('no place in time', retry_after_s=RETRY_AFTER_S)
+    wait_s = retry_after_s(scheduler, state.request, now_s)
+    return ShedError('no place in time', retry_after_s=wait_s)
 
 
 def _apply_floor(
--- a/bluebellhub/site/admission.py
+++ b/bluebellhub/site/admission.py
@@ -2,6 +2,7 @@
 
 from typing import Final, NamedTuple
 
+from bluebellhub.backpressure.retry_after import bounded_retry_s
 from bluebellhub.contract import AccountLimits
 from bluebellhub.contract.tier import Tier
 from bluebellhub.rates import (
@@ -39,6 +40,8 @@
 # Part of the route's latency objective that a request may spend in the queue.
 QUEUE_WAIT_RATIO: Final = 0.6
 RETRY_AFTER_S: Final = 1.0
+# Assumed for a caller that states no time limit.
+TIME_LIMIT_S: Final = 10.0
 
 
 class Admission(NamedTuple):
@@ -61,7 +64,7 @@
     Raises `NoUpstreamError`, `DrainingError` or an error of the route, the
     account or its quota. A refused request was not sent to any upstream.
     """
-    _check_store_was_read(site)
+    _check_store_was_read(site, head)
     table = active_table(site.active_config)
     route = find_route(table, head.host, head.path)
     account = find_account(table, route, head.key)
@@ -69,7 +72,8 @@
     count_request(site.scheduler.retries, target, now_s)
     if not site.scheduler.by_target.get(target):
         raise NoUpstreamError(
-            f'no upstream for {target}', retry_after_s=RETRY_AFTER_S
+            f'no upstream for {target}',
+            retry_after_s=_retry_after_s(site, head),
         )
     priority = request_priority(route, account)
     request = _make_request(site, head, route, priority, target, now_s)
@@ -92,7 +96,7 @@
     return request._replace(time_limit_s=max(0.0, limit_s - read_s))
 
 
-def _check_store_was_read(site: Site) -> None:
+def _check_store_was_read(site: Site, head: RequestHead) -> None:
     """Raise `NoUpstreamError` before all kinds of objects were listed.
 
     A VM that does not know all of them could use an upstream that operators
@@ -103,10 +107,16 @@
         missing = ', '.join(unread) or 'the list of VMs'
         raise NoUpstreamError(
             f'not read from the store yet: {missing}',
-            retry_after_s=RETRY_AFTER_S,
+            retry_after_s=_retry_after_s(site, head),
         )
 
 
+def _retry_after_s(site: Site, head: RequestHead) -> float:
+    """Return when a caller should retry what no upstream can take now."""
+    limit_s = TIME_LIMIT_S if head.time_limit_s is None else head.time_limit_s
+    return bounded_retry_s(RETRY_AFTER_S, limit_s, site.scheduler.random)
+
+
 def refund(site: Site, admission: Admission) -> None:
     """Refund the quota of a request that was not executed."""
     if admission.account is not None and admission.cost:
--- a/bluebellhub/site/tests/overloaded_fleet.py
+++ b/bluebellhub/site/tests/overloaded_fleet.py
@@ -25,10 +25,6 @@
 from bluebellhub.site.admission import UNLIMITED, admit_request
 from bluebellhub.site.priority import RequestPriority, queue_rank
 from bluebellhub.site.state import Bounds, make_site, set_vms
-from bluebellhub.site.tests.small_site import (
-    make_registration,
-    make_request_head,
-)
 from bluebellhub.site.tests.overloaded_engines import (
     TOKENS_PER_EVENT,
     Load,
@@ -37,6 +33,10 @@
     start_request,
 )
 from bluebellhub.site.tests.overloaded_reports import send_reports
+from bluebellhub.site.tests.small_site import (
+    make_registration,
+    make_request_head,
+)
 from bluebellhub.site.upstreams import (
     apply_registration,
     apply_response_load,
--- a/bluebellhub/site/tests/test_version_moves.py
+++ b/bluebellhub/site/tests/test_version_moves.py
@@ -17,15 +17,15 @@
 )
 from bluebellhub.site.admission import UNLIMITED, admit_request
 from bluebellhub.site.state import Bounds, make_site, set_vms
-from bluebellhub.site.tests.small_site import (
-    make_registration,
-    make_request_head,
-)
 from bluebellhub.site.step_reports import (
     apply_step_report,
     make_step_report,
     make_steps_sent,
 )
+from bluebellhub.site.tests.small_site import (
+    make_registration,
+    make_request_head,
+)
 from bluebellhub.site.upstreams import apply_registration, apply_routing_table
 from bluebellhub.site.version_moves import apply_move_commands, lead_moves
 from bluebellhub.site.vm_location import VmLocation
