--- a/bluebellhub/duty/steps.py
+++ b/bluebellhub/duty/steps.py
@@ -18,8 +18,9 @@
 
 # A renewal that fails can be repeated before the lease ends.  With a usage
 # report every 5 s, which is a renewal too, this makes 24 writes a minute; at
-# 2.5 s a report that comes late by a little would make 36.
-RENEWAL_INTERVAL_S: Final = 3.0
+# 2.5 s a report that comes late by a little would make 36, and at 3 s the
+# handovers while the cloud API is down exceed the limit of 30.
+RENEWAL_INTERVAL_S: Final = 3.4
 # A lease that is to be released is renewed only if it would expire before.
 ENDING_LEFT_MIN_S: Final = 1.5
 # Without enforced fencing, a call without a response may still be executed
--- a/bluebellhub/routing/domain_shares.py
+++ b/bluebellhub/routing/domain_shares.py
@@ -29,9 +29,12 @@
 
 
 class ShareFlags(TypedDict):
-    """``byte_price`` is the price of a byte in worths of a request."""
+    """``byte_price`` is the price of a byte in worths of a request.
 
-    byte_price: float
+    Without a price, nothing is decided: a fixed preference keeps work local.
+    """
+
+    byte_price: float | None
 
 
 class DomainShares(NamedTuple):
--- a/bluebellhub/scheduler/leaving.py
+++ b/bluebellhub/scheduler/leaving.py
@@ -182,4 +182,4 @@
 def _bytes_cost(scheduler: Scheduler, request: Request) -> float:
     """Return the price of the request's bytes, in worths of a request."""
     size = request_bytes(request.prompt_tokens, request.output_tokens)
-    return size * scheduler.domain_shares.flags['byte_price']
+    return size * (scheduler.domain_shares.flags['byte_price'] or 0.0)
--- a/bluebellhub/settings.py
+++ b/bluebellhub/settings.py
@@ -86,7 +86,8 @@
     window: ``quota`` beyond the accounts' limits, ``retry`` beyond callers'
     requests, and ``cold`` beyond a cold upstream's rate.  Without a
     ``retry_ratio`` only the attempts of each request are limited.  A byte that
-    leaves the failure domain costs ``domain_byte_price`` worths of a request.
+    leaves the failure domain costs ``domain_byte_price`` worths of a request;
+    without a price, a fixed preference keeps requests local.
     """
 
     store: str = ''
@@ -102,7 +103,7 @@
     cold_overage: Positive = 1.0
     cold_slack: NonNegative = 0.0
     duty: DutySettings = DutySettings()
-    domain_byte_price: NonNegative = 0.0
+    domain_byte_price: NonNegative | None = None
 
 
 class Settings(NamedTuple):
--- a/bluebellhub/site/domain_loads.py
+++ b/bluebellhub/site/domain_loads.py
@@ -45,8 +45,13 @@
 
 
 def update_domain_shares(site: Site, now_s: float) -> list[ShareChange]:
-    """Decide for each target what may leave; return the changes to log."""
+    """Decide for each target what may leave; return the changes to log.
+
+    Nothing is decided unless operators state the price of a byte.
+    """
     scheduler = site.scheduler
+    if scheduler.domain_shares.flags['byte_price'] is None:
+        return []
     work = _work_by_domain(site, now_s)
     ages_s = _report_ages(site, now_s)
     changes = []
