--- a/bluebellhub/adapters/proxy/duties.py
+++ b/bluebellhub/adapters/proxy/duties.py
@@ -15,7 +15,7 @@
     give_next_order,
     make_order_desk,
 )
-from bluebellhub.adapters.proxy.duty_store import take_step
+from bluebellhub.adapters.proxy.duty_store import run_step
 from bluebellhub.adapters.proxy.gossip import gossip_handlers
 from bluebellhub.adapters.proxy.object_handlers import Watcher
 from bluebellhub.adapters.proxy.state import Proxy
@@ -111,7 +111,7 @@
         apply_era(site.duty, era, current_s)
     step = next_step(site.duty, first_live_vms(site, current_s), current_s)
     if step is not None:
-        await take_step(site.duty, watcher.store, step)
+        await run_step(site.duty, watcher.store, step)
 
 
 def _log_change(runner: DutyRunner) -> None:
--- a/bluebellhub/adapters/proxy/duty_store.py
+++ b/bluebellhub/adapters/proxy/duty_store.py
@@ -25,7 +25,7 @@
 from bluebellhub.platform.store_calls import Store
 from bluebellhub.registry import Registry, make_registry
 
-__all__ = ['take_step']
+__all__ = ['run_step']
 
 StepTaker = Callable[[Duty, Store, Any], Awaitable[None]]
 
@@ -34,7 +34,7 @@
 log = logbook.Logger('bluebellhub.duties')
 
 
-async def take_step(duty: Duty, store: Store, step: Step) -> None:
+async def run_step(duty: Duty, store: Store, step: Step) -> None:
     """Call the store and apply its response."""
     await step_takers.find(type(step).__name__)(duty, store, step)
 
--- a/bluebellhub/adapters/proxy/store_steps.py
+++ b/bluebellhub/adapters/proxy/store_steps.py
@@ -205,7 +205,7 @@
     current_s = now_s()
     if is_relay(site, current_s) and stands_by(site, current_s):
         return max(STANDBY_WAIT_S, RELAY_WAITS_S[kind])
-    since_s = current_s - find_history(site, kind).state['heard_at_s']
+    since_s = current_s - find_history(site, kind).state['confirmed_at_s']
     return max(RELAY_WAIT_MIN_S, RELAY_WAITS_S[kind] - max(0.0, since_s))
 
 
--- a/bluebellhub/adapters/proxy/store_watch.py
+++ b/bluebellhub/adapters/proxy/store_watch.py
@@ -74,7 +74,7 @@
         _log_following(watcher, kind, follows=step != 'watch', did=followed)
         followed = step != 'watch'
         try:
-            await _take_step(watcher, kind, state, step)
+            await _run_step(watcher, kind, state, step)
         except HistoryGoneError as error:
             _log_history_gone(watcher, kind, error)
             state['lists'] = True
@@ -87,7 +87,7 @@
             state['lists'] = True
 
 
-async def _take_step(
+async def _run_step(
     watcher: Watcher, kind: str, state: WatchState, step: str
 ) -> None:
     """Take a step that may be cancelled; the store responds if it ends."""
--- a/bluebellhub/adapters/proxy/tests/relayed_fleet.py
+++ b/bluebellhub/adapters/proxy/tests/relayed_fleet.py
@@ -140,9 +140,9 @@
             peer = Peer(report, trio.current_time())
             peers[locations[vm]][vm] = peer
         for vm in locations.keys() - faults['frozen'] - faults['deaf']:
-            heard = fleet.watchers[vm].proxy.site.peers
-            heard.update(peers[locations[vm]])
-            heard.pop(vm, None)
+            received = fleet.watchers[vm].proxy.site.peers
+            received.update(peers[locations[vm]])
+            received.pop(vm, None)
         _deliver_held(fleet)
         await trio.sleep(GOSSIP_S)
 
--- a/bluebellhub/duty/announcing.py
+++ b/bluebellhub/duty/announcing.py
@@ -10,7 +10,7 @@
     is_holding,
 )
 from bluebellhub.duty.messages import DutyReport
-from bluebellhub.duty.reports import hear_reports
+from bluebellhub.duty.reports import record_reports
 
 __all__ = ['ReportUse', 'apply_report', 'make_duty_report']
 
@@ -56,7 +56,7 @@
         return 'older'
     if duty.lease['token']:
         end_lease(duty)
-    hear_reports(duty, report.reports)
+    record_reports(duty, report.reports)
     duty.observed['announced'] = Announced(report, now_s + report.left_s, now_s)
     _forget_older_entry(duty, report)
     return 'applied'
--- a/bluebellhub/duty/duty.py
+++ b/bluebellhub/duty/duty.py
@@ -119,8 +119,8 @@
 class StoredReports(TypedDict):
     """Usage reports: those in the object, and those to be written or sent.
 
-    ``announced`` are the windows of those that this VM announced, and ``heard``
-    the reports that other holders announced, by window.  While
+    ``announced`` are the windows of those that this VM announced, and
+    ``received`` the reports that other holders announced, by window.  While
     ``may_be_lost`` is set, an earlier holder may have sent reports that the
     restored store has lost; due windows are skipped then, up to ``skipped``.
     """
@@ -130,7 +130,7 @@
     unsent: tuple[UsageOrder, ...]
     accepted: frozenset[int]
     announced: frozenset[int]
-    heard: dict[int, UsageOrder]
+    received: dict[int, UsageOrder]
     may_be_lost: bool
     skipped: int | None
 
@@ -183,7 +183,7 @@
             'unsent': (),
             'accepted': frozenset(),
             'announced': frozenset(),
-            'heard': {},
+            'received': {},
             'may_be_lost': False,
             'skipped': None,
         },
--- a/bluebellhub/duty/reports.py
+++ b/bluebellhub/duty/reports.py
@@ -11,7 +11,7 @@
     'add_report',
     'apply_stored_reports',
     'finish_skipping',
-    'hear_reports',
+    'record_reports',
     'known_reports',
     'merged_reports',
     'next_unsent',
@@ -98,19 +98,19 @@
     A store that was restored from an older copy may have lost some that were
     sent.  The object's come first where both have a window.
     """
-    heard = duty.reports['heard']
+    received = duty.reports['received']
     by_window = {report.window: report for report in duty.reports['stored']}
-    by_window.update(heard)
+    by_window.update(received)
     by_window.update({report.window: report for report in stored})
     return _latest(by_window.values())
 
 
-def hear_reports(duty: Duty, reports: Iterable[UsageOrder]) -> None:
+def record_reports(duty: Duty, reports: Iterable[UsageOrder]) -> None:
     """Keep the reports that a holder announced."""
-    heard = duty.reports['heard']
-    heard.update({report.window: report for report in reports})
-    for window in sorted(heard)[:-REPORTS_MAX]:
-        heard.pop(window)
+    received = duty.reports['received']
+    received.update({report.window: report for report in reports})
+    for window in sorted(received)[:-REPORTS_MAX]:
+        received.pop(window)
 
 
 def next_unsent(
--- a/bluebellhub/duty/takeover.py
+++ b/bluebellhub/duty/takeover.py
@@ -54,8 +54,8 @@
 def _may_have_lost_reports(duty: Duty, token: int, now_s: float) -> bool:
     """Return whether a restore may have lost reports that were sent.
 
-    Only the holder of that time knows all of them; a VM that heard it shortly
-    before the restore may still have missed its last one.
+    Only the holder of that time knows all of them; a VM that received them
+    shortly before the restore may still have missed its last one.
     """
     is_reclaimed = now_s < duty.observed['reclaim_until_s']
     return not is_reclaimed and _was_restored(duty, token)
--- a/bluebellhub/scheduler/credit.py
+++ b/bluebellhub/scheduler/credit.py
@@ -11,7 +11,7 @@
     has_credit,
     make_target_share,
     observe_plain,
-    take_credit,
+    use_credit,
 )
 from bluebellhub.scheduler.state import (
     Scheduler,
@@ -56,7 +56,7 @@
 def charge_credit(scheduler: Scheduler, request: Request) -> None:
     """Charge a request that is sent now to the share."""
     share = share_of(scheduler, request.target)
-    take_credit(share, request.tier.rank, request.account)
+    use_credit(share, request.tier.rank, request.account)
 
 
 def retry_after_s(
--- a/bluebellhub/scheduler/shares.py
+++ b/bluebellhub/scheduler/shares.py
@@ -34,7 +34,7 @@
     'own_demand',
     'set_other_demand',
     'slot_wait_s',
-    'take_credit',
+    'use_credit',
 ]
 
 DEMAND_WINDOW_S: Final = 2.0
@@ -284,7 +284,7 @@
     return credit >= 1.0
 
 
-def take_credit(share: TargetShare, rank: int, account: str) -> None:
+def use_credit(share: TargetShare, rank: int, account: str) -> None:
     """Charge a request that is sent now."""
     found = share.accounts.get((rank, account))
     if found is not None:
--- a/bluebellhub/site/relay_reports.py
+++ b/bluebellhub/site/relay_reports.py
@@ -23,7 +23,7 @@
     'RelayReport',
     'StoreRelays',
     'confirmed_until_s',
-    'last_heard_s',
+    'last_confirmed_s',
     'make_following',
     'make_store_relays',
     'update_report',
@@ -42,8 +42,9 @@
     """The newest positions of a relay, in times of this VM's clock.
 
     ``sent_at_s`` is on the relay's clock, and ``clock_offset_s`` leads from
-    there to this VM's. ``heard_at_s`` holds by kind when the store responded
-    to the relay. ``past_starts`` identifies earlier starts of the relay.
+    there to this VM's. ``confirmed_at_s`` holds by kind when the store
+    responded to the relay. ``past_starts`` identifies earlier starts of the
+    relay.
     """
 
     start_id: int
@@ -52,7 +53,7 @@
     clock_offset_s: float
     received_at_s: float
     kinds: dict[str, ConfirmedPosition]
-    heard_at_s: dict[str, float]
+    confirmed_at_s: dict[str, float]
     outage_ended_at_s: float | None
 
 
@@ -88,14 +89,14 @@
 
 
 def make_store_relays() -> StoreRelays:
-    """Create the state of a VM that has read nothing and heard no relay."""
+    """Create the state of a VM that has read nothing, from no relay either."""
     return StoreRelays(
         {}, {}, {}, {'relay_until_s': -inf, 'apply_changes': None}
     )
 
 
 def make_following() -> Following:
-    """Create the state of a kind for which no relay was heard."""
+    """Create the state of a kind that no relay has confirmed."""
     return {
         'follows': False,
         'confirmed_since_s': None,
@@ -135,9 +136,9 @@
     )
 
 
-def last_heard_s(report: RelayReport) -> float:
+def last_confirmed_s(report: RelayReport) -> float:
     """Return when the store last responded to a relay about any kind."""
-    return max(report.heard_at_s.values(), default=-inf)
+    return max(report.confirmed_at_s.values(), default=-inf)
 
 
 def confirmed_until_s(
@@ -154,9 +155,9 @@
         if found is None:
             continue
         if found.era == era or is_later_era(found.era, era):
-            silent_at_s = last_heard_s(report) + SILENCE_MAX_S
+            silent_at_s = last_confirmed_s(report) + SILENCE_MAX_S
             kind_end_s = (
-                report.heard_at_s[kind] + wait_s + CONFIRMATION_MARGIN_S
+                report.confirmed_at_s[kind] + wait_s + CONFIRMATION_MARGIN_S
             )
             ends_s.append(min(silent_at_s, kind_end_s))
     return max(ends_s)
--- a/bluebellhub/site/relay_roles.py
+++ b/bluebellhub/site/relay_roles.py
@@ -12,7 +12,7 @@
 
 from bluebellhub.site.grid import ROW_MAX, local_vm_names
 from bluebellhub.site.liveness import live_vm_names
-from bluebellhub.site.relay_reports import last_heard_s
+from bluebellhub.site.relay_reports import last_confirmed_s
 from bluebellhub.site.state import Site
 
 __all__ = [
@@ -92,7 +92,7 @@
     reports = site.store_relays.reports
     order = local_order(site)
     return any(
-        now_s - last_heard_s(reports[name]) <= STANDBY_AGE_MAX_S
+        now_s - last_confirmed_s(reports[name]) <= STANDBY_AGE_MAX_S
         for name in order[: order.index(site.vm)]
         if name in reports
     )
--- a/bluebellhub/site/store_history.py
+++ b/bluebellhub/site/store_history.py
@@ -37,12 +37,12 @@
     """How far a kind was read; ``position`` is ``None`` before a listing.
 
     There are no changes after ``unchanged_since`` up to the position. The
-    store's last response to this VM shows its state of ``heard_at_s``.
+    store's last response to this VM shows its state of ``confirmed_at_s``.
     """
 
     position: Position | None
     unchanged_since: int
-    heard_at_s: float
+    confirmed_at_s: float
 
 
 class KindHistory(NamedTuple):
@@ -55,7 +55,7 @@
 def make_history() -> KindHistory:
     """Create the history of a kind of which nothing was read."""
     return KindHistory(
-        {}, {'position': None, 'unchanged_since': 0, 'heard_at_s': -inf}
+        {}, {'position': None, 'unchanged_since': 0, 'confirmed_at_s': -inf}
     )
 
 
@@ -64,9 +64,11 @@
     return era is not None and (known is None or era > known)
 
 
-def record_response(history: KindHistory, heard_at_s: float) -> None:
+def record_response(history: KindHistory, confirmed_at_s: float) -> None:
     """Record the time of the state that a response of the store shows."""
-    history.state['heard_at_s'] = max(heard_at_s, history.state['heard_at_s'])
+    history.state['confirmed_at_s'] = max(
+        confirmed_at_s, history.state['confirmed_at_s']
+    )
 
 
 def has_gone_back(
--- a/bluebellhub/site/store_relays.py
+++ b/bluebellhub/site/store_relays.py
@@ -3,7 +3,7 @@
 The relays of its failure domain pass on each change, and tell twice a second
 how far they have read and when the store last responded. A VM follows them,
 and reads by itself what it missed. It watches the store by itself as long as
-no relay has heard of the store recently.
+no relay got a response of the store recently.
 """
 
 from math import inf
@@ -73,12 +73,12 @@
     for kind, history in site.store_relays.histories.items():
         state = history.state
         position = state['position']
-        if position is not None and state['heard_at_s'] > -inf:
+        if position is not None and state['confirmed_at_s'] > -inf:
             kinds[kind] = ConfirmedPosition(
                 position.era,
                 state['unchanged_since'],
                 position.revision,
-                max(0.0, now_s - state['heard_at_s']),
+                max(0.0, now_s - state['confirmed_at_s']),
             )
     age_s = outage_age_s(site.registrations, now_s)
     return StorePositions(site.start_id, now_s, kinds, age_s)
@@ -166,7 +166,7 @@
 def relays_confirm(
     site: Site, kind: str, wait_s: float, now_s: float, late_s: float = 0.0
 ) -> bool:
-    """Return whether a relay has heard of a kind recently, or ``late_s`` ago.
+    """Return whether a relay has confirmed a kind recently, or ``late_s`` ago.
 
     The watches of relays for this kind wait ``wait_s`` seconds.
     """
--- a/bluebellhub/site/tests/test_store_relays.py
+++ b/bluebellhub/site/tests/test_store_relays.py
@@ -137,11 +137,11 @@
 ]
 
 
-@pytest.mark.parametrize(('heard', 'later_s', 'step'), STEPS)
-def test_vm_follows_only_what_is_confirmed(heard, later_s, step):
+@pytest.mark.parametrize(('received', 'later_s', 'step'), STEPS)
+def test_vm_follows_only_what_is_confirmed(received, later_s, step):
     """A relay that is frozen, cut off or behind would hide changes."""
     site = _make_vm()
-    assert _hear(site, **heard)
+    assert _hear(site, **received)
     next_step(site, KIND, WAIT_S, NOW_S)
     assert next_step(site, KIND, WAIT_S, NOW_S + later_s) == step
 
