--- a/bluebellhub/site/tests/test_replica_demand.py
+++ b/bluebellhub/site/tests/test_replica_demand.py
@@ -19,6 +19,7 @@
 from bluebellhub.request.heads import UpstreamLoad
 from bluebellhub.version_move import MoveCommand
 
+NOW_S = 10.0
 BOUNDS = ScalingBounds(1, 4, 8.0)
 
 
@@ -30,7 +31,7 @@
     services = [Service('s', scaling=BOUNDS), Service('t')]
     site = make_small_site(*entries, services=services)
     for name, _ in names_and_domains:
-        apply_response_load(site, name, UpstreamLoad(3, 2, 4))
+        apply_response_load(site, name, UpstreamLoad(3, 2, 4), NOW_S)
     return site
 
 
