Choose ports of the feature tests below those of outgoing connections

A port that is free when it is chosen may be given to an outgoing connection before the process listens.

--- a/features/processes.py
+++ b/features/processes.py
@@ -1,6 +1,7 @@
 """Start and stop a small fleet of real processes on loopback."""
 
 import os
+import random
 import socket
 import subprocess
 import sys
@@ -15,6 +16,7 @@
 __all__ = ['Site', 'hash_test_key', 'start_site', 'stop_site', 'wait_until']
 
 READY_TIMEOUT_S: Final = 40.0
+LISTENING_PORTS: Final = range(20_000, 32_000)
 FAILURE_DOMAINS: Final = ('rennes', 'vannes', 'brest')
 
 
@@ -35,9 +37,19 @@
 
 
 def _free_address() -> str:
-    with socket.socket() as free_socket:
-        free_socket.bind(('127.0.0.1', 0))
-        return f'127.0.0.1:{free_socket.getsockname()[1]}'
+    """Return an address that nothing listens on.
+
+    Its port is below those of outgoing connections, so that no connection gets
+    it before the process that is started with it listens.
+    """
+    while True:
+        port = random.choice(LISTENING_PORTS)
+        with socket.socket() as free_socket:
+            try:
+                free_socket.bind(('127.0.0.1', port))
+            except OSError:
+                continue
+            return f'127.0.0.1:{port}'
 
 
 def _start(site: Site, name: str, *command: str) -> None:
