Move the codec of quarantined prompt parts to a module of its own

No behaviour changes; the tests of the platform's codecs, the store watch, restored stores, odd entries and crashing prompts pass.

--- a/bluebellhub/adapters/proxy/object_handlers.py
+++ b/bluebellhub/adapters/proxy/object_handlers.py
@@ -17,15 +17,17 @@
     CONFIG_NAME,
     EVACUATION_KIND,
     MOVE_KIND,
-    QUARANTINE_KIND,
     UPSTREAM_KIND,
     VM_KIND,
     read_move,
-    read_quarantine,
     read_registration,
     read_table,
     read_vm,
 )
+from bluebellhub.platform.quarantine_object import (
+    QUARANTINE_KIND,
+    read_quarantine,
+)
 from bluebellhub.platform.store import Change, StoredEntry
 from bluebellhub.platform.store_calls import Store
 from bluebellhub.registration import record_restore
--- a/bluebellhub/adapters/proxy/store_steps.py
+++ b/bluebellhub/adapters/proxy/store_steps.py
@@ -19,10 +19,12 @@
     CONFIG_KIND,
     EVACUATION_KIND,
     MOVE_KIND,
-    QUARANTINE_KIND,
     UPSTREAM_KIND,
     VM_KIND,
 )
+from bluebellhub.platform.quarantine_object import (
+    QUARANTINE_KIND,
+)
 from bluebellhub.platform.store import (
     Listing,
     Position,
--- a/bluebellhub/adapters/proxy/stored_quarantine.py
+++ b/bluebellhub/adapters/proxy/stored_quarantine.py
@@ -9,7 +9,7 @@
 from bluebellhub.clock import now_epoch_s, now_s
 from bluebellhub.errors import ConflictError, StoreError
 from bluebellhub.faults import isolate_fault
-from bluebellhub.platform.object_codec import (
+from bluebellhub.platform.quarantine_object import (
     QUARANTINE_KIND,
     quarantine_name,
     quarantine_spec,
--- a/bluebellhub/adapters/proxy/tests/test_stored_quarantine.py
+++ b/bluebellhub/adapters/proxy/tests/test_stored_quarantine.py
@@ -17,7 +17,9 @@
 )
 from bluebellhub.adapters.proxy.tests.scripted_upstreams import running_hub
 from bluebellhub.clock import now_s
-from bluebellhub.platform.object_codec import QUARANTINE_KIND
+from bluebellhub.platform.quarantine_object import (
+    QUARANTINE_KIND,
+)
 from bluebellhub.platform.store import Change, StoredEntry
 from bluebellhub.platform.store_calls import Store, make_era
 from bluebellhub.quarantine import (
--- a/bluebellhub/platform/object_codec.py
+++ b/bluebellhub/platform/object_codec.py
@@ -1,11 +1,10 @@
 """Decodes the store's objects into bluebellhub's types, and encodes them."""
 
-from collections.abc import Iterable, Mapping
+from collections.abc import Mapping
 from types import MappingProxyType
 from typing import Any, Final
 
 import msgspec
-import xxhash
 
 from bluebellhub.configuration.addresses import check_address
 from bluebellhub.errors import ObjectError, SettingsError
@@ -17,13 +16,11 @@
     WireLimits,
     WireMove,
     WireMoveStatus,
-    WireQuarantine,
     WireRegistration,
     WireRoute,
     WireService,
     WireVm,
 )
-from bluebellhub.quarantine import CrashReport
 from bluebellhub.registration import Registration
 from bluebellhub.route import (
     Account,
@@ -42,16 +39,12 @@
     'CONFIG_NAME',
     'EVACUATION_KIND',
     'MOVE_KIND',
-    'QUARANTINE_KIND',
     'UPSTREAM_KIND',
     'VM_KIND',
     'move_status',
-    'quarantine_name',
-    'quarantine_spec',
     'read_account',
     'read_limits',
     'read_move',
-    'read_quarantine',
     'read_registration',
     'read_route',
     'read_service',
@@ -66,10 +59,8 @@
 UPSTREAM_KIND: Final = 'servers'
 EVACUATION_KIND: Final = 'evacuations'
 MOVE_KIND: Final = 'rollouts'
-# Kinds that bluebellhub defines: where VMs listen for each other, and parts of
-# prompts that crash upstreams.
+# A kind that bluebellhub defines: where VMs listen for each other.
 VM_KIND: Final = 'hub-vms'
-QUARANTINE_KIND: Final = 'hub-quarantine'
 MS_PER_S: Final = 1000.0
 MOVE_STATES: Final[Mapping[MoveState, str]] = MappingProxyType(
     {
@@ -266,45 +257,3 @@
     except (msgspec.ValidationError, SettingsError) as error:
         raise ObjectError(VM_KIND, entry.name, str(error)) from None
     return VmLocation(wire['address'], wire.get('failure_domain', ''))
-
-
-def quarantine_name(part: str) -> str:
-    """Return the name of the object for a part of a prompt.
-
-    Callers choose the part's id, so it is not used as a name itself.
-    """
-    return xxhash.xxh64_hexdigest(part.encode())
-
-
-def quarantine_spec(
-    reports: Iterable[CrashReport], now_epoch_s: float
-) -> WireQuarantine:
-    """Encode the evidence against one part of a prompt."""
-    listed = list(reports)
-    return {
-        'part': listed[0].part,
-        'crashes': {
-            report.crash: int((now_epoch_s - report.age_s) * MS_PER_S)
-            for report in listed
-        },
-    }
-
-
-def read_quarantine(
-    entry: StoredEntry, now_epoch_s: float
-) -> list[CrashReport]:
-    """Decode the evidence against a part of a prompt.
-
-    Raises `ObjectError` if the entry is not valid.  A crash in the future,
-    after a step of the clock, counts as one that happens now.
-    """
-    try:
-        wire = msgspec.convert(entry.spec, WireQuarantine)
-    except msgspec.ValidationError as error:
-        raise ObjectError(QUARANTINE_KIND, entry.name, str(error)) from None
-    return [
-        CrashReport(
-            wire['part'], crash, max(0.0, now_epoch_s - at_ms / MS_PER_S)
-        )
-        for crash, at_ms in wire['crashes'].items()
-    ]
