--- a/review/standins-2/site_standins.py
+++ b/review/standins-2/site_standins.py
@@ -633,11 +633,19 @@
     breaks.  It ends the processes that it started in any case.
     """
     record = Record(Path(folder) / 'record.txt')
+
+    async def run(temporary):
+        # A script that is stopped from outside ends its processes too.
+        stop = asyncio.current_task().cancel
+        asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, stop)
+        return await asyncio.wait_for(play(record, temporary), limit_s)
+
     try:
         with tempfile.TemporaryDirectory() as temporary:
-            breaks = asyncio.run(
-                asyncio.wait_for(play(record, Path(temporary)), limit_s)
-            )
+            breaks = asyncio.run(run(Path(temporary)))
+    except asyncio.CancelledError:
+        record('stopped from outside')
+        return 2
     except (CannotRun, OSError, asyncio.TimeoutError) as error:
         record(f'could not run: {type(error).__name__} {error}')
         print(f'could not run: {error}')
