Tell by which rule a waiting request is refused

A log line of a refusal for want of capacity said 'no place in time' for three rules: nothing has room within the time to wait, not even an idle upstream would be in time, or a request of a higher rank was refused. So a rank that is starved could not be told from one that asks for too much.

Change: the line names the rule, the rank and which ratio of the rank's requests can be sent, and bluebellhub_sheds_total counts by rule. What callers get is unchanged.

--- a/bluebellhub/metrics.py
+++ b/bluebellhub/metrics.py
@@ -23,6 +23,7 @@
     'preemptions': 'tier',
     'callers_left': 'tier',
     'refusals': 'reason',
+    'sheds': 'rule',
     'front_end_refusals': 'reason',
     'retries': 'reason',
     'retries_denied': 'reason',
--- a/bluebellhub/scheduler/shedding.py
+++ b/bluebellhub/scheduler/shedding.py
@@ -5,7 +5,7 @@
 """
 
 from collections.abc import Callable
-from typing import Final
+from typing import Final, Literal
 
 from bluebellhub.admission import (
     QueuedRequest,
@@ -49,6 +49,9 @@
 LOWEST_RANK: Final = max(tier.rank for tier in DEFAULT_TIERS)
 
 
+# Why a queued request is refused: nothing has room in time, not even an idle
+# upstream would be in time, or a request of a higher rank has no place either.
+ShedRule = Literal['no_place', 'hopeless', 'higher_refused']
 Expiry = Callable[[Scheduler, list[Event], str, float], None]
 
 expiries: Registry[Expiry] = make_registry('expiry')
@@ -159,20 +162,12 @@
             continue
         is_short = entry.rank in short
         if is_short and is_hopeless(scheduler, state, now_s):
-            refuse(
-                scheduler,
-                events,
-                state,
-                _overdue_error(scheduler, state, now_s),
-            )
+            error = _overdue_error(scheduler, state, 'hopeless', now_s)
+            refuse(scheduler, events, state, error)
         elif now_s >= _queue_deadline_s(state, is_short=is_short):
             _refuse_lower(scheduler, events, entry, now_s)
-            refuse(
-                scheduler,
-                events,
-                state,
-                _overdue_error(scheduler, state, now_s),
-            )
+            error = _overdue_error(scheduler, state, 'no_place', now_s)
+            refuse(scheduler, events, state, error)
 
 
 def _refuse_lower(
@@ -185,9 +180,8 @@
     target = scheduler.requests[refused.request_id].request.target
     for entry in requests_below(queue_of(scheduler, target), refused.rank):
         state = scheduler.requests[entry.request_id]
-        refuse(
-            scheduler, events, state, _overdue_error(scheduler, state, now_s)
-        )
+        error = _overdue_error(scheduler, state, 'higher_refused', now_s)
+        refuse(scheduler, events, state, error)
 
 
 def _queue_deadline_s(state: RequestState, *, is_short: bool) -> float:
@@ -207,13 +201,24 @@
 
 
 def _overdue_error(
-    scheduler: Scheduler, state: RequestState, now_s: float
+    scheduler: Scheduler, state: RequestState, rule: ShedRule, now_s: float
 ) -> RefusalError:
-    """Return the refusal of a request that was queued for too long."""
+    """Return the refusal of a request that was queued for too long.
+
+    It tells by which rule, and which ratio of its rank can be sent, so that a
+    starved rank can be told from one that asks for too much.
+    """
+    scheduler.counters['sheds', rule] += 1
     if execution_status(state) == 'unknown':
         return UpstreamFailedError('no upstream for another attempt')
-    wait_s = retry_after_s(scheduler, state.request, now_s)
-    return ShedError('no place in time', retry_after_s=wait_s)
+    request = state.request
+    rank = request.tier.rank
+    ratio = capacity_ratio(scheduler, request.target, rank, now_s)
+    wait_s = retry_after_s(scheduler, request, now_s)
+    return ShedError(
+        f'no place in time ({rule}, rank {rank}, ratio {ratio:.2f})',
+        retry_after_s=wait_s,
+    )
 
 
 def _apply_floor(
