--- a/bluebellhub/adapters/node.py
+++ b/bluebellhub/adapters/node.py
@@ -13,16 +13,18 @@
 )
 from bluebellhub.adapters.exchange import Exchange
 from bluebellhub.adapters.memory import MemoryBudget, make_memory_budget
-from bluebellhub.adapters.sockets import refuses_connections
+from bluebellhub.adapters.sockets import accepts_any, refuses_connections
 from bluebellhub.clock import now_s
 from bluebellhub.contract import AccountLimits
 from bluebellhub.faults import isolate_fault
 from bluebellhub.latencies import Latencies, make_latencies
+from bluebellhub.reachability import CHECK_TIMEOUT_S, is_cut_off
 from bluebellhub.registry import Registry, make_registry
 from bluebellhub.request import Request
 from bluebellhub.scheduler import (
     Cancel,
     CheckCrash,
+    CheckLinks,
     Dispatch,
     Event,
     Probe,
@@ -30,6 +32,7 @@
     Scheduler,
     caller_disconnected,
     crash_checked,
+    links_checked,
     submit,
     tick,
 )
@@ -214,6 +217,32 @@
     )
 
 
+@event_handlers.register('CheckLinks')
+def handle_check_links(node: Node, event: CheckLinks) -> None:
+    """Start to find out whether this VM reaches any upstream."""
+    node.nursery.start_soon(_check_links, node, event)
+
+
+async def _check_links(node: Node, event: CheckLinks) -> None:
+    """Check the links; whatever happens, the check has a result."""
+    is_reached = False
+    with isolate_fault('link_check'):
+        is_reached = await accepts_any(event.addresses, CHECK_TIMEOUT_S)
+    was_cut_off = is_cut_off(node.scheduler.links)
+    with isolate_fault('link_result'):
+        execute_events(
+            node,
+            links_checked(node.scheduler, is_reached=is_reached, now_s=now_s()),
+        )
+    if was_cut_off and is_reached:
+        log.info('upstreams are reached again')
+    elif not is_reached and not was_cut_off:
+        log.info(
+            'no upstream accepts a connection',
+            extra={'tried': len(event.addresses)},
+        )
+
+
 async def run_ticks(node: Node) -> None:
     """Run the scheduler's periodic decisions until cancelled."""
     while True:
--- a/bluebellhub/adapters/proxy/attempt.py
+++ b/bluebellhub/adapters/proxy/attempt.py
@@ -8,6 +8,7 @@
 import trio
 
 from bluebellhub.adapters.memory import MemoryExhaustedError
+from bluebellhub.adapters.node import execute_events
 from bluebellhub.adapters.proxy.caller_connection import CallerGoneError
 from bluebellhub.adapters.proxy.event_stream import (
     EventIdError,
@@ -55,15 +56,23 @@
 from bluebellhub.errors import HubError
 from bluebellhub.platform.headers import attempt_headers, read_response_head
 from bluebellhub.platform.responses import NOT_EXECUTED_STATUSES
+from bluebellhub.reachability import record_contact
 from bluebellhub.request import AttemptFailure
 from bluebellhub.request.heads import ResponseHead
-from bluebellhub.scheduler import request_sent
+from bluebellhub.scheduler import connection_opened, request_sent
 from bluebellhub.scheduler.leaving import record_connect
 from bluebellhub.scheduler.state import asks_to_wait
 from bluebellhub.site.upstreams import apply_response_status
 from bluebellhub.upstream import UpstreamSpec
 
-__all__ = ['CALLER_GONE', 'run_attempt']
+__all__ = [
+    'CALLER_GONE',
+    'FAILURE_ERRORS',
+    'FAILURE_KINDS',
+    'AttemptError',
+    'read_head',
+    'run_attempt',
+]
 
 CALLER_GONE: Final = 'caller_gone'
 CUT: Final = 'cut'
@@ -111,12 +120,19 @@
             proxy.idle_connections, spec, force_new=force_new
         ) as connection:
             if not connection.is_reused:
-                record_connect(proxy.node.scheduler, spec, now_s() - started_s)
+                _record_connect(proxy, spec, now_s() - started_s)
             return await _exchange(proxy, context, connection)
     except ConnectError as error:
         return AttemptFailure('connect_failed', str(error))
 
 
+def _record_connect(proxy: Proxy, spec: UpstreamSpec, elapsed_s: float) -> None:
+    """Record that the upstream has accepted a connection."""
+    node = proxy.node
+    record_connect(node.scheduler, spec, elapsed_s)
+    execute_events(node, connection_opened(node.scheduler, now_s()))
+
+
 async def _exchange(
     proxy: Proxy, context: RequestContext, connection: UpstreamConnection
 ) -> AttemptFailure | None:
@@ -194,7 +210,8 @@
     if request.idempotent:
         first_byte_timeout_s *= FIRST_BYTE_SHARE
     with trio.fail_after(max(0.0, first_byte_timeout_s)):
-        response = await _read_head(connection)
+        response = await read_head(connection)
+    record_contact(proxy.node.scheduler.links, now_s())
     _apply_statements(proxy, context, connection, response)
     count_once = make_start_counter(proxy, context)
     if counts_at_response(context, connection, response):
@@ -231,7 +248,8 @@
         apply_needs(proxy, name, response)
 
 
-async def _read_head(connection: UpstreamConnection) -> ResponseHead:
+async def read_head(connection: UpstreamConnection) -> ResponseHead:
+    """Read a response head; raises `AttemptError` if there is none."""
     while True:
         event = await read_event(connection)
         if isinstance(event, h11.Response):
--- a/bluebellhub/adapters/proxy/caller_connection.py
+++ b/bluebellhub/adapters/proxy/caller_connection.py
@@ -12,6 +12,7 @@
     make_reservation,
     release_memory,
 )
+from bluebellhub.adapters.proxy.peer_heads import refusal_header
 from bluebellhub.adapters.sockets import reset_on_close
 from bluebellhub.errors import HubError
 from bluebellhub.platform.responses import LocalResponse, refusal_response
@@ -70,7 +71,8 @@
 class CallerConnection(NamedTuple):
     """The root: the stream, its HTTP/1.1 state and the limits.
 
-    ``reservation`` is the memory that its present request keeps.
+    ``reservation`` is the memory that its present request keeps.  If it
+    ``is_peer``, the caller is another VM that forwards requests.
     """
 
     stream: trio.SocketStream
@@ -78,6 +80,7 @@
     limits: CallerLimits
     reservation: Reservation
     state: ConnectionState
+    is_peer: bool = False
 
 
 class ReceivedRequest(NamedTuple):
@@ -89,7 +92,11 @@
 
 
 def make_connection(
-    stream: trio.SocketStream, limits: CallerLimits, memory: MemoryBudget
+    stream: trio.SocketStream,
+    limits: CallerLimits,
+    memory: MemoryBudget,
+    *,
+    is_peer: bool = False,
 ) -> CallerConnection:
     """Create the state of a newly accepted connection."""
     protocol = h11.Connection(
@@ -103,7 +110,9 @@
         'idle_scope': None,
     }
     reservation = make_reservation(memory)
-    return CallerConnection(stream, protocol, limits, reservation, state)
+    return CallerConnection(
+        stream, protocol, limits, reservation, state, is_peer
+    )
 
 
 async def receive_bytes(caller: CallerConnection) -> bytes:
@@ -171,7 +180,11 @@
 
 async def send_refusal(caller: CallerConnection, error: RefusalError) -> None:
     """Write the response to a refused request."""
-    await send_local_response(caller, refusal_response(error))
+    response = refusal_response(error)
+    if caller.is_peer:
+        headers = (*response.headers, refusal_header(error))
+        response = response._replace(headers=headers)
+    await send_local_response(caller, response)
 
 
 async def _write(caller: CallerConnection, event: Any) -> None:
--- /dev/null
+++ b/bluebellhub/adapters/proxy/peer_forwarding.py
@@ -0,0 +1,271 @@
+"""Forwards requests to other VMs while this one is cut off from upstreams.
+
+A request is forwarded once: the VM that takes it never forwards it again, and
+another VM is tried only if this one has certainly not run it.
+"""
+
+from typing import Any, Final
+
+import h11
+import logbook
+import trio
+
+from bluebellhub.adapters.proxy.attempt import (
+    CALLER_GONE,
+    FAILURE_ERRORS,
+    FAILURE_KINDS,
+    AttemptError,
+    read_head,
+)
+from bluebellhub.adapters.proxy.peer_heads import (
+    PeerRefusal,
+    attempts_header,
+    read_refusal,
+    read_upstream,
+    without_peer_headers,
+)
+from bluebellhub.adapters.proxy.response_checks import (
+    belongs_to_request,
+    is_stream,
+    is_success,
+)
+from bluebellhub.adapters.proxy.response_forwarding import (
+    forward_events,
+    forward_response,
+    read_response,
+    send_buffered,
+)
+from bluebellhub.adapters.proxy.state import Proxy, RequestContext
+from bluebellhub.adapters.proxy.statements import apply_needs
+from bluebellhub.adapters.proxy.upstream_connection import (
+    ConnectError,
+    UpstreamConnection,
+    connect,
+    encode_events,
+    release,
+    send_parts,
+)
+from bluebellhub.adapters.sockets import has_disconnected
+from bluebellhub.clock import now_s
+from bluebellhub.platform.headers import relayed_headers
+from bluebellhub.request import AttemptFailure, RefusalError
+from bluebellhub.request.heads import ResponseHead
+from bluebellhub.request.refusal import CutOffError, UpstreamFailedError
+from bluebellhub.site.helper_pauses import (
+    record_helper_failure,
+    record_helper_response,
+)
+from bluebellhub.site.peer_choice import choose_helper
+from bluebellhub.upstream import UpstreamSpec
+
+__all__ = ['forward_to_peer', 'may_forward']
+
+HELPERS_MAX: Final = 3
+# Why a VM turns a forwarded request away that another VM may take.
+UNABLE_REASONS: Final = frozenset(
+    ('cut_off', 'draining', 'no_upstream', 'not_allowed')
+)
+
+log = logbook.Logger('bluebellhub.forwarding')
+
+
+def may_forward(context: RequestContext, error: RefusalError) -> bool:
+    """Return whether another VM may take a request that is refused here."""
+    if not isinstance(error, CutOffError) or context.connection.is_peer:
+        return False
+    if error.attempts_left < 1:
+        return False
+    return error.run == 'no' or context.admission.request.idempotent
+
+
+async def forward_to_peer(
+    proxy: Proxy, context: RequestContext, error: CutOffError
+) -> RefusalError | None:
+    """Forward a request; return the refusal if no VM has answered it.
+
+    Raises `CallerGoneError`.
+    """
+    tried: list[str] = []
+    while len(tried) < HELPERS_MAX:
+        helper = choose_helper(proxy.site, tried, now_s())
+        if helper is None:
+            break
+        tried.append(helper)
+        failure = await _forward(proxy, context, helper, error.attempts_left)
+        _record_result(proxy, context, helper, failure)
+        if failure is None:
+            return None
+        if failure.kind == CALLER_GONE:
+            context.progress['outcome'] = CALLER_GONE
+            return None
+        if context.progress['forwarding'] == 'sent':
+            return UpstreamFailedError(
+                f'{helper}: {failure.kind}', run='unknown'
+            )
+    return error
+
+
+def _record_result(
+    proxy: Proxy,
+    context: RequestContext,
+    helper: str,
+    failure: AttemptFailure | None,
+) -> None:
+    """Log how a VM has served, and avoid it for a while if it failed."""
+    outcome = 'answered' if failure is None else failure.kind
+    proxy.node.scheduler.counters['forwarded', outcome] += 1
+    if failure is None:
+        record_helper_response(proxy.site.helpers, helper)
+    elif failure.kind != CALLER_GONE:
+        record_helper_failure(proxy.site.helpers, helper, now_s())
+    log.info(
+        'forwarded',
+        extra={
+            'request': context.received.head.request_id,
+            'helper': helper,
+            'outcome': outcome,
+            'detail': failure.detail if failure else '',
+        },
+    )
+
+
+async def _forward(
+    proxy: Proxy, context: RequestContext, helper: str, attempts_left: int
+) -> AttemptFailure | None:
+    """Forward to one VM; return how that failed, if it did."""
+    location = proxy.site.vms.get(helper)
+    if location is None:
+        return AttemptFailure('connect_failed', 'gone')
+    request = context.admission.request
+    spec = UpstreamSpec(
+        helper,
+        location.forward_address,
+        (request.target,),
+        location.domain,
+    )
+    context.progress['forwarding'] = 'unsent'
+    try:
+        async with connect(
+            proxy.idle_connections, spec, force_new=not request.idempotent
+        ) as connection:
+            return await _exchange(proxy, context, connection, attempts_left)
+    except ConnectError as error:
+        return AttemptFailure('connect_failed', str(error))
+
+
+async def _exchange(
+    proxy: Proxy,
+    context: RequestContext,
+    connection: UpstreamConnection,
+    attempts_left: int,
+) -> AttemptFailure | None:
+    """Send the request and forward the response, concurrently."""
+    if has_disconnected(context.connection.stream):
+        return AttemptFailure(CALLER_GONE, 'left before the attempt')
+    context.progress['forwarding'] = 'sent'
+    events = _request_events(context, attempts_left)
+    parts = encode_events(connection, events)
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(send_parts, connection, parts)
+        failure = await _receive(proxy, context, connection)
+        nursery.cancel_scope.cancel()
+    return failure
+
+
+def _request_events(context: RequestContext, attempts_left: int) -> list[Any]:
+    """Return the request as the caller sent it, for the protocol state."""
+    head = context.received.head
+    body = context.received.body
+    last_id = context.progress['position'].last_id
+    remaining_s = context.admission.request.ends_at_s - now_s()
+    headers = [
+        *relayed_headers(
+            head, remaining_s, None if last_id is None else b'%d' % last_id
+        ),
+        attempts_header(attempts_left),
+    ]
+    if body or head.method not in {b'GET', b'HEAD'}:
+        headers.append((b'content-length', b'%d' % len(body)))
+    request = h11.Request(
+        method=head.method, target=head.target, headers=headers
+    )
+    return [request, h11.Data(data=body), h11.EndOfMessage()]
+
+
+async def _receive(
+    proxy: Proxy, context: RequestContext, connection: UpstreamConnection
+) -> AttemptFailure | None:
+    """Forward the response; return how that failed, if it did."""
+    try:
+        return await _read_and_forward(proxy, context, connection)
+    except AttemptError as error:
+        return error.failure
+    except FAILURE_ERRORS as error:
+        kind = FAILURE_KINDS[type(error)]
+        return AttemptFailure(kind, f'{type(error).__name__} {error}')
+
+
+async def _read_and_forward(
+    proxy: Proxy, context: RequestContext, connection: UpstreamConnection
+) -> AttemptFailure | None:
+    response = await read_head(connection)
+    headers = response.forwarded_headers
+    refusal = read_refusal(headers)
+    upstream = read_upstream(headers)
+    response = response._replace(
+        forwarded_headers=without_peer_headers(headers)
+    )
+    if refusal is not None:
+        return await _apply_refusal(context, connection, response, refusal)
+    if not belongs_to_request(context, connection, response):
+        return AttemptFailure('mismatch', 'not the response to this request')
+    if upstream:
+        apply_needs(proxy, upstream, response)
+    await _forward_body(context, connection, response)
+    release(proxy.idle_connections, connection, response.idle_s)
+    return None
+
+
+async def _apply_refusal(
+    context: RequestContext,
+    connection: UpstreamConnection,
+    response: ResponseHead,
+    refusal: PeerRefusal,
+) -> AttemptFailure | None:
+    """Pass a refusal on, unless another VM may still take the request."""
+    buffered = await read_response(context, connection, response)
+    if refusal.is_unsent and refusal.reason in UNABLE_REASONS:
+        context.progress['forwarding'] = 'unsent'
+        return AttemptFailure('refused', refusal.reason)
+    if context.progress['has_begun']:
+        return AttemptFailure('refused', refusal.reason)
+    context.progress['outcome'] = refusal.reason
+    await send_buffered(context, buffered)
+    return None
+
+
+async def _forward_body(
+    context: RequestContext,
+    connection: UpstreamConnection,
+    response: ResponseHead,
+) -> None:
+    """Forward a response to the caller, in order and no faster than it reads.
+
+    Raises `AttemptError` for one that cannot go on with a begun stream.
+    """
+    if context.progress['has_begun'] and not is_stream(response):
+        failure = AttemptFailure('mismatch', f'status {response.status}')
+        raise AttemptError(failure)
+
+    def record_first() -> None:
+        if context.progress['first_at_s'] is None:
+            context.progress['first_at_s'] = now_s()
+
+    if is_stream(response):
+        await forward_events(context, connection, response, record_first)
+    else:
+        await forward_response(context, connection, response, record_first)
+    is_answered = is_success(response)
+    context.progress['outcome'] = (
+        'answered' if is_answered else 'failure_passed'
+    )
--- a/bluebellhub/adapters/proxy/request_handling.py
+++ b/bluebellhub/adapters/proxy/request_handling.py
@@ -22,6 +22,14 @@
     send_refusal,
     watch_disconnect,
 )
+from bluebellhub.adapters.proxy.peer_forwarding import (
+    forward_to_peer,
+    may_forward,
+)
+from bluebellhub.adapters.proxy.peer_heads import (
+    read_attempts,
+    without_peer_headers,
+)
 from bluebellhub.adapters.proxy.response_forwarding import send_buffered
 from bluebellhub.adapters.proxy.state import (
     Proxy,
@@ -30,14 +38,26 @@
 )
 from bluebellhub.clock import now_s
 from bluebellhub.latencies import record_request
+from bluebellhub.reachability import is_cut_off
 from bluebellhub.request import (
     AttemptFailure,
     RefusalError,
+    Request,
+    RequestState,
     execution_status,
 )
-from bluebellhub.request.refusal import AnswerTimeoutError, ShedError
+from bluebellhub.request.refusal import (
+    AnswerTimeoutError,
+    CutOffError,
+    ShedError,
+)
 from bluebellhub.scheduler import Dispatch, attempt_failed, response_ended
-from bluebellhub.site.admission import UNLIMITED, admit_request, refund
+from bluebellhub.site.admission import (
+    UNLIMITED,
+    Admission,
+    admit_request,
+    refund,
+)
 from bluebellhub.site.liveness import live_vm_names
 from bluebellhub.upstream import Upstream
 
@@ -55,9 +75,7 @@
 ) -> None:
     """Forward a request, or refuse it; raises `CallerGoneError`."""
     try:
-        admission = admit_request(
-            proxy.site, received.head, now_s(), read_s=received.read_s
-        )
+        received, admission = _admit(proxy, connection, received)
     except RefusalError as error:
         _log_refused(received, error)
         await send_refusal(connection, error)
@@ -65,7 +83,10 @@
     request = admission.request
     exchange = make_exchange(request.request_id, b'')
     context = make_request_context(received, admission, connection, exchange)
-    start_request(proxy.node, request, UNLIMITED, exchange)
+    if is_cut_off(proxy.node.scheduler.links):
+        exchange.decision_sender.send_nowait(_cut_off_error(request))
+    else:
+        start_request(proxy.node, request, UNLIMITED, exchange)
     try:
         await _run_until_deadline(proxy, context)
     finally:
@@ -73,6 +94,49 @@
         _log_end(proxy, context)
 
 
+def _admit(
+    proxy: Proxy, connection: CallerConnection, received: ReceivedRequest
+) -> tuple[ReceivedRequest, Admission]:
+    """Admit a request, or raise its refusal.
+
+    A request that another VM has forwarded is returned as its caller sent it.
+    A VM that is cut off forwards what it admits, if a caller has sent it.
+    """
+    is_isolated = is_cut_off(proxy.node.scheduler.links)
+    head = received.head
+    attempts_max = None
+    if connection.is_peer:
+        attempts_max = read_attempts(head)
+        headers = without_peer_headers(head.forwarded_headers)
+        received = received._replace(
+            head=head._replace(forwarded_headers=headers)
+        )
+        if is_isolated:
+            raise CutOffError('the VM reaches no upstream')
+    admission = admit_request(
+        proxy.site,
+        received.head,
+        now_s(),
+        read_s=received.read_s,
+        is_served_here=not is_isolated,
+    )
+    if attempts_max is None:
+        return received, admission
+    request = admission.request
+    attempts_max = min(attempts_max, request.executions_max)
+    request = request._replace(executions_max=attempts_max)
+    return received, admission._replace(request=request)
+
+
+def _cut_off_error(request: Request) -> CutOffError:
+    """Return the refusal of a request that arrives at a VM without links."""
+    return CutOffError(
+        'the VM reaches no upstream',
+        retry_after_s=RETRY_AFTER_S,
+        attempts_left=request.executions_max,
+    )
+
+
 async def _run_until_deadline(proxy: Proxy, context: RequestContext) -> None:
     """Run attempts until the deadline or until the caller disconnects."""
     remaining_s = context.admission.request.ends_at_s - now_s()
@@ -104,12 +168,27 @@
     proxy: Proxy, context: RequestContext, decision: Dispatch | RefusalError
 ) -> None:
     """Run an attempt or refuse the request, as the scheduler decided."""
-    if isinstance(decision, RefusalError):
+    if isinstance(decision, CutOffError) and may_forward(context, decision):
+        await _forward(proxy, context, decision)
+    elif isinstance(decision, RefusalError):
         await _end_without_success(proxy, context, decision)
     else:
         await _run_dispatch(proxy, context, decision)
 
 
+async def _forward(
+    proxy: Proxy, context: RequestContext, decision: CutOffError
+) -> None:
+    """Have another VM serve the request, which counts in its limits there."""
+    refund(proxy.site, context.admission)
+    admission = context.admission._replace(cost=0.0)
+    context = context._replace(admission=admission)
+    context.progress['was_sent'] = decision.run == 'unknown'
+    error = await forward_to_peer(proxy, context, decision)
+    if error is not None:
+        await _end_without_success(proxy, context, error)
+
+
 async def _run_dispatch(
     proxy: Proxy, context: RequestContext, dispatch: Dispatch
 ) -> None:
@@ -214,7 +293,7 @@
     error: RefusalError = AnswerTimeoutError(
         'no response within the time limit', run='unknown'
     )
-    if state and execution_status(state) == 'no':
+    if _is_unsent(context, state):
         error = ShedError(
             'no capacity within the time limit', retry_after_s=RETRY_AFTER_S
         )
@@ -222,6 +301,14 @@
         await _end_without_success(proxy, context, error)
 
 
+def _is_unsent(context: RequestContext, state: RequestState | None) -> bool:
+    """Return whether neither an upstream nor another VM got the request."""
+    if state is None:
+        progress = context.progress
+        return progress['forwarding'] == 'unsent' and not progress['was_sent']
+    return execution_status(state) == 'no'
+
+
 def _log_refused(received: ReceivedRequest, error: RefusalError) -> None:
     log.info(
         'refused',
--- a/bluebellhub/adapters/proxy/response_forwarding.py
+++ b/bluebellhub/adapters/proxy/response_forwarding.py
@@ -19,13 +19,14 @@
     check_resumed,
     split_events,
 )
+from bluebellhub.adapters.proxy.peer_heads import upstream_header
 from bluebellhub.adapters.proxy.state import BufferedResponse, RequestContext
 from bluebellhub.adapters.proxy.upstream_connection import (
     UpstreamConnection,
     read_event,
 )
 from bluebellhub.errors import HubError
-from bluebellhub.request.heads import ResponseHead
+from bluebellhub.request.heads import Headers, ResponseHead
 
 __all__ = [
     'ErrorTooLargeError',
@@ -102,13 +103,20 @@
     await send_response_head(
         context.connection,
         buffered.status,
-        buffered.headers,
+        _headers_for(context, buffered.headers),
         len(buffered.body),
     )
     await send_chunk(context.connection, buffered.body)
     await end_response(context.connection)
 
 
+def _headers_for(context: RequestContext, headers: Headers) -> Headers:
+    """Return the response headers; another VM learns the upstream's name."""
+    if not context.connection.is_peer:
+        return headers
+    return (*headers, upstream_header(context.progress['upstream']))
+
+
 async def forward_response(
     context: RequestContext,
     connection: UpstreamConnection,
@@ -257,6 +265,6 @@
         await send_response_head(
             context.connection,
             response.status,
-            response.forwarded_headers,
+            _headers_for(context, response.forwarded_headers),
             None,
         )
--- a/bluebellhub/adapters/proxy/response_progress.py
+++ b/bluebellhub/adapters/proxy/response_progress.py
@@ -7,6 +7,7 @@
 from bluebellhub.adapters.proxy.state import Proxy, RequestContext
 from bluebellhub.adapters.proxy.upstream_connection import UpstreamConnection
 from bluebellhub.clock import now_s
+from bluebellhub.reachability import record_contact
 from bluebellhub.request.heads import ERROR_STATUS_MIN, ResponseHead
 from bluebellhub.scheduler import tokens_arrived
 
@@ -45,6 +46,7 @@
 ) -> None:
     """Report an event or an unstreamed response to the scheduler."""
     node = proxy.node
+    record_contact(node.scheduler.links, now_s())
     token_count = connection.spec.tokens_per_event
     if context.progress['first_at_s'] is None:
         context.progress['first_at_s'] = now_s()
--- a/bluebellhub/adapters/proxy/run.py
+++ b/bluebellhub/adapters/proxy/run.py
@@ -109,6 +109,8 @@
         secrets.randbits(SEED_BITS),
     )
     site.flags['unread_kinds'].update(object_handlers.names())
+    has_helpers = bool(settings.site.forward_listen)
+    site.scheduler.flags['checks_links'] = has_helpers
     shares = site.scheduler.domain_shares
     shares.flags['byte_price'] = settings.site.domain_byte_price
     return site
--- a/bluebellhub/adapters/proxy/server.py
+++ b/bluebellhub/adapters/proxy/server.py
@@ -20,17 +20,20 @@
 from bluebellhub.adapters.proxy.request_handling import handle_request
 from bluebellhub.adapters.proxy.request_reading import read_request
 from bluebellhub.adapters.proxy.state import Proxy
-from bluebellhub.adapters.sockets import set_caller_options
+from bluebellhub.adapters.sockets import peer_ip, set_caller_options
 from bluebellhub.faults import report_fault
 from bluebellhub.request import RefusalError
 from bluebellhub.request.refusal import InternalError
 from bluebellhub.route import CallerLimits
+from bluebellhub.site.peer_choice import check_member
 
 __all__ = [
     'close_idle_connections',
     'has_active_requests',
     'serve_callers',
     'serve_connection',
+    'serve_peer_connection',
+    'serve_peers',
 ]
 
 BACKLOG: Final = 1024
@@ -43,11 +46,28 @@
     await serve_tcp(partial(serve_connection, proxy), listen, BACKLOG)
 
 
-async def serve_connection(proxy: Proxy, stream: trio.SocketStream) -> None:
+async def serve_peers(proxy: Proxy, listen: str) -> None:
+    """Accept requests that other VMs forward, until cancelled."""
+    await serve_tcp(partial(serve_peer_connection, proxy), listen, BACKLOG)
+
+
+async def serve_peer_connection(
+    proxy: Proxy, stream: trio.SocketStream
+) -> None:
+    """Answer forwarded requests; who is no VM of the fleet is refused."""
+    await serve_connection(proxy, stream, is_peer=True)
+
+
+async def serve_connection(
+    proxy: Proxy, stream: trio.SocketStream, *, is_peer: bool = False
+) -> None:
     """Answer the requests of one connection in sequence."""
     table = proxy.site.active_config['table']
     connection = make_connection(
-        stream, table.limits if table else CallerLimits(), proxy.node.memory
+        stream,
+        table.limits if table else CallerLimits(),
+        proxy.node.memory,
+        is_peer=is_peer,
     )
     proxy.caller_connections[id(connection)] = connection
     try:
@@ -69,6 +89,8 @@
     """Answer one request; return whether the connection is reusable."""
     try:
         received = await read_request(connection)
+        if connection.is_peer:
+            check_member(proxy.site, peer_ip(connection.stream))
     except RefusalError as error:
         log.info(
             'refused', extra={'reason': error.reason, 'detail': str(error)}
--- a/bluebellhub/adapters/proxy/state.py
+++ b/bluebellhub/adapters/proxy/state.py
@@ -1,6 +1,6 @@
 """State that the tasks of the proxy share."""
 
-from typing import NamedTuple, TypedDict
+from typing import Literal, NamedTuple, TypedDict
 
 import trio
 
@@ -80,6 +80,9 @@
     forwarded states an error, and ``held`` is an upstream's error response,
     forwarded if no other attempt succeeds.  ``upstream`` names that of the
     latest attempt, and ``outcome`` is empty until the request ends.
+    ``forwarding`` tells whether another VM may have got the request; it is
+    empty if none was asked.  ``was_sent`` is set if an upstream may have got it
+    before that.
     """
 
     has_begun: bool
@@ -90,6 +93,8 @@
     held: BufferedResponse | None
     upstream: str
     outcome: str
+    forwarding: Literal['', 'unsent', 'sent']
+    was_sent: bool
 
 
 class RequestContext(NamedTuple):
@@ -118,5 +123,7 @@
         'held': None,
         'upstream': '',
         'outcome': '',
+        'forwarding': '',
+        'was_sent': False,
     }
     return RequestContext(received, admission, connection, exchange, progress)
--- a/bluebellhub/adapters/proxy/tasks.py
+++ b/bluebellhub/adapters/proxy/tasks.py
@@ -14,7 +14,7 @@
     serve_metrics,
     serve_readiness,
 )
-from bluebellhub.adapters.proxy.server import serve_callers
+from bluebellhub.adapters.proxy.server import serve_callers, serve_peers
 from bluebellhub.adapters.proxy.state import Proxy
 from bluebellhub.adapters.proxy.store_relaying import relay_store
 from bluebellhub.adapters.proxy.store_watch import (
@@ -64,5 +64,7 @@
     site = settings.site
     nursery.start_soon(serve_callers, proxy, settings.listen)
     nursery.start_soon(serve_readiness, proxy, site.ready_listen)
+    if site.forward_listen:
+        nursery.start_soon(serve_peers, proxy, site.forward_listen)
     if site.metrics_listen:
         nursery.start_soon(serve_metrics, proxy, site.metrics_listen)
--- a/bluebellhub/adapters/proxy/vm_announcement.py
+++ b/bluebellhub/adapters/proxy/vm_announcement.py
@@ -50,7 +50,11 @@
 
     A VM that starts again finds its address there.
     """
-    location = VmLocation(settings.peer_listen or '', settings.failure_domain)
+    location = VmLocation(
+        settings.peer_listen or '',
+        settings.failure_domain,
+        settings.site.forward_listen,
+    )
     try:
         if not await _is_announced(store, settings.vm, location):
             await _write_vm(store, settings.vm, vm_spec(location))
--- a/bluebellhub/adapters/sockets.py
+++ b/bluebellhub/adapters/sockets.py
@@ -2,16 +2,19 @@
 
 import socket
 import struct
+from collections.abc import Iterable
 from typing import Final
 
 import trio
 
 __all__ = [
     'SOCKET_OPTIONS',
+    'accepts_any',
     'has_disconnected',
     'has_unread_bytes',
     'is_reusable',
     'open_stream',
+    'peer_ip',
     'refuses_connections',
     'reset_on_close',
     'set_caller_options',
@@ -69,6 +72,25 @@
     return stream
 
 
+async def accepts_any(addresses: Iterable[str], timeout_s: float) -> bool:
+    """Return whether any of the addresses accepts a connection in time."""
+    accepted: list[str] = []
+
+    async def connect(address: str, scope: trio.CancelScope) -> None:
+        try:
+            stream = await open_stream(address, timeout_s)
+        except (OSError, trio.TooSlowError):
+            return
+        await trio.aclose_forcefully(stream)
+        accepted.append(address)
+        scope.cancel()
+
+    async with trio.open_nursery() as nursery:
+        for address in addresses:
+            nursery.start_soon(connect, address, nursery.cancel_scope)
+    return bool(accepted)
+
+
 async def refuses_connections(address: str) -> bool:
     """Return whether a host responds but nothing listens at the address."""
     try:
@@ -81,6 +103,14 @@
     return False
 
 
+def peer_ip(stream: trio.SocketStream) -> str:
+    """Return the IP address of the peer; empty once it has disconnected."""
+    try:
+        return str(stream.socket.getpeername()[0])
+    except OSError:
+        return ''
+
+
 def is_reusable(stream: trio.SocketStream) -> bool:
     """Return whether an idle connection is open and has no unread data."""
     return _peek(stream) is None
--- a/bluebellhub/metrics.py
+++ b/bluebellhub/metrics.py
@@ -46,6 +46,8 @@
     'store_relays': 'event',
     'domain_sends': 'to',
     'domain_bytes': 'to',
+    'links': 'change',
+    'forwarded': 'outcome',
 }
 
 
--- a/bluebellhub/platform/headers.py
+++ b/bluebellhub/platform/headers.py
@@ -31,11 +31,18 @@
 )
 from bluebellhub.request.refusal import BadRequestError
 
-__all__ = ['attempt_headers', 'read_request_head', 'read_response_head']
+__all__ = [
+    'attempt_headers',
+    'read_request_head',
+    'read_response_head',
+    'relayed_headers',
+]
 
 Pairs = Iterable[tuple[bytes, bytes]]
 
+AUTHORIZATION: Final = b'authorization'
 BEARER: Final = b'bearer '
+HEADER_ENCODING: Final = 'latin-1'
 MS_PER_S: Final = 1000.0
 MISDIRECTED: Final = 421
 UNAVAILABLE: Final = 503
@@ -66,12 +73,14 @@
     if [name for name, _ in headers].count(REQUEST_ID) != 1:
         raise BadRequestError('expected exactly one request id header')
     return RequestHead(
-        request_id=by_name[REQUEST_ID].decode('latin-1'),
+        request_id=by_name[REQUEST_ID].decode(HEADER_ENCODING),
         method=method,
         target=target,
-        host=by_name.get(b'host', b'').decode('latin-1').partition(':')[0],
-        path=target.decode('latin-1').partition('?')[0],
-        key=_read_key(by_name.get(b'authorization', b'')),
+        host=by_name.get(b'host', b'')
+        .decode(HEADER_ENCODING)
+        .partition(':')[0],
+        path=target.decode(HEADER_ENCODING).partition('?')[0],
+        key=_read_key(by_name.get(AUTHORIZATION, b'')),
         time_limit_s=_read_time_limit_s(by_name.get(DEADLINE_MS)),
         tokens=_read_tokens(by_name.get(TOKEN_COUNTS)),
         resume_after=by_name.get(LAST_EVENT_ID),
@@ -94,10 +103,26 @@
     """
     added = [
         (DEADLINE_MS, b'%d' % max(1, int(remaining_s * MS_PER_S))),
-        (EXPECT_UPSTREAM, upstream.encode('latin-1')),
+        (EXPECT_UPSTREAM, upstream.encode(HEADER_ENCODING)),
     ]
     if account:
-        added.append((CLIENT_ACCOUNT, account.encode('latin-1')))
+        added.append((CLIENT_ACCOUNT, account.encode(HEADER_ENCODING)))
+    if resume_after is not None:
+        added.append((LAST_EVENT_ID, resume_after))
+    return (*head.forwarded_headers, *added)
+
+
+def relayed_headers(
+    head: RequestHead, remaining_s: float, resume_after: bytes | None
+) -> Headers:
+    """Return the headers with which another VM gets the caller's request.
+
+    They say what the caller's own do, but for what is left of its time limit
+    and of its stream; those on body framing are not among them.
+    """
+    added = [(DEADLINE_MS, b'%d' % max(1, int(remaining_s * MS_PER_S)))]
+    if head.key is not None:
+        added.append((AUTHORIZATION, BEARER + head.key.encode(HEADER_ENCODING)))
     if resume_after is not None:
         added.append((LAST_EVENT_ID, resume_after))
     return (*head.forwarded_headers, *added)
@@ -117,7 +142,7 @@
     pause_s = _read_pause_s(stated_pause, by_name.get(b'date'))
     return ResponseHead(
         status=status,
-        request_id=request_id.decode('latin-1') if request_id else None,
+        request_id=request_id.decode(HEADER_ENCODING) if request_id else None,
         is_signed=RESPONSE_SIGNATURE in by_name,
         not_executed=NOT_EXECUTED in by_name or status == MISDIRECTED,
         is_misdirected=status == MISDIRECTED,
@@ -149,7 +174,7 @@
     """Return the API key, the bearer token of ``Authorization``."""
     if not field.lower().startswith(BEARER):
         return None
-    return field[len(BEARER) :].strip().decode('latin-1')
+    return field[len(BEARER) :].strip().decode(HEADER_ENCODING)
 
 
 def _read_time_limit_s(field: bytes | None) -> float | None:
@@ -174,7 +199,7 @@
         part_id, _, tokens = entry.strip().partition(b':')
         if not part_id or not tokens.isdigit():
             return ()
-        ids.append(part_id.decode('latin-1'))
+        ids.append(part_id.decode(HEADER_ENCODING))
     return tuple(ids)
 
 
--- a/bluebellhub/platform/object_codec.py
+++ b/bluebellhub/platform/object_codec.py
@@ -242,18 +242,27 @@
 
 
 def vm_spec(location: VmLocation) -> WireVm:
-    """Encode the address and failure domain of a VM."""
-    return {'address': location.address, 'failure_domain': location.domain}
+    """Encode the addresses and the failure domain of a VM."""
+    return {
+        'address': location.address,
+        'failure_domain': location.domain,
+        'forward_address': location.forward_address,
+    }
 
 
 def read_vm(entry: StoredEntry) -> VmLocation:
-    """Decode the address and failure domain of a VM.
+    """Decode the addresses and the failure domain of a VM.
 
     Raises `ObjectError` if the entry is not valid.
     """
     try:
         wire = msgspec.convert(entry.spec, WireVm)
         check_address(wire['address'], 'address')
+        forward_address = wire.get('forward_address', '')
+        if forward_address:
+            check_address(forward_address, 'forward_address')
     except (msgspec.ValidationError, SettingsError) as error:
         raise ObjectError(VM_KIND, entry.name, str(error)) from None
-    return VmLocation(wire['address'], wire.get('failure_domain', ''))
+    return VmLocation(
+        wire['address'], wire.get('failure_domain', ''), forward_address
+    )
--- a/bluebellhub/platform/wire.py
+++ b/bluebellhub/platform/wire.py
@@ -153,6 +153,7 @@
 
     address: str
     failure_domain: NotRequired[str]
+    forward_address: NotRequired[str]
 
 
 class WireQuarantine(TypedDict):
--- a/bluebellhub/request/refusal.py
+++ b/bluebellhub/request/refusal.py
@@ -16,6 +16,7 @@
     'BadRequestError',
     'BodyTooLargeError',
     'ConcurrencyLimitError',
+    'CutOffError',
     'DeadlineError',
     'DrainingError',
     'ExecutionStatus',
@@ -190,6 +191,25 @@
     """The VM has lost contact with the object API and the other VMs."""
 
 
+@_register_reason('cut_off', 503)
+class CutOffError(RefusalError):
+    """The VM has lost its links to all upstreams.
+
+    Another VM may run the request on ``attempts_left`` upstreams.
+    """
+
+    def __init__(
+        self,
+        detail: str,
+        *,
+        run: ExecutionStatus = 'no',
+        retry_after_s: float | None = None,
+        attempts_left: int = 1,
+    ) -> None:
+        super().__init__(detail, run=run, retry_after_s=retry_after_s)
+        self.attempts_left = attempts_left
+
+
 @_register_reason('key_reuse', 422)
 class KeyReuseError(RefusalError):
     """The idempotency key was used before with a different request."""
--- a/bluebellhub/scheduler/__init__.py
+++ b/bluebellhub/scheduler/__init__.py
@@ -9,11 +9,13 @@
 from bluebellhub.scheduler.events import (
     Cancel,
     CheckCrash,
+    CheckLinks,
     Dispatch,
     Event,
     Probe,
     Refuse,
 )
+from bluebellhub.scheduler.links import connection_opened, links_checked
 from bluebellhub.scheduler.progress import (
     apply_load_report,
     attempt_failed,
@@ -34,6 +36,7 @@
 __all__ = [
     'Cancel',
     'CheckCrash',
+    'CheckLinks',
     'Dispatch',
     'Event',
     'Probe',
@@ -44,8 +47,10 @@
     'attempt_failed',
     'caller_disconnected',
     'confirm_end',
+    'connection_opened',
     'crash_checked',
     'dispatch_queued',
+    'links_checked',
     'make_scheduler',
     'remove_upstream',
     'request_sent',
--- a/bluebellhub/scheduler/dispatch.py
+++ b/bluebellhub/scheduler/dispatch.py
@@ -14,6 +14,7 @@
 from bluebellhub.backpressure import record_limited_send
 from bluebellhub.faults import report_fault
 from bluebellhub.rates import record_cold_send
+from bluebellhub.reachability import is_doubtful
 from bluebellhub.request import RequestState, begin_attempt
 from bluebellhub.request.refusal import InternalError
 from bluebellhub.routing import Candidate, policies, record_blocks
@@ -64,9 +65,12 @@
 ) -> list[Event]:
     """Dispatch queued requests while an upstream has capacity for the head.
 
-    A request close to its deadline may preempt one of a lower tier.
+    A request close to its deadline may preempt one of a lower tier.  None is
+    dispatched while it is open whether this VM reaches upstreams at all.
     """
     events: list[Event] = []
+    if is_doubtful(scheduler.links):
+        return events
     queue = queue_of(scheduler, target)
     is_changed = True
     while is_changed:
--- a/bluebellhub/scheduler/events.py
+++ b/bluebellhub/scheduler/events.py
@@ -4,7 +4,15 @@
 
 from bluebellhub.request.refusal import RefusalError
 
-__all__ = ['Cancel', 'CheckCrash', 'Dispatch', 'Event', 'Probe', 'Refuse']
+__all__ = [
+    'Cancel',
+    'CheckCrash',
+    'CheckLinks',
+    'Dispatch',
+    'Event',
+    'Probe',
+    'Refuse',
+]
 
 
 class Dispatch(NamedTuple):
@@ -48,4 +56,10 @@
     address: str
 
 
-Event = Dispatch | Cancel | Refuse | Probe | CheckCrash
+class CheckLinks(NamedTuple):
+    """Find out whether any of these addresses accepts a connection."""
+
+    addresses: tuple[str, ...]
+
+
+Event = Dispatch | Cancel | Refuse | Probe | CheckCrash | CheckLinks
--- a/bluebellhub/scheduler/first_tokens.py
+++ b/bluebellhub/scheduler/first_tokens.py
@@ -27,6 +27,9 @@
     """Update the upstream's speed and window from a first token."""
     name = state.attempt.upstream if state.attempt else ''
     upstream = scheduler.upstreams[name]
+    if scheduler.links.status['since_s'] > work.sent_at_s:
+        # The links were cut in between.
+        return
     elapsed_s = now_s - work.sent_at_s
     leaving.record_link_response(scheduler, upstream, work, now_s)
     # What is learned is the usual speed, without a passing slowdown.
--- a/bluebellhub/scheduler/outcomes.py
+++ b/bluebellhub/scheduler/outcomes.py
@@ -3,6 +3,7 @@
 from statistics import median
 from typing import Final, NamedTuple
 
+from bluebellhub.reachability import has_contact_since
 from bluebellhub.request import RequestState
 from bluebellhub.scheduler.state import Scheduler, upstreams_for
 from bluebellhub.upstream import Upstream, Work, is_cold
@@ -51,7 +52,8 @@
 
     Its deadline has passed, or its caller has left.  It counts if the upstream
     had it, or sent nothing more of a stream, for longer than a slow first
-    token takes; otherwise it says nothing of the version.
+    token takes; otherwise it says nothing of the version.  Neither does it if
+    no other upstream has sent anything since, because the links may be cut.
     """
     attempt = state.attempt
     if attempt is None or not attempt.sent:
@@ -66,6 +68,10 @@
     since_s = state.last_token_at_s
     if since_s is None:
         since_s = work.sent_at_s
+    if scheduler.flags['checks_links'] and not has_contact_since(
+        scheduler.links, since_s
+    ):
+        return
     reference = _reference_speed(scheduler, upstream, gate.to_version)
     if now_s - since_s > _late_first_token_s(state, work, reference):
         record_outcome(scheduler, state, upstream.spec.version, bad=True)
--- a/bluebellhub/scheduler/progress.py
+++ b/bluebellhub/scheduler/progress.py
@@ -1,7 +1,5 @@
 """Progress of requests at upstreams: tokens, completions and failures."""
 
-from typing import Final
-
 from bluebellhub.admission import put
 from bluebellhub.quarantine import record_passed
 from bluebellhub.request import (
@@ -15,14 +13,14 @@
 from bluebellhub.request.refusal import AnswerMismatchError, UpstreamFailedError
 from bluebellhub.routing import correct_blocks
 from bluebellhub.routing.output_length import record_length
-from bluebellhub.routing.prefix import forget_upstream
 from bluebellhub.scheduler import leaving
-from bluebellhub.scheduler.crashes import suspect_prompt
 from bluebellhub.scheduler.credit import record_plain
 from bluebellhub.scheduler.dispatch import dispatch_queued
-from bluebellhub.scheduler.events import Event, Probe
+from bluebellhub.scheduler.events import Event
+from bluebellhub.scheduler.failed_attempts import record_restart
 from bluebellhub.scheduler.finish import close_request, refuse, release_attempt
 from bluebellhub.scheduler.first_tokens import observe_first_token
+from bluebellhub.scheduler.links import observe_failure
 from bluebellhub.scheduler.outcomes import (
     record_abandoned,
     record_outcome,
@@ -31,11 +29,10 @@
 )
 from bluebellhub.scheduler.queued_request import make_queued_request
 from bluebellhub.scheduler.retry_budgets import earn_credit, retry_budgets
-from bluebellhub.scheduler.state import Scheduler, queue_of, signals_of
+from bluebellhub.scheduler.state import Scheduler, queue_of
 from bluebellhub.upstream import (
     LoadReport,
     finish_prefill,
-    record_failure,
     record_load_report,
 )
 from bluebellhub.upstream.slowdown import ratio_at
@@ -45,20 +42,11 @@
     'apply_load_report',
     'attempt_failed',
     'caller_disconnected',
-    'record_restart',
     'request_sent',
     'response_ended',
     'tokens_arrived',
 ]
 
-RESTART_KINDS: Final = frozenset(('connect_failed',))
-UPSTREAM_FAULT_KINDS: Final = frozenset(
-    ('connect_failed', 'silent', 'upstream_error', 'misdirected'),
-)
-BAD_OUTCOME_KINDS: Final = frozenset(
-    ('answered_error', 'cut', 'silent', 'upstream_error', 'mismatch'),
-)
-
 
 def request_sent(scheduler: Scheduler, request_id: str) -> None:
     """Record that a byte of the request may have reached its upstream."""
@@ -165,8 +153,7 @@
     if state is None or state.attempt is None:
         return []
     events: list[Event] = []
-    _record_failure(scheduler, events, state, failure, now_s)
-    suspect_prompt(scheduler, events, state, failure, now_s)
+    observe_failure(scheduler, events, state, failure, now_s)
     not_executed = failure.kind in NOT_EXECUTED_KINDS
     ended = release_attempt(scheduler, state, not_executed=not_executed)
     if _consume_retry(scheduler, ended, failure, now_s):
@@ -179,32 +166,6 @@
     return events
 
 
-def _record_failure(
-    scheduler: Scheduler,
-    events: list[Event],
-    state: RequestState,
-    failure: AttemptFailure,
-    now_s: float,
-) -> None:
-    """Record a failed attempt for its upstream; probe it if it is silent."""
-    name = state.attempt.upstream if state.attempt else ''
-    upstream = scheduler.upstreams.get(name)
-    if upstream is None:
-        return
-    if failure.kind in BAD_OUTCOME_KINDS:
-        record_outcome(scheduler, state, upstream.spec.version, bad=True)
-    leaving.record_link_failure(scheduler, upstream, failure.kind, now_s)
-    if failure.kind in UPSTREAM_FAULT_KINDS:
-        restarted = failure.kind in RESTART_KINDS
-        scheduler.upstreams[name] = record_failure(
-            upstream, now_s, restarted=restarted
-        )
-        if restarted:
-            record_restart(scheduler, name, now_s)
-    if failure.kind == 'silent' and scheduler.options.probes_silent:
-        events.append(Probe(name))
-
-
 def _consume_retry(
     scheduler: Scheduler,
     state: RequestState,
@@ -244,14 +205,6 @@
     scheduler.upstreams[name] = record_load_report(upstream, report)
 
 
-def record_restart(scheduler: Scheduler, name: str, now_s: float) -> None:
-    """Count a restart and forget the blocks that the upstream had cached."""
-    signals = signals_of(scheduler, name)
-    signals['restarts'] += 1
-    signals['restarted_at_s'] = now_s
-    forget_upstream(scheduler.prefixes, name)
-
-
 def caller_disconnected(
     scheduler: Scheduler, request_id: str, now_s: float
 ) -> list[Event]:
--- a/bluebellhub/scheduler/shedding.py
+++ b/bluebellhub/scheduler/shedding.py
@@ -31,6 +31,7 @@
 from bluebellhub.scheduler.eligibility import is_eligible
 from bluebellhub.scheduler.events import Event
 from bluebellhub.scheduler.finish import refuse
+from bluebellhub.scheduler.links import watch_links
 from bluebellhub.scheduler.requeueing import requeue_expired
 from bluebellhub.scheduler.state import (
     Scheduler,
@@ -125,6 +126,7 @@
     """Do the periodic work: requeue, refuse and dispatch; return the events."""
     events: list[Event] = []
     requeue_expired(scheduler, events)
+    watch_links(scheduler, events, now_s)
     refuse_quarantined(scheduler, events, now_s)
     expire = expiries.find(scheduler.options.discipline)
     for target in scheduler.queues:
--- a/bluebellhub/scheduler/state.py
+++ b/bluebellhub/scheduler/state.py
@@ -22,6 +22,7 @@
 from bluebellhub.failure_domain import FailureDomain
 from bluebellhub.quarantine import Quarantine, make_quarantine
 from bluebellhub.rates import RetryBounds, RetryBudget, make_retry_budget
+from bluebellhub.reachability import Reachability, make_reachability
 from bluebellhub.request import RequestState
 from bluebellhub.routing import PrefixIndex, make_prefix_index
 from bluebellhub.routing.domain_shares import DomainShares, make_domain_shares
@@ -73,7 +74,9 @@
     """Scalar state of the scheduler.
 
     ``fleet`` is set if the VM belongs to a fleet, ``starved`` if a lease was
-    too small for a request.  ``decisions`` counts routing decisions.  Loads
+    too small for a request, and ``checks_links`` if other VMs can serve the
+    requests of this one when it is cut off from the upstreams.
+    ``decisions`` counts routing decisions.  Loads
     that other VMs report are up to ``report_age_s`` old.
     """
 
@@ -81,6 +84,7 @@
     isolated: bool
     fleet: bool
     starved: bool
+    checks_links: bool
     decisions: int
     retry_credit: float
     vm_count: int
@@ -119,8 +123,9 @@
     that this VM needs to shed requests, and until when.  ``agreed_floors``
     is the floor that all live VMs have agreed to.
 
-    ``rate_limits``, ``pauses`` and ``departures`` are what upstreams state in
-    their responses.  ``unblocked_shares`` is the share of upstreams that
+    ``links`` tells whether this VM reaches upstreams.  ``rate_limits``,
+    ``pauses`` and ``departures`` are what upstreams state in their responses.
+    ``unblocked_shares`` is the share of upstreams that
     receive no long prefill, by target.  ``expired_leases`` names the cold
     upstreams whose lease has expired and whose running requests must therefore
     stop.  ``domain_shares`` is what may leave the failure domain, and
@@ -140,6 +145,7 @@
     by_target: dict[str, list[str]]
     requests: dict[str, RequestState]
     quarantine: Quarantine
+    links: Reachability
     rate_limits: RateLimits
     pauses: Pauses
     departures: Departures
@@ -181,6 +187,7 @@
         'isolated': False,
         'fleet': False,
         'starved': False,
+        'checks_links': False,
         'decisions': 0,
         'retry_credit': 10.0,
         'vm_count': 1,
@@ -202,6 +209,7 @@
         by_target={},
         requests={},
         quarantine=make_quarantine(),
+        links=make_reachability(),
         rate_limits=rate_limits or make_rate_limits(),
         pauses=make_pauses(random.random),
         departures=make_departures(),
--- a/bluebellhub/settings.py
+++ b/bluebellhub/settings.py
@@ -33,6 +33,12 @@
 NonNegative = Annotated[float, msgspec.Meta(ge=0)]
 
 
+ADDRESS_FIELDS: Final = (
+    'store',
+    'ready_listen',
+    'forward_listen',
+    'metrics_listen',
+)
 DUTY_VARIABLE: Final = 'HUB_DUTY_SETTINGS'
 LOG_LEVELS: Final = ('DEBUG', 'INFO', 'WARNING', 'ERROR')
 
@@ -81,10 +87,12 @@
     """A VM's settings for the users' platform, used if ``store`` is set.
 
     The address ``ready_listen`` serves readiness and metrics, and
-    ``metrics_listen``, if set, metrics only.  ``grace_s`` is the time from
-    SIGTERM to SIGKILL.  The others bound what all VMs together may do in a
-    window: ``quota`` beyond the accounts' limits, ``retry`` beyond callers'
-    requests, and ``cold`` beyond a cold upstream's rate.  Without a
+    ``metrics_listen``, if set, metrics only.  VMs that are cut off from the
+    upstreams send the requests of their callers to ``forward_listen``; without
+    it, this VM neither takes such requests nor sends its own.  ``grace_s`` is
+    the time from SIGTERM to SIGKILL.  The others bound what all VMs together
+    may do in a window: ``quota`` beyond the accounts' limits, ``retry`` beyond
+    callers' requests, and ``cold`` beyond a cold upstream's rate.  Without a
     ``retry_ratio`` only the attempts of each request are limited.  A byte that
     leaves the failure domain costs ``domain_byte_price`` worths of a request;
     without a price, a fixed preference keeps requests local.
@@ -92,6 +100,7 @@
 
     store: str = ''
     ready_listen: str = ''
+    forward_listen: str = ''
     metrics_listen: str = ''
     grace_s: Positive = 8.0
     quota_window_s: Positive = 8.0
@@ -200,7 +209,7 @@
 
 def _check_site(settings: Settings) -> None:
     """Check the addresses that a VM on the users' platform needs."""
-    for field in ('store', 'ready_listen', 'metrics_listen'):
+    for field in ADDRESS_FIELDS:
         address = getattr(settings.site, field)
         if address:
             check_address(address, f'settings.site.{field}')
--- a/bluebellhub/site/admission.py
+++ b/bluebellhub/site/admission.py
@@ -61,11 +61,17 @@
 
 
 def admit_request(
-    site: Site, head: RequestHead, now_s: float, *, read_s: float = 0.0
+    site: Site,
+    head: RequestHead,
+    now_s: float,
+    *,
+    read_s: float = 0.0,
+    is_served_here: bool = True,
 ) -> Admission:
     """Return the admission of a request, or raise its refusal.
 
-    Reading it took ``read_s`` seconds of its time limit.
+    Reading it took ``read_s`` seconds of its time limit.  Unless it
+    ``is_served_here``, it counts in no limit, but at the VM that serves it.
 
     Raises `NoUpstreamError`, `DeadlineError`, `DrainingError` or an error of
     the route, the account or its quota.  A refused request was not sent to any
@@ -76,7 +82,8 @@
     route = find_route(table, head.host, head.path)
     account = find_account(table, route, head.key)
     target = choose_target(route.splits, site.scheduler.random)
-    count_request(site.scheduler.retries, target, now_s)
+    if is_served_here:
+        count_request(site.scheduler.retries, target, now_s)
     if not site.scheduler.by_target.get(target):
         raise NoUpstreamError(
             f'no upstream for {target}',
@@ -92,6 +99,8 @@
     if request.ends_at_s > site.flags['stops_at_s']:
         raise DrainingError('the VM is shutting down', retry_after_s=0.0)
     demand = QuotaDemand(_quota_cost(account, head.tokens), priority.account)
+    if not is_served_here:
+        demand = demand._replace(cost=0.0)
     if account is not None and demand.cost:
         consume_quota(
             site.quotas, account, demand, live_share(site, now_s), now_s
--- a/bluebellhub/site/domain_reports.py
+++ b/bluebellhub/site/domain_reports.py
@@ -5,6 +5,7 @@
 from typing import Final
 
 from bluebellhub.rates import bucket_levels
+from bluebellhub.site.contact import cut_off_vms, shortest_contact_age_s
 from bluebellhub.site.demand import sum_demand
 from bluebellhub.site.liveness import (
     REMOTE_LIVENESS_TIMEOUT_S,
@@ -75,6 +76,8 @@
         dict(sum_counts(report.queued for report in reports)),
         make_slowdowns(site, now_s),
         sum_demand(report.demand for report in reports),
+        cut_off_vms(site, now_s),
+        shortest_contact_age_s(site, now_s),
     )
 
 
--- a/bluebellhub/site/gossip.py
+++ b/bluebellhub/site/gossip.py
@@ -2,6 +2,7 @@
 
 from typing import Final, NamedTuple
 
+from bluebellhub.site.contact import older_contact_s
 from bluebellhub.site.crash_evidence import (
     EvidenceSent,
     make_crash_evidence,
@@ -169,8 +170,8 @@
 def _is_due(state: GossipState, report: VmReport, now_s: float) -> bool:
     """Return whether the report differs from the last one or a refresh is due.
 
-    A change of the speeds alone does not count, and slowdowns count only if one
-    was stated since.
+    A change of the speeds or of the last contact alone does not count, and
+    slowdowns count only if one was stated since.
     """
     sent = state.last_report
     if sent is None or now_s - state.sent_at_s >= REFRESH_INTERVAL_S:
@@ -183,6 +184,7 @@
         uptime_s=sent.uptime_s,
         speeds=sent.speeds,
         slowdowns=sent.slowdowns,
+        contact_age_s=sent.contact_age_s,
     )
     return unchanged != sent
 
@@ -211,6 +213,7 @@
                 slowdowns=older_slowdowns(
                     peer.report.slowdowns, now_s - peer.received_at_s
                 ),
+                contact_age_s=older_contact_s(peer, now_s),
             )
             items.append(GossipItem(name, relayed))
     return items
--- a/bluebellhub/site/reports.py
+++ b/bluebellhub/site/reports.py
@@ -62,7 +62,9 @@
     upstreams, included in some of the reports only. ``queued`` counts the
     requests that wait on the VM, by target. ``slowdowns`` are the newest that
     upstreams stated to the VM, if they are fresh. ``demand`` are the requests
-    per second that the VM gets, by target and rank.
+    per second that the VM gets, by target and rank. A VM that ``is_cut_off``
+    reaches no upstream; one that is not got something from one
+    ``contact_age_s`` ago.
     """
 
     start_id: int
@@ -78,6 +80,8 @@
     queued: dict[str, int] = {}
     slowdowns: dict[str, ReportedSlowdown] = {}
     demand: dict[str, dict[int, float]] = {}
+    is_cut_off: bool = False
+    contact_age_s: float | None = None
 
 
 class GossipItem(NamedTuple):
@@ -140,7 +144,8 @@
     and ``shortest_uptime_s`` is the time since the latest start of one of them.
     ``admitted`` sums what ``vm`` admitted or learned of since its own start,
     which is identified by ``start_id``. ``outcome_counts`` are by VM, then as
-    in `VmReport`.
+    in `VmReport`. ``cut_off`` names the VMs that reach no upstream, and one of
+    the others got something from one ``contact_age_s`` ago.
     """
 
     domain: str
@@ -161,6 +166,8 @@
     queued: dict[str, int] = {}
     slowdowns: dict[str, ReportedSlowdown] = {}
     demand: dict[str, dict[int, float]] = {}
+    cut_off: list[str] = []
+    contact_age_s: float | None = None
 
 
 class RemoteDomain(NamedTuple):
--- a/bluebellhub/site/state.py
+++ b/bluebellhub/site/state.py
@@ -27,6 +27,7 @@
 from bluebellhub.scheduler.capacity import unused_window_slots
 from bluebellhub.scheduler.state import SchedulerOptions
 from bluebellhub.site.grid import Grid, make_grid, report_age_s
+from bluebellhub.site.helper_pauses import Helpers, make_helpers
 from bluebellhub.site.relay_reports import StoreRelays, make_store_relays
 from bluebellhub.site.reports import Peer, RemoteDomain
 from bluebellhub.site.vm_location import VmLocation
@@ -98,7 +99,7 @@
     of remote failure domains. ``admitted_by_peers`` sums what the peers
     reported as admitted, by account; ``moves`` holds the version moves by
     service. ``duty`` is this VM's part in the duties that one VM at a time
-    holds.
+    holds. ``helpers`` are the VMs that serve for this one while it is cut off.
     """
 
     vm: str
@@ -117,6 +118,7 @@
     flags: SiteFlags
     duty: Duty
     store_relays: StoreRelays
+    helpers: Helpers
 
 
 def make_site(
@@ -177,6 +179,7 @@
         },
         make_duty(vm, start_id, bounds.duty, now_s),
         make_store_relays(),
+        make_helpers(),
     )
 
 
--- a/bluebellhub/site/vm_location.py
+++ b/bluebellhub/site/vm_location.py
@@ -6,7 +6,12 @@
 
 
 class VmLocation(NamedTuple):
-    """The IP address and port where a VM listens, and its failure domain."""
+    """The IP address and port where a VM listens, and its failure domain.
+
+    Other VMs send it requests of their callers at ``forward_address``; it is
+    empty if the VM takes none.
+    """
 
     address: str = ''
     domain: str = ''
+    forward_address: str = ''
--- a/bluebellhub/site/vm_reports.py
+++ b/bluebellhub/site/vm_reports.py
@@ -5,7 +5,9 @@
 from typing import Final
 
 from bluebellhub.rates import bucket_levels
+from bluebellhub.reachability import is_cut_off
 from bluebellhub.site.domain_loads import queued_counts
+from bluebellhub.site.contact import contact_age_s, set_peers_contact
 from bluebellhub.site.demand import make_demand, set_reported_demand
 from bluebellhub.site.liveness import live_domains, live_peers, live_share
 from bluebellhub.site.peer_usage import (
@@ -76,6 +78,8 @@
         queued_counts(site.scheduler),
         make_slowdowns(site, now_s, own_only=True),
         make_demand(site, now_s),
+        is_cut_off(site.scheduler.links),
+        contact_age_s(site, now_s),
     )
 
 
@@ -200,7 +204,11 @@
 
 
 def update_other_vms_load(site: Site, now_s: float) -> None:
-    """Set each upstream's load from other VMs to the sum of their reports."""
+    """Apply what the newest reports of other VMs say together.
+
+    Each upstream's load from other VMs is the sum of their reports.
+    """
+    set_peers_contact(site, now_s)
     reports: list[VmReport | DomainReport] = [
         *(peer.report for peer in live_peers(site, now_s)),
         *(domain.report for domain in live_domains(site, now_s)),
--- a/bluebellhub/tests/test_outer_names.py
+++ b/bluebellhub/tests/test_outer_names.py
@@ -32,10 +32,17 @@
     line.split() for line in (SAMPLES / 'peer_messages.txt').open()
 )
 # Messages that have got last fields since, as an earlier build wrote them.
-OLDER_MESSAGES: Final = dict(
+OLDER_MESSAGES: Final = [
     line.split() for line in (SAMPLES / 'older_peer_messages.txt').open()
-)
-NEWER_FIELDS: Final = {'queued': {}, 'slowdowns': {}, 'demand': {}}
+]
+NEWER_FIELDS: Final = {
+    'queued': {},
+    'slowdowns': {},
+    'demand': {},
+    'is_cut_off': False,
+    'cut_off': [],
+    'contact_age_s': None,
+}
 
 
 @pytest.mark.parametrize('name', MESSAGES)
@@ -46,16 +53,24 @@
     assert isinstance(message, message_types.find(name))
 
 
-@pytest.mark.parametrize('name', OLDER_MESSAGES)
-def test_message_without_the_last_fields_is_read(name: str) -> None:
+@pytest.mark.parametrize(('name', 'encoded'), OLDER_MESSAGES)
+def test_message_without_the_last_fields_is_read(
+    name: str, encoded: str
+) -> None:
     """A field without a default would end gossip during a rolling update."""
-    older = decode_message(bytes.fromhex(OLDER_MESSAGES[name]))
+    older = decode_message(bytes.fromhex(encoded))
     newer = decode_message(bytes.fromhex(MESSAGES[name]))
     assert decode_message(encode_message(older)) == older
     assert older != newer
     if name == 'NewsBatch':
         older, newer = older.items[0].report, newer.items[0].report
-    assert older == newer._replace(**NEWER_FIELDS)
+    missing = {
+        field: default
+        for field, default in NEWER_FIELDS.items()
+        if getattr(older, field, None) != getattr(newer, field, None)
+    }
+    assert 'contact_age_s' in missing
+    assert older == newer._replace(**missing)
 
 
 def test_every_peer_message_has_a_sample() -> None:
@@ -193,6 +208,9 @@
 
 def test_counters_keep_names_and_labels() -> None:
     assert LABELS == {
+        'sheds': 'rule',
+        'links': 'change',
+        'forwarded': 'outcome',
         'requests': 'tier',
         'ends': 'outcome',
         'dispatches': 'tier',
--- a/bluebellhub/tests/test_settings_template.py
+++ b/bluebellhub/tests/test_settings_template.py
@@ -79,7 +79,7 @@
         found: Any = fields
         for step in match[1].split('.'):
             if isinstance(found, list):
-                found = found[int(step)]
+                found = dict(enumerate(found)).get(int(step))
             else:
                 found = (found or {}).get(step)
         if found is None:
