--- a/bluebellhub/metrics.py
+++ b/bluebellhub/metrics.py
@@ -23,6 +23,7 @@
     'preemptions': 'tier',
     'callers_left': 'tier',
     'refusals': 'reason',
+    'sheds': 'rule',
     'front_end_refusals': 'reason',
     'retries': 'reason',
     'retries_denied': 'reason',
@@ -45,6 +46,8 @@
     'store_relays': 'event',
     'domain_sends': 'to',
     'domain_bytes': 'to',
+    'links': 'change',
+    'forwarded': 'outcome',
 }
 
 
