Share the exchange with upstreams and with other VMs

Forwarding to another VM had a second copy of how a request is sent while its response is read, and of which errors end an attempt how.

A forwarded head may be a little longer than the caller's, so VMs take heads from each other that exceed the limit on callers by 256 bytes.

--- a/bluebellhub/adapters/proxy/attempt.py
+++ b/bluebellhub/adapters/proxy/attempt.py
@@ -1,20 +1,17 @@
 """One attempt at one upstream, from connecting to the response's end."""
 
-from collections.abc import Mapping
-from types import MappingProxyType
+from functools import partial
 from typing import Any, Final
 
-import h11
 import trio
 
-from bluebellhub.adapters.memory import MemoryExhaustedError
 from bluebellhub.adapters.node import execute_events
-from bluebellhub.adapters.proxy.caller_connection import CallerGoneError
-from bluebellhub.adapters.proxy.event_stream import (
-    EventIdError,
-    EventTooLargeError,
-    EventTruncatedError,
-    NoEventError,
+from bluebellhub.adapters.proxy.http_exchange import (
+    CALLER_GONE,
+    AttemptError,
+    read_head,
+    request_events,
+    send_and_receive,
 )
 from bluebellhub.adapters.proxy.response_checks import (
     belongs_to_request,
@@ -23,7 +20,6 @@
     is_stream,
 )
 from bluebellhub.adapters.proxy.response_forwarding import (
-    ErrorTooLargeError,
     forward_events,
     forward_response,
     read_response,
@@ -43,18 +39,13 @@
 )
 from bluebellhub.adapters.proxy.upstream_connection import (
     ConnectError,
-    UnsentRequestError,
     UpstreamConnection,
     connect,
-    encode_events,
-    read_event,
     release,
-    send_parts,
 )
 from bluebellhub.adapters.sockets import has_disconnected
 from bluebellhub.clock import now_s
-from bluebellhub.errors import HubError
-from bluebellhub.platform.headers import attempt_headers, read_response_head
+from bluebellhub.platform.headers import attempt_headers
 from bluebellhub.platform.responses import NOT_EXECUTED_STATUSES
 from bluebellhub.reachability import record_contact
 from bluebellhub.request import AttemptFailure
@@ -65,45 +56,11 @@
 from bluebellhub.site.upstreams import apply_response_status
 from bluebellhub.upstream import UpstreamSpec
 
-__all__ = [
-    'CALLER_GONE',
-    'FAILURE_ERRORS',
-    'FAILURE_KINDS',
-    'AttemptError',
-    'read_head',
-    'run_attempt',
-]
+__all__ = ['run_attempt']
 
-CALLER_GONE: Final = 'caller_gone'
-CUT: Final = 'cut'
 # Share of the remaining time that an idempotent request waits for the
 # response head of one upstream.
 FIRST_BYTE_SHARE: Final = 0.35
-FAILURE_KINDS: Final[Mapping[type[BaseException], str]] = MappingProxyType(
-    {
-        CallerGoneError: CALLER_GONE,
-        ErrorTooLargeError: CUT,
-        EventIdError: CUT,
-        EventTooLargeError: CUT,
-        EventTruncatedError: CUT,
-        MemoryExhaustedError: CUT,
-        NoEventError: CUT,
-        UnsentRequestError: CUT,
-        h11.RemoteProtocolError: CUT,
-        trio.BrokenResourceError: CUT,
-        trio.ClosedResourceError: CUT,
-        trio.TooSlowError: 'silent',
-    }
-)
-FAILURE_ERRORS: Final = tuple(FAILURE_KINDS)
-
-
-class AttemptError(HubError):
-    """An attempt failed; ``failure`` states how."""
-
-    def __init__(self, failure: AttemptFailure) -> None:
-        super().__init__(f'{failure.kind}: {failure.detail}')
-        self.failure = failure
 
 
 async def run_attempt(
@@ -147,12 +104,11 @@
     if _is_asked_to_wait(proxy, connection.spec.name):
         return AttemptFailure('refused', 'asked to wait while connecting')
     request_sent(proxy.node.scheduler, context.admission.request.request_id)
-    parts = encode_events(connection, _request_events(context, connection))
-    async with trio.open_nursery() as nursery:
-        nursery.start_soon(send_parts, connection, parts)
-        failure = await _receive_response(proxy, context, connection)
-        nursery.cancel_scope.cancel()
-    return failure
+    return await send_and_receive(
+        connection,
+        _request_events(context, connection),
+        partial(_read_and_forward, proxy, context, connection),
+    )
 
 
 def _is_asked_to_wait(proxy: Proxy, name: str) -> bool:
@@ -169,36 +125,14 @@
     request = context.admission.request
     head = context.received.head
     last_event = context.progress['position'].last_id
-    headers = list(
-        attempt_headers(
-            head,
-            connection.spec.name,
-            request.account,
-            request.ends_at_s - now_s(),
-            None if last_event is None else b'%d' % last_event,
-        )
-    )
-    body = context.received.body
-    if body or head.method not in {b'GET', b'HEAD'}:
-        headers.append((b'content-length', b'%d' % len(body)))
-    head_event = h11.Request(
-        method=head.method, target=head.target, headers=headers
+    headers = attempt_headers(
+        head,
+        connection.spec.name,
+        request.account,
+        request.ends_at_s - now_s(),
+        None if last_event is None else b'%d' % last_event,
     )
-    return [head_event, h11.Data(data=body), h11.EndOfMessage()]
-
-
-async def _receive_response(
-    proxy: Proxy, context: RequestContext, connection: UpstreamConnection
-) -> AttemptFailure | None:
-    """Forward the response; return how the attempt failed, if it did."""
-    try:
-        await _read_and_forward(proxy, context, connection)
-    except AttemptError as error:
-        return error.failure
-    except FAILURE_ERRORS as error:
-        kind = FAILURE_KINDS[type(error)]
-        return AttemptFailure(kind, f'{type(error).__name__} {error}')
-    return None
+    return request_events(context.received, headers)
 
 
 async def _read_and_forward(
@@ -248,20 +182,6 @@
         apply_needs(proxy, name, response)
 
 
-async def read_head(connection: UpstreamConnection) -> ResponseHead:
-    """Read a response head; raises `AttemptError` if there is none."""
-    while True:
-        event = await read_event(connection)
-        if isinstance(event, h11.Response):
-            return read_response_head(event.status_code, event.headers)
-        if not isinstance(event, h11.InformationalResponse):
-            raise AttemptError(
-                AttemptFailure(
-                    CUT, 'the connection ended before the response head'
-                )
-            )
-
-
 async def _check_response(
     context: RequestContext,
     connection: UpstreamConnection,
--- a/bluebellhub/adapters/proxy/peer_forwarding.py
+++ b/bluebellhub/adapters/proxy/peer_forwarding.py
@@ -4,18 +4,17 @@
 another VM is tried only if this one has certainly not run it.
 """
 
-from typing import Any, Final
+from functools import partial
+from typing import Final
 
-import h11
 import logbook
-import trio
 
-from bluebellhub.adapters.proxy.attempt import (
+from bluebellhub.adapters.proxy.http_exchange import (
     CALLER_GONE,
-    FAILURE_ERRORS,
-    FAILURE_KINDS,
     AttemptError,
     read_head,
+    request_events,
+    send_and_receive,
 )
 from bluebellhub.adapters.proxy.peer_heads import (
     PeerRefusal,
@@ -41,15 +40,13 @@
     ConnectError,
     UpstreamConnection,
     connect,
-    encode_events,
     release,
-    send_parts,
 )
 from bluebellhub.adapters.sockets import has_disconnected
 from bluebellhub.clock import now_s
 from bluebellhub.platform.headers import relayed_headers
 from bluebellhub.request import AttemptFailure, RefusalError
-from bluebellhub.request.heads import ResponseHead
+from bluebellhub.request.heads import Headers, ResponseHead
 from bluebellhub.request.refusal import CutOffError, UpstreamFailedError
 from bluebellhub.site.helper_pauses import (
     record_helper_failure,
@@ -163,46 +160,22 @@
     if has_disconnected(context.connection.stream):
         return AttemptFailure(CALLER_GONE, 'left before the attempt')
     context.progress['forwarding'] = 'sent'
-    events = _request_events(context, attempts_left)
-    parts = encode_events(connection, events)
-    async with trio.open_nursery() as nursery:
-        nursery.start_soon(send_parts, connection, parts)
-        failure = await _receive(proxy, context, connection)
-        nursery.cancel_scope.cancel()
-    return failure
+    return await send_and_receive(
+        connection,
+        request_events(context.received, _headers(context, attempts_left)),
+        partial(_read_and_forward, proxy, context, connection),
+    )
 
 
-def _request_events(context: RequestContext, attempts_left: int) -> list[Any]:
-    """Return the request as the caller sent it, for the protocol state."""
-    head = context.received.head
-    body = context.received.body
+def _headers(context: RequestContext, attempts_left: int) -> Headers:
+    """Return the headers of the request, as the caller sent them."""
     last_id = context.progress['position'].last_id
-    remaining_s = context.admission.request.ends_at_s - now_s()
-    headers = [
-        *relayed_headers(
-            head, remaining_s, None if last_id is None else b'%d' % last_id
-        ),
-        attempts_header(attempts_left),
-    ]
-    if body or head.method not in {b'GET', b'HEAD'}:
-        headers.append((b'content-length', b'%d' % len(body)))
-    request = h11.Request(
-        method=head.method, target=head.target, headers=headers
+    relayed = relayed_headers(
+        context.received.head,
+        context.admission.request.ends_at_s - now_s(),
+        None if last_id is None else b'%d' % last_id,
     )
-    return [request, h11.Data(data=body), h11.EndOfMessage()]
-
-
-async def _receive(
-    proxy: Proxy, context: RequestContext, connection: UpstreamConnection
-) -> AttemptFailure | None:
-    """Forward the response; return how that failed, if it did."""
-    try:
-        return await _read_and_forward(proxy, context, connection)
-    except AttemptError as error:
-        return error.failure
-    except FAILURE_ERRORS as error:
-        kind = FAILURE_KINDS[type(error)]
-        return AttemptFailure(kind, f'{type(error).__name__} {error}')
+    return (*relayed, attempts_header(attempts_left))
 
 
 async def _read_and_forward(
--- a/bluebellhub/adapters/proxy/request_handling.py
+++ b/bluebellhub/adapters/proxy/request_handling.py
@@ -13,7 +13,7 @@
     release_request,
     start_request,
 )
-from bluebellhub.adapters.proxy.attempt import CALLER_GONE, run_attempt
+from bluebellhub.adapters.proxy.attempt import run_attempt
 from bluebellhub.adapters.proxy.caller_connection import (
     CallerConnection,
     CallerGoneError,
@@ -22,6 +22,7 @@
     send_refusal,
     watch_disconnect,
 )
+from bluebellhub.adapters.proxy.http_exchange import CALLER_GONE
 from bluebellhub.adapters.proxy.peer_forwarding import (
     forward_to_peer,
     may_forward,
--- a/bluebellhub/adapters/proxy/server.py
+++ b/bluebellhub/adapters/proxy/server.py
@@ -37,6 +37,8 @@
 ]
 
 BACKLOG: Final = 1024
+# What a VM adds to the head of a request that it forwards.
+ADDED_HEADER_BYTES: Final = 256
 
 log = logbook.Logger('bluebellhub.callers')
 
@@ -62,10 +64,9 @@
     proxy: Proxy, stream: trio.SocketStream, *, is_peer: bool = False
 ) -> None:
     """Answer the requests of one connection in sequence."""
-    table = proxy.site.active_config['table']
     connection = make_connection(
         stream,
-        table.limits if table else CallerLimits(),
+        _limits(proxy, is_peer=is_peer),
         proxy.node.memory,
         is_peer=is_peer,
     )
@@ -85,6 +86,17 @@
         await close_connection(connection)
 
 
+def _limits(proxy: Proxy, *, is_peer: bool) -> CallerLimits:
+    """Return the limits on what is read; forwarding adds to the head."""
+    table = proxy.site.active_config['table']
+    limits = table.limits if table else CallerLimits()
+    if not is_peer:
+        return limits
+    return limits._replace(
+        header_max_bytes=limits.header_max_bytes + ADDED_HEADER_BYTES
+    )
+
+
 async def _serve_request(proxy: Proxy, connection: CallerConnection) -> bool:
     """Answer one request; return whether the connection is reusable."""
     try:
