Hold what an abandoned request says of a version while the links are in doubt

A request whose caller leaves, or whose time ends, while its upstream is silent counts against the upstream's version. While the links of the VM are cut all upstreams are silent. left out each such request without a sign from any upstream since, which also left out those at a quiet VM with sound links: seen when all tests of the proxy ran with the checks of the links switched on, as they are on the users' platform; two rows of test_version_outcomes.py failed.

Change: it is held like a failed attempt, and counts once a check connects. The tests of the proxy run with these checks from now on; the one of the outcomes waits until nothing is held. More rows: a dead upstream is told from a cut, and test_peer_choice.py for the choice of the VM that helps.

--- a/bluebellhub/adapters/proxy/tests/forwarding_hubs.py
+++ b/bluebellhub/adapters/proxy/tests/forwarding_hubs.py
@@ -82,7 +82,6 @@
                 handler = partial(serve_peer_connection, helper.proxy)
                 port = await listen(nursery, handler)
                 announce_helper(helper, port)
-                hub.proxy.site.scheduler.flags['checks_links'] = True
                 nursery.start_soon(_keep_reporting, hub, port)
                 yield ForwardingHubs(hub, helper, port)
                 nursery.cancel_scope.cancel()
--- a/bluebellhub/adapters/proxy/tests/scripted_upstreams.py
+++ b/bluebellhub/adapters/proxy/tests/scripted_upstreams.py
@@ -95,6 +95,7 @@
     with trio.fail_after(LIMIT_S):
         async with trio.open_nursery() as nursery:
             site = make_small_site(**fields)
+            site.scheduler.flags['checks_links'] = True
             for number, script in enumerate(scripts):
                 port = await listen(
                     nursery, partial(_play_script, list(script), received)
--- a/bluebellhub/adapters/proxy/tests/test_cut_off.py
+++ b/bluebellhub/adapters/proxy/tests/test_cut_off.py
@@ -129,6 +129,31 @@
     assert not upstream.failures_in_row
 
 
+async def test_dead_upstream_is_told_from_a_cut():
+    """Another upstream accepts connections, so the failure counts."""
+    async with forwarding_hubs(**IDEMPOTENT) as hubs:
+        async with trio.open_nursery() as nursery:
+            port = await listen(nursery, _serve_complete)
+            address = f'127.0.0.1:{port}'
+            entry = make_registration(address, address=address)
+            apply_registration(hubs.cut.proxy.site, entry, now_s())
+            fill_retry_budget(hubs.cut)
+            scheduler = hubs.cut.proxy.site.scheduler
+            while not scheduler.upstreams[DEAD_ADDRESS].failures_in_row:
+                received = await send_and_receive(
+                    hubs.cut, request(headers=CLOSE)
+                )
+                assert status_of(received) == 200
+            nursery.cancel_scope.cancel()
+    assert not is_cut_off(scheduler.links)
+
+
+async def _serve_complete(stream):
+    async with stream:
+        while await read_head(stream):
+            await stream.send_all(COMPLETE)
+
+
 async def test_vm_serves_by_itself_once_the_cut_has_healed():
     """The probes of the VM find it within half a second."""
     async with forwarding_hubs(addresses=(), **IDEMPOTENT) as hubs:
--- a/bluebellhub/adapters/proxy/tests/test_version_outcomes.py
+++ b/bluebellhub/adapters/proxy/tests/test_version_outcomes.py
@@ -67,9 +67,10 @@
         apply_move_commands(hub.proxy.site, [command], now_s())
         fill_retry_budget(hub)
         await send(hub)
-        while hub.proxy.node.scheduler.requests:
+        scheduler = hub.proxy.node.scheduler
+        while scheduler.requests or scheduler.links.held:
             await trio.sleep(0.01)
-        counts = hub.proxy.node.scheduler.outcome_counts
+        counts = scheduler.outcome_counts
     return counts.get(('s', 'r', 'v1'), OutcomeCounts())
 
 
--- a/bluebellhub/scheduler/failed_attempts.py
+++ b/bluebellhub/scheduler/failed_attempts.py
@@ -18,7 +18,14 @@
     ('connect_failed', 'silent', 'upstream_error', 'misdirected'),
 )
 BAD_OUTCOME_KINDS: Final = frozenset(
-    ('answered_error', 'cut', 'silent', 'upstream_error', 'mismatch'),
+    (
+        'abandoned',
+        'answered_error',
+        'cut',
+        'silent',
+        'upstream_error',
+        'mismatch',
+    ),
 )
 
 
--- a/bluebellhub/scheduler/links.py
+++ b/bluebellhub/scheduler/links.py
@@ -41,7 +41,9 @@
 ]
 
 # Failures that a VM without links sees as well.
-LINK_FAILURE_KINDS: Final = frozenset(('connect_failed', 'silent', 'cut'))
+LINK_FAILURE_KINDS: Final = frozenset(
+    ('abandoned', 'connect_failed', 'silent', 'cut')
+)
 # An attempt without a sign from any upstream for this time causes a check.
 SILENCE_S: Final = 0.3
 SILENCE_CHECK_INTERVAL_S: Final = 0.5
--- a/bluebellhub/scheduler/outcomes.py
+++ b/bluebellhub/scheduler/outcomes.py
@@ -3,7 +3,6 @@
 from statistics import median
 from typing import Final, NamedTuple
 
-from bluebellhub.reachability import has_contact_since
 from bluebellhub.request import RequestState
 from bluebellhub.scheduler.state import Scheduler, upstreams_for
 from bluebellhub.upstream import Upstream, Work, is_cold
@@ -11,10 +10,10 @@
 from bluebellhub.version_move.step_times import StepTotal, add_step
 
 __all__ = [
-    'record_abandoned',
     'record_outcome',
     'record_step',
     'route_outcomes',
+    'was_abandoned',
     'was_slow',
 ]
 
@@ -45,36 +44,30 @@
     )
 
 
-def record_abandoned(
+def was_abandoned(
     scheduler: Scheduler, state: RequestState, now_s: float
-) -> None:
-    """Count a request as bad if it ends because its upstream is silent.
+) -> bool:
+    """Return whether a request ends because its upstream is silent.
 
-    Its deadline has passed, or its caller has left.  It counts if the upstream
-    had it, or sent nothing more of a stream, for longer than a slow first
-    token takes; otherwise it says nothing of the version.  Neither does it if
-    no other upstream has sent anything since, because the links may be cut.
+    Its deadline has passed, or its caller has left.  That tells something of
+    the version if the upstream had it, or sent nothing more of a stream, for
+    longer than a slow first token takes.
     """
     attempt = state.attempt
     if attempt is None or not attempt.sent:
-        return
+        return False
     upstream = scheduler.upstreams.get(attempt.upstream)
     if upstream is None or is_cold(upstream, now_s):
-        return
+        return False
     work = upstream.work.get(state.request.request_id)
     gate = scheduler.moves.get(state.request.target)
     if work is None or gate is None:
-        return
+        return False
     since_s = state.last_token_at_s
     if since_s is None:
         since_s = work.sent_at_s
-    if scheduler.flags['checks_links'] and not has_contact_since(
-        scheduler.links, since_s
-    ):
-        return
     reference = _reference_speed(scheduler, upstream, gate.to_version)
-    if now_s - since_s > _late_first_token_s(state, work, reference):
-        record_outcome(scheduler, state, upstream.spec.version, bad=True)
+    return now_s - since_s > _late_first_token_s(state, work, reference)
 
 
 def record_step(
--- a/bluebellhub/scheduler/progress.py
+++ b/bluebellhub/scheduler/progress.py
@@ -22,9 +22,9 @@
 from bluebellhub.scheduler.first_tokens import observe_first_token
 from bluebellhub.scheduler.links import observe_failure
 from bluebellhub.scheduler.outcomes import (
-    record_abandoned,
     record_outcome,
     record_step,
+    was_abandoned,
     was_slow,
 )
 from bluebellhub.scheduler.queued_request import make_queued_request
@@ -216,7 +216,9 @@
     if state is None:
         return []
     events: list[Event] = []
-    record_abandoned(scheduler, state, now_s)
+    if was_abandoned(scheduler, state, now_s):
+        failure = AttemptFailure('abandoned')
+        observe_failure(scheduler, events, state, failure, now_s)
     scheduler.counters['callers_left', state.request.tier.name] += 1
     close_request(scheduler, events, state)
     events.extend(dispatch_queued(scheduler, state.request.target, now_s))
--- /dev/null
+++ b/bluebellhub/site/tests/test_peer_choice.py
@@ -0,0 +1,100 @@
+"""Which VM serves for one that is cut off, in small and in large fleets."""
+
+import pytest
+
+from bluebellhub.request.refusal import NotAllowedError
+from bluebellhub.site.helper_pauses import (
+    record_helper_failure,
+    record_helper_response,
+)
+from bluebellhub.site.peer_choice import check_member, choose_helper
+from bluebellhub.site.reports import (
+    DomainReport,
+    Peer,
+    RemoteDomain,
+    VmReport,
+)
+from bluebellhub.site.state import set_vms
+from bluebellhub.site.tests.small_site import make_small_site
+from bluebellhub.site.vm_location import VmLocation
+
+NOW_S = 10.0
+SEEDS = 20
+
+
+def _make_site(peers, remote=()):
+    """Return a site in domain ``d`` with peers: name, domain, work, cut off.
+
+    Of the VMs ``remote`` in domain ``e`` only a summed report is known.
+    """
+    site = make_small_site()
+    vms = {'hub-1': VmLocation('10.0.0.1:1', 'd', '10.0.0.1:2')}
+    for name, domain, work, is_cut_off in peers:
+        vms[name] = VmLocation('10.0.0.9:1', domain, '10.0.0.9:2')
+        report = VmReport(2, 9.0, 1, {'u1': work}, {}, {})
+        report = report._replace(is_cut_off=is_cut_off)
+        site.peers[name] = Peer(report, NOW_S)
+    for name, is_cut_off in remote:
+        vms[name] = VmLocation('10.0.0.9:1', 'e', '10.0.0.9:2')
+    if remote:
+        cut_off = [name for name, is_cut_off in remote if is_cut_off]
+        report = DomainReport(
+            'e', 'r1', 3, 9.0, 1, len(remote), 'r1', 9.0, {'u1': 4}, {}, {}
+        )
+        site.domains['e'] = RemoteDomain(
+            report._replace(cut_off=cut_off), NOW_S
+        )
+    set_vms(site, vms)
+    return site
+
+
+def _chosen(site, tried=()):
+    return {choose_helper(site, tried, NOW_S) for _ in range(SEEDS)}
+
+
+@pytest.mark.parametrize(
+    ('peers', 'remote', 'tried', 'chosen'),
+    [
+        ([], [], (), {None}),
+        # The own failure domain goes first, however busy it is.
+        ([('a', 'd', 9, False), ('b', 'e', 0, False)], [], (), {'a'}),
+        # Of two, the one with less work.
+        ([('a', 'd', 9, False), ('b', 'd', 1, False)], [], (), {'b'}),
+        ([('a', 'd', 9, False), ('b', 'd', 1, False)], [], ('b',), {'a'}),
+        # VMs that are cut off themselves are no help.
+        ([('a', 'd', 0, True), ('b', 'e', 5, False)], [], (), {'b'}),
+        ([('a', 'd', 0, True)], [], (), {None}),
+        # A whole domain is cut off in a large fleet.
+        ([('a', 'd', 0, True)], [('r1', False)], (), {'r1'}),
+        (
+            [('a', 'd', 0, True)],
+            [('r1', False), ('r2', True), ('r3', False)],
+            (),
+            {'r1', 'r3'},
+        ),
+        ([('a', 'd', 0, True)], [('r1', True)], (), {None}),
+    ],
+)
+def test_helper_is_near_idle_and_in_contact(peers, remote, tried, chosen):
+    assert _chosen(_make_site(peers, remote), tried) == chosen
+
+
+def test_helper_that_fails_is_dropped_for_a_while():
+    site = _make_site([('a', 'd', 0, False), ('b', 'd', 9, False)])
+    record_helper_failure(site.helpers, 'a', NOW_S)
+    assert _chosen(site) == {'b'}
+    record_helper_response(site.helpers, 'a')
+    assert _chosen(site) == {'a'}
+
+
+@pytest.mark.parametrize(
+    ('ip', 'is_member'),
+    [('10.0.0.1', True), ('10.0.0.9', True), ('10.0.0.2', False), ('', False)],
+)
+def test_only_addresses_of_the_fleet_are_members(ip, is_member):
+    site = _make_site([('a', 'd', 0, False)])
+    if is_member:
+        check_member(site, ip)
+        return
+    with pytest.raises(NotAllowedError):
+        check_member(site, ip)
