Split the shares of a target by what they are divided among

It keeps what a target's requests ask for; rank_ratios.py divides the capacity among the ranks, account_shares.py what a rank may send among its accounts. No change of behaviour.

--- a/bluebellhub/scheduler/credit.py
+++ b/bluebellhub/scheduler/credit.py
@@ -3,15 +3,17 @@
 from bluebellhub.admission import requests_of_rank
 from bluebellhub.backpressure.retry_after import bounded_retry_s
 from bluebellhub.request import Request, RequestState
+from bluebellhub.scheduler.account_shares import (
+    fair_rate_per_s,
+    has_credit,
+    use_credit,
+)
+from bluebellhub.scheduler.rank_ratios import admission_ratio
 from bluebellhub.scheduler.shares import (
     DEMAND_WINDOW_S,
     TargetShare,
-    admission_ratio,
-    fair_rate_per_s,
-    has_credit,
     make_target_share,
     observe_plain,
-    use_credit,
 )
 from bluebellhub.scheduler.state import (
     Scheduler,
--- /dev/null
+++ b/bluebellhub/scheduler/rank_ratios.py
@@ -0,0 +1,121 @@
+"""Which ratio of the requests of a rank all VMs together can send now.
+
+Reports of other VMs are older than the time in which all VMs together fill a
+free slot.  If each VM sent to every slot that looks free, as many requests as
+there are VMs would queue for it.  Instead, each VM sends at its share of the
+rate at which the upstreams take requests: slots that become free, and a part of
+those that are free.  The share is in proportion to the requests that the VMs
+get, by their reports.  Higher ranks have theirs first, but a part of the
+capacity is kept for those below, so that none is starved.  What the ranks ask
+for is compared in slot time, not in requests.
+"""
+
+from collections.abc import Mapping, Sequence
+from math import inf
+from typing import Final
+
+from bluebellhub.scheduler.shares import (
+    TargetShare,
+    hold_s,
+    is_known,
+    own_demand,
+    tokens_s,
+)
+from bluebellhub.upstream import Upstream
+
+__all__ = ['admission_ratio']
+
+# A VM always has a share, so that it notices when capacity is back.
+RATIO_MIN: Final = 0.02
+# Parts of the capacity kept for each rank that asks for it, and for all ranks
+# below another one.
+KEPT_PART: Final = 0.1
+KEPT_PART_MAX: Final = 0.25
+# Part of the slots short of the target that is given out in a second.  With
+# more than the age of the reports allows, all VMs overshoot in turn.
+FREE_GAIN: Final = 1.0
+FREE_GAIN_MAX_PER_S: Final = 5.0
+# Work that all VMs aim at, in relation to the slots: loads vary between two
+# reports, so with less, slots would be idle while requests are refused.
+WORK_TARGET_RATIO: Final = 1.15
+COST_MIN_PER_S: Final = 1e-9
+
+
+def _capacity_per_s(
+    share: TargetShare, upstreams: Sequence[Upstream], now_s: float
+) -> float:
+    """Return the requests per second that all VMs may send together."""
+    if not is_known(share):
+        return inf
+    capacity = 0.0
+    age_s = share.mean['report_age_s']
+    gain_per_s = FREE_GAIN_MAX_PER_S
+    if age_s:
+        gain_per_s = min(gain_per_s, FREE_GAIN / age_s)
+    for upstream in upstreams:
+        slots = upstream.window.slots
+        work = len(upstream.work) + upstream.other_vms_work
+        served = slots / hold_s(share, upstream, now_s)
+        capacity += max(
+            0.0, served + gain_per_s * (slots * WORK_TARGET_RATIO - work)
+        )
+    return capacity
+
+
+def admission_ratio(
+    share: TargetShare, upstreams: Sequence[Upstream], rank: int, now_s: float
+) -> float:
+    """Return which ratio of the requests of a rank can be sent now.
+
+    Higher ranks have their requests sent first, on all VMs, but for what is
+    kept for those below.  No rank is served more often than one above it.
+    """
+    costs = _costs_per_s(share, upstreams, now_s)
+    capacity = _capacity_per_s(share, upstreams, now_s)
+    left = capacity
+    for other in sorted(costs):
+        if other >= rank:
+            break
+        needed = costs[other] + _kept_per_s(costs, other, capacity)
+        left -= costs[other] * min(1.0, left / needed)
+    needed = costs.get(rank, 0.0) + _kept_per_s(costs, rank, capacity)
+    return max(RATIO_MIN, left / max(needed, COST_MIN_PER_S))
+
+
+def _kept_per_s(
+    costs: Mapping[int, float], rank: int, capacity: float
+) -> float:
+    """Return what is kept for the ranks below, in mean requests per second."""
+    kept = sum(
+        min(cost, KEPT_PART * capacity)
+        for lower, cost in costs.items()
+        if lower > rank
+    )
+    return min(kept, KEPT_PART_MAX * capacity)
+
+
+def _costs_per_s(
+    share: TargetShare, upstreams: Sequence[Upstream], now_s: float
+) -> dict[int, float]:
+    """Return what all VMs get per second, by rank, as mean requests."""
+    demand = own_demand(share, now_s)
+    for rank, per_s in share.other_demand.items():
+        demand[rank] = demand.get(rank, 0.0) + per_s
+    return {
+        rank: per_s * _slot_time_ratio(share, upstreams, rank, now_s)
+        for rank, per_s in demand.items()
+    }
+
+
+def _slot_time_ratio(
+    share: TargetShare, upstreams: Sequence[Upstream], rank: int, now_s: float
+) -> float:
+    """Return the slot time of a rank's requests in relation to the mean.
+
+    That is 1.0 for a service, whose requests say nothing of their work.
+    """
+    work = share.by_rank.get(rank)
+    if work is None or not upstreams or share.mean['output_tokens'] <= 1:
+        return 1.0
+    upstream = upstreams[0]
+    return tokens_s(work, upstream, now_s) / hold_s(share, upstream, now_s)
--- a/bluebellhub/site/tests/test_overload_accounts.py
+++ b/bluebellhub/site/tests/test_overload_accounts.py
@@ -2,11 +2,8 @@
 
 import pytest
 
-from bluebellhub.scheduler.shares import (
-    count_arrival,
-    fair_rate_per_s,
-    make_target_share,
-)
+from bluebellhub.scheduler.account_shares import fair_rate_per_s
+from bluebellhub.scheduler.shares import count_arrival, make_target_share
 from bluebellhub.site.tests.overloaded_engines import Load
 from bluebellhub.site.tests.overloaded_fleet import simulate
 
--- a/bluebellhub/site/tests/test_starved_kinds.py
+++ b/bluebellhub/site/tests/test_starved_kinds.py
@@ -8,8 +8,8 @@
 
 import pytest
 
+from bluebellhub.scheduler.rank_ratios import admission_ratio
 from bluebellhub.scheduler.shares import (
-    admission_ratio,
     count_arrival,
     make_target_share,
     set_other_demand,
