Split admission and log lines from the handling of a request

Admission of a request, from a caller or from a VM that is cut off, is in admitting.py, its log lines in request_logs.py. No change of behaviour.

--- a/bluebellhub/adapters/proxy/request_handling.py
+++ b/bluebellhub/adapters/proxy/request_handling.py
@@ -13,6 +13,10 @@
     release_request,
     start_request,
 )
+from bluebellhub.adapters.proxy.admitting import (
+    admit_received,
+    make_cut_off_error,
+)
 from bluebellhub.adapters.proxy.attempt import run_attempt
 from bluebellhub.adapters.proxy.caller_connection import (
     CallerConnection,
@@ -27,9 +31,10 @@
     forward_to_peer,
     may_forward,
 )
-from bluebellhub.adapters.proxy.peer_heads import (
-    read_attempts,
-    without_peer_headers,
+from bluebellhub.adapters.proxy.request_logs import (
+    log_end,
+    log_refused,
+    log_sent,
 )
 from bluebellhub.adapters.proxy.response_forwarding import send_buffered
 from bluebellhub.adapters.proxy.state import (
@@ -38,12 +43,10 @@
     make_request_context,
 )
 from bluebellhub.clock import now_s
-from bluebellhub.latencies import record_request
 from bluebellhub.reachability import is_cut_off
 from bluebellhub.request import (
     AttemptFailure,
     RefusalError,
-    Request,
     RequestState,
     execution_status,
 )
@@ -55,17 +58,12 @@
 from bluebellhub.scheduler import Dispatch, attempt_failed, response_ended
 from bluebellhub.site.admission import (
     UNLIMITED,
-    Admission,
-    admit_request,
     refund,
 )
-from bluebellhub.site.liveness import live_vm_names
-from bluebellhub.upstream import Upstream
 
 __all__ = ['handle_request']
 
 RETRY_AFTER_S: Final = 1.0
-MS_PER_S: Final = 1000
 LOGGED_PARTS_MAX: Final = 8
 
 log = logbook.Logger('bluebellhub.passing')
@@ -76,66 +74,23 @@
 ) -> None:
     """Forward a request, or refuse it; raises `CallerGoneError`."""
     try:
-        received, admission = _admit(proxy, connection, received)
+        received, admission = admit_received(proxy, connection, received)
     except RefusalError as error:
-        _log_refused(received, error)
+        log_refused(received, error)
         await send_refusal(connection, error)
         return
     request = admission.request
     exchange = make_exchange(request.request_id, b'')
     context = make_request_context(received, admission, connection, exchange)
     if is_cut_off(proxy.node.scheduler.links):
-        exchange.decision_sender.send_nowait(_cut_off_error(request))
+        exchange.decision_sender.send_nowait(make_cut_off_error(request))
     else:
         start_request(proxy.node, request, UNLIMITED, exchange)
     try:
         await _run_until_deadline(proxy, context)
     finally:
         release_request(proxy.node, request.request_id)
-        _log_end(proxy, context)
-
-
-def _admit(
-    proxy: Proxy, connection: CallerConnection, received: ReceivedRequest
-) -> tuple[ReceivedRequest, Admission]:
-    """Admit a request, or raise its refusal.
-
-    A request that another VM has forwarded is returned as its caller sent it.
-    A VM that is cut off forwards what it admits, if a caller has sent it.
-    """
-    is_isolated = is_cut_off(proxy.node.scheduler.links)
-    head = received.head
-    attempts_max = None
-    if connection.is_peer:
-        attempts_max = read_attempts(head)
-        headers = without_peer_headers(head.forwarded_headers)
-        received = received._replace(
-            head=head._replace(forwarded_headers=headers)
-        )
-        if is_isolated:
-            raise CutOffError('the VM reaches no upstream')
-    admission = admit_request(
-        proxy.site,
-        received.head,
-        now_s(),
-        read_s=received.read_s,
-        is_served_here=not is_isolated,
-    )
-    if attempts_max is None:
-        return received, admission
-    request = admission.request
-    attempts_max = min(attempts_max, request.executions_max)
-    request = request._replace(executions_max=attempts_max)
-    return received, admission._replace(request=request)
-
-
-def _cut_off_error(request: Request) -> CutOffError:
-    """Return the refusal of a request that arrives at a VM without links."""
-    return CutOffError(
-        'the VM reaches no upstream',
-        retry_after_s=RETRY_AFTER_S,
-        attempts_left=request.executions_max,
-    )
+        log_end(proxy, context)
 
 
 async def _run_until_deadline(proxy: Proxy, context: RequestContext) -> None:
@@ -206,7 +161,7 @@
     failure: AttemptFailure | None = AttemptFailure('connect_failed', 'gone')
     if upstream is not None:
         context.progress['upstream'] = dispatch.upstream
-        _log_sent(proxy, context, upstream)
+        log_sent(proxy, context, upstream)
         with cancellable(control):
             failure = await run_attempt(proxy, context, upstream.spec)
     discard_attempt(proxy.node, dispatch)
@@ -308,73 +263,3 @@
         progress = context.progress
         return progress['forwarding'] == 'unsent' and not progress['was_sent']
     return execution_status(state) == 'no'
-
-
-def _log_refused(received: ReceivedRequest, error: RefusalError) -> None:
-    log.info(
-        'refused',
-        extra={
-            'request': received.head.request_id,
-            'reason': error.reason,
-            'detail': str(error),
-        },
-    )
-
-
-def _log_sent(
-    proxy: Proxy, context: RequestContext, upstream: Upstream
-) -> None:
-    """Log a dispatch and the data behind the choice of the upstream.
-
-    These are the loads, the predicted time and the number of live VMs.
-    """
-    now = now_s()
-    request = context.admission.request
-    work = upstream.work.get(request.request_id)
-    table = proxy.site.active_config['table']
-    log.info(
-        'sent',
-        extra={
-            'request': context.received.head.request_id,
-            'upstream': upstream.spec.name,
-            'waited_ms': round((now - request.arrived_at_s) * MS_PER_S),
-            'own_work': len(upstream.work),
-            'others_work': upstream.other_vms_work,
-            'predicted_ms': round(work.predicted_s * MS_PER_S)
-            if work
-            else None,
-            'heard_vms': len(live_vm_names(proxy.site, now)),
-            'known_vms': len(proxy.site.vms),
-            'configuration': table.version if table else None,
-        },
-    )
-
-
-def _log_end(proxy: Proxy, context: RequestContext) -> None:
-    """Record the end of a request in the metrics and the log."""
-    request = context.admission.request
-    priority = context.admission.priority
-    outcome = context.progress['outcome'] or 'cancelled'
-    duration_s = now_s() - request.arrived_at_s
-    first_at_s = context.progress['first_at_s']
-    first_s = None if first_at_s is None else first_at_s - request.arrived_at_s
-    proxy.node.scheduler.counters['ends', outcome] += 1
-    record_request(
-        proxy.node.latencies, request.target, outcome, duration_s, first_s
-    )
-    log.info(
-        'ended',
-        extra={
-            'request': context.received.head.request_id,
-            'account': request.account,
-            'route': request.route,
-            'rank': priority.account,
-            'route_rank': priority.route,
-            'limit_ms': round((request.time_limit_s or 0.0) * MS_PER_S),
-            'upstream': context.progress['upstream'],
-            'outcome': outcome,
-            'took_ms': round(duration_s * MS_PER_S),
-            'first_ms': None if first_s is None else round(first_s * MS_PER_S),
-            'events': context.progress['position'].last_id,
-        },
-    )
