Try few upstreams at once when the links are checked

A check of the links opened connections to up to eight upstreams at the same moment, after each failed attempt; upstreams pay for each. Found by reading the code again.

--- a/bluebellhub/adapters/sockets.py
+++ b/bluebellhub/adapters/sockets.py
@@ -25,6 +25,8 @@
 KEEPALIVE_PROBES: Final = 2
 USER_TIMEOUT_MS: Final = 2500
 CHECK_TIMEOUT_S: Final = 1.0
+TRIED_AT_ONCE: Final = 2
+TRY_DELAY_S: Final = 0.05
 
 # A caller may read nothing for a while: the system would count that as lost
 # with TCP_USER_TIMEOUT, and the time limit of its request ends a lost one.
@@ -73,10 +75,17 @@
 
 
 async def accepts_any(addresses: Iterable[str], timeout_s: float) -> bool:
-    """Return whether any of the addresses accepts a connection in time."""
+    """Return whether any of the addresses accepts a connection in time.
+
+    Only the first ones are tried at once: a peer pays for each connection, and
+    mostly one of them accepts.
+    """
     accepted: list[str] = []
 
-    async def connect(address: str, scope: trio.CancelScope) -> None:
+    async def connect(
+        address: str, delay_s: float, scope: trio.CancelScope
+    ) -> None:
+        await trio.sleep(delay_s)
         try:
             stream = await open_stream(address, timeout_s)
         except (OSError, trio.TooSlowError):
@@ -86,8 +95,9 @@
         scope.cancel()
 
     async with trio.open_nursery() as nursery:
-        for address in addresses:
-            nursery.start_soon(connect, address, nursery.cancel_scope)
+        for number, address in enumerate(addresses):
+            delay_s = 0.0 if number < TRIED_AT_ONCE else TRY_DELAY_S
+            nursery.start_soon(connect, address, delay_s, nursery.cancel_scope)
     return bool(accepted)
 
 
