Name deferred failures and reserved shares by the usual terms

'Held' failures that were 'taken', a 'judge' and 'witnesses' were metaphors: failures are deferred and popped, the phase of the links is updated, and a share of the capacity is reserved. Whether the links have changed since a request was sent is asked of the aggregate. No change of behaviour.

--- a/bluebellhub/adapters/proxy/tests/forwarding_hubs.py
+++ b/bluebellhub/adapters/proxy/tests/forwarding_hubs.py
@@ -14,8 +14,12 @@
     running_hub,
 )
 from bluebellhub.clock import now_s
-from bluebellhub.reachability import apply_check, begin_check, judge
-from bluebellhub.reachability import record_peers_contact
+from bluebellhub.reachability import (
+    apply_check,
+    begin_check,
+    record_peers_contact,
+    update_phase,
+)
 from bluebellhub.site.contact import set_peers_contact
 from bluebellhub.site.reports import Peer, VmReport
 from bluebellhub.site.state import set_vms
@@ -49,7 +53,7 @@
     begin_check(links, now_s())
     apply_check(links, is_reached=False, now_s=now_s())
     record_peers_contact(links, now_s())
-    judge(links, now_s())
+    update_phase(links, now_s())
 
 
 def announce_helper(hub, port, name=HELPER, **fields):
--- a/bluebellhub/adapters/proxy/tests/relayed_fleet.py
+++ b/bluebellhub/adapters/proxy/tests/relayed_fleet.py
@@ -9,6 +9,8 @@
 
 from bluebellhub.adapters.proxy import (
     object_handlers as handlers,
+)
+from bluebellhub.adapters.proxy import (
     store_relaying,
     store_steps,
     store_watch,
--- a/bluebellhub/adapters/proxy/tests/test_version_outcomes.py
+++ b/bluebellhub/adapters/proxy/tests/test_version_outcomes.py
@@ -68,7 +68,7 @@
         fill_retry_budget(hub)
         await send(hub)
         scheduler = hub.proxy.node.scheduler
-        while scheduler.requests or scheduler.links.held:
+        while scheduler.requests or scheduler.links.deferred:
             await trio.sleep(0.01)
         counts = scheduler.outcome_counts
     return counts.get(('s', 'r', 'v1'), OutcomeCounts())
--- a/bluebellhub/adapters/proxy/upstream_connection.py
+++ b/bluebellhub/adapters/proxy/upstream_connection.py
@@ -7,7 +7,6 @@
 """
 
 import socket
-
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 from typing import Any, Final, NamedTuple, TypedDict
--- a/bluebellhub/reachability/reachability.py
+++ b/bluebellhub/reachability/reachability.py
@@ -1,9 +1,9 @@
 """Tells the loss of this VM's own links from the failure of upstreams.
 
-Seen from one VM both look the same: attempts fail.  So a failed attempt is held
-until a check has tried to connect to other upstreams.  If one of them accepts,
-the failures count against their upstreams.  If none does while other VMs reach
-some, this VM is cut off, and the failures say nothing of any upstream.
+Seen from one VM both look the same: attempts fail.  So a failed attempt is
+deferred until a check has tried to connect to other upstreams.  If one of them
+accepts, the failures count against their upstreams.  If none does while other
+VMs reach some, this VM is cut off, and the failures say nothing of upstreams.
 """
 
 from math import inf
@@ -13,20 +13,21 @@
 
 __all__ = [
     'CHECK_TIMEOUT_S',
-    'HeldFailure',
+    'DeferredFailure',
     'Reachability',
     'apply_check',
     'begin_check',
+    'has_changed_since',
     'has_contact_since',
-    'hold_failure',
+    'defer_failure',
     'is_cut_off',
     'is_doubtful',
     'is_probe_due',
-    'judge',
+    'update_phase',
     'make_reachability',
     'record_contact',
     'record_peers_contact',
-    'take_held',
+    'pop_deferred',
 ]
 
 # An upstream accepts a connection within a few round trips.
@@ -34,14 +35,14 @@
 # While this VM is cut off, it tries this often whether it still is.
 PROBE_INTERVAL_S: Final = 0.25
 # How long other VMs have to report that they reach upstreams.
-JUDGE_TIMEOUT_S: Final = 0.8
-# Other VMs without any contact for this time are no witnesses.
-WITNESS_MAX_AGE_S: Final = 2.0
+REPORT_TIMEOUT_S: Final = 0.8
+# The contact of other VMs says nothing of the upstreams once it is older.
+PEER_CONTACT_MAX_AGE_S: Final = 2.0
 
 Phase = Literal['connected', 'unreached', 'cut_off']
 
 
-class HeldFailure(NamedTuple):
+class DeferredFailure(NamedTuple):
     """A failed attempt that may be the fault of this VM's links."""
 
     state: RequestState
@@ -65,10 +66,10 @@
 
 
 class Reachability(NamedTuple):
-    """The root: what this VM knows of its links, and the failures it holds."""
+    """The root: what this VM knows of its links, and the deferred failures."""
 
     status: Status
-    held: list[HeldFailure]
+    deferred: list[DeferredFailure]
 
 
 def make_reachability() -> Reachability:
@@ -95,7 +96,7 @@
 
 def is_doubtful(links: Reachability) -> bool:
     """Return whether new attempts should wait for the result of a check."""
-    return bool(links.held) or _phase(links) == 'unreached'
+    return bool(links.deferred) or _phase(links) == 'unreached'
 
 
 def has_contact_since(links: Reachability, since_s: float) -> bool:
@@ -103,6 +104,11 @@
     return links.status['contact_at_s'] > since_s
 
 
+def has_changed_since(links: Reachability, since_s: float) -> bool:
+    """Return whether the links were cut or restored after ``since_s``."""
+    return links.status['since_s'] > since_s
+
+
 def record_contact(links: Reachability, now_s: float) -> None:
     """Record that an upstream has sent something or accepted a connection."""
     links.status['contact_at_s'] = now_s
@@ -114,18 +120,18 @@
     status['peers_contact_at_s'] = max(status['peers_contact_at_s'], at_s)
 
 
-def hold_failure(
+def defer_failure(
     links: Reachability, state: RequestState, failure: AttemptFailure
 ) -> None:
-    """Hold a failed attempt until it is known whether the links failed."""
-    links.held.append(HeldFailure(state, failure))
+    """Defer a failed attempt until it is known whether the links failed."""
+    links.deferred.append(DeferredFailure(state, failure))
 
 
-def take_held(links: Reachability) -> list[HeldFailure]:
-    """Return the held failures, and hold them no longer."""
-    held = list(links.held)
-    links.held.clear()
-    return held
+def pop_deferred(links: Reachability) -> list[DeferredFailure]:
+    """Remove and return the deferred failures."""
+    deferred = list(links.deferred)
+    links.deferred.clear()
+    return deferred
 
 
 def begin_check(links: Reachability, now_s: float) -> bool:
@@ -157,11 +163,11 @@
         _enter(links, 'unreached', status['checked_at_s'])
 
 
-def judge(links: Reachability, now_s: float) -> bool:
+def update_phase(links: Reachability, now_s: float) -> bool:
     """Decide whether a VM that reaches nothing is cut off.
 
-    Returns whether the held failures count against their upstreams: that is so
-    once a check has connected, or if no other VM reaches any upstream either.
+    Returns whether the deferred failures count against their upstreams: that is
+    so once a check has connected, or if no other VM reaches any upstream.
     """
     status = links.status
     phase = _phase(links)
@@ -173,8 +179,10 @@
     if status['peers_contact_at_s'] > since_s:
         _enter(links, 'cut_off', now_s)
         return False
-    has_witness = status['peers_contact_at_s'] > since_s - WITNESS_MAX_AGE_S
-    if has_witness and now_s - since_s < JUDGE_TIMEOUT_S + CHECK_TIMEOUT_S:
+    has_recent_peer = (
+        status['peers_contact_at_s'] > since_s - PEER_CONTACT_MAX_AGE_S
+    )
+    if has_recent_peer and now_s - since_s < REPORT_TIMEOUT_S + CHECK_TIMEOUT_S:
         return False
     _enter(links, 'connected', now_s)
     return True
--- a/bluebellhub/reachability/tests/test_reachability.py
+++ b/bluebellhub/reachability/tests/test_reachability.py
@@ -7,9 +7,9 @@
     begin_check,
     is_cut_off,
     is_probe_due,
-    judge,
     make_reachability,
     record_peers_contact,
+    update_phase,
 )
 
 # Steps are a time and what happens then: a check that reaches an upstream or
@@ -56,13 +56,13 @@
 )
 def test_cut_links_are_told_from_dead_upstreams(steps, at_s, cut_off, counts):
     links = _play(steps)
-    assert judge(links, at_s) == counts
+    assert update_phase(links, at_s) == counts
     assert is_cut_off(links) == cut_off
 
 
 def test_cut_off_vm_probes_until_an_upstream_accepts():
     links = _play([(9.9, REPORT), (10.0, FAILED), (10.1, REPORT)])
-    judge(links, 10.1)
+    update_phase(links, 10.1)
     assert not is_probe_due(links, 10.2)
     assert is_probe_due(links, 10.3)
     assert begin_check(links, 10.3)
--- a/bluebellhub/scheduler/candidate.py
+++ b/bluebellhub/scheduler/candidate.py
@@ -5,8 +5,8 @@
 from bluebellhub.routing import Candidate, cached_blocks
 from bluebellhub.routing.output_length import expected_tokens
 from bluebellhub.routing.prefix import BLOCK_TOKENS
-from bluebellhub.scheduler.leaving import leave_terms
 from bluebellhub.scheduler.credit import share_of
+from bluebellhub.scheduler.leaving import leave_terms
 from bluebellhub.scheduler.shares import slot_wait_s
 from bluebellhub.scheduler.state import Scheduler, upstreams_for
 from bluebellhub.upstream import (
--- a/bluebellhub/scheduler/first_tokens.py
+++ b/bluebellhub/scheduler/first_tokens.py
@@ -3,6 +3,7 @@
 from types import MappingProxyType
 from typing import Final
 
+from bluebellhub.reachability import has_changed_since
 from bluebellhub.request import RequestState
 from bluebellhub.scheduler import leaving
 from bluebellhub.scheduler.state import Scheduler, signals_of
@@ -24,11 +25,13 @@
 def observe_first_token(
     scheduler: Scheduler, state: RequestState, work: Work, now_s: float
 ) -> None:
-    """Update the upstream's speed and window from a first token."""
+    """Update the upstream's speed and window from a first token.
+
+    One that waited while the links of this VM were cut says nothing of them.
+    """
     name = state.attempt.upstream if state.attempt else ''
     upstream = scheduler.upstreams[name]
-    if scheduler.links.status['since_s'] > work.sent_at_s:
-        # The links were cut in between.
+    if has_changed_since(scheduler.links, work.sent_at_s):
         return
     elapsed_s = now_s - work.sent_at_s
     leaving.record_link_response(scheduler, upstream, work, now_s)
--- a/bluebellhub/scheduler/links.py
+++ b/bluebellhub/scheduler/links.py
@@ -6,17 +6,17 @@
 
 from typing import Final
 
+from bluebellhub.reachability import apply_check as apply_link_check
 from bluebellhub.reachability import (
     begin_check,
+    defer_failure,
     has_contact_since,
-    hold_failure,
     is_cut_off,
     is_probe_due,
-    judge,
+    pop_deferred,
     record_contact,
-    take_held,
+    update_phase,
 )
-from bluebellhub.reachability import apply_check as apply_link_check
 from bluebellhub.request import (
     AttemptFailure,
     RequestState,
@@ -61,13 +61,13 @@
 ) -> None:
     """Count a failed attempt against its upstream, if that has failed.
 
-    If the links may have failed instead, it is held until that is known.
+    If the links may have failed instead, it is deferred until that is known.
     """
     is_doubtful = failure.kind in LINK_FAILURE_KINDS
     if not scheduler.flags['checks_links'] or not is_doubtful:
         record_failed_attempt(scheduler, events, state, failure, now_s)
         return
-    hold_failure(scheduler.links, state, failure)
+    defer_failure(scheduler.links, state, failure)
     _start_check(scheduler, events, now_s)
 
 
@@ -76,7 +76,7 @@
     events: list[Event] = []
     record_contact(scheduler.links, now_s)
     if not is_cut_off(scheduler.links):
-        _record_held(scheduler, events, now_s)
+        _record_deferred(scheduler, events, now_s)
     return events
 
 
@@ -85,15 +85,15 @@
 ) -> list[Event]:
     """Apply the result of a check, and return what follows from it.
 
-    A VM that was cut off forgets the failures that it has held.
+    A VM that was cut off forgets the deferred failures.
     """
     events: list[Event] = []
     was_cut_off = is_cut_off(scheduler.links)
     apply_link_check(scheduler.links, is_reached=is_reached, now_s=now_s)
     if was_cut_off and is_reached:
         scheduler.counters['links', 'restored'] += 1
-        take_held(scheduler.links)
-    _judge(scheduler, events, now_s)
+        pop_deferred(scheduler.links)
+    _update_phase(scheduler, events, now_s)
     for target in scheduler.queues:
         events.extend(dispatch_queued(scheduler, target, now_s))
     return events
@@ -107,9 +107,9 @@
         return
     if is_probe_due(scheduler.links, now_s) or _is_silent(scheduler, now_s):
         _start_check(scheduler, events, now_s)
-    _judge(scheduler, events, now_s)
+    _update_phase(scheduler, events, now_s)
     if is_cut_off(scheduler.links):
-        _hand_back(scheduler, events, now_s)
+        _refuse_unserved(scheduler, events, now_s)
 
 
 def _is_silent(scheduler: Scheduler, now_s: float) -> bool:
@@ -140,40 +140,44 @@
         events.append(CheckLinks(tuple(chosen)))
 
 
-def _judge(scheduler: Scheduler, events: list[Event], now_s: float) -> None:
-    """Decide on the held failures, and whether this VM is cut off."""
+def _update_phase(
+    scheduler: Scheduler, events: list[Event], now_s: float
+) -> None:
+    """Decide on the deferred failures, and whether this VM is cut off."""
     was_cut_off = is_cut_off(scheduler.links)
-    if judge(scheduler.links, now_s):
-        _record_held(scheduler, events, now_s)
+    if update_phase(scheduler.links, now_s):
+        _record_deferred(scheduler, events, now_s)
     if is_cut_off(scheduler.links) and not was_cut_off:
         scheduler.counters['links', 'cut_off'] += 1
 
 
-def _record_held(
+def _record_deferred(
     scheduler: Scheduler, events: list[Event], now_s: float
 ) -> None:
-    for held in take_held(scheduler.links):
+    for deferred in pop_deferred(scheduler.links):
         record_failed_attempt(
-            scheduler, events, held.state, held.failure, now_s
+            scheduler, events, deferred.state, deferred.failure, now_s
         )
 
 
-def _hand_back(scheduler: Scheduler, events: list[Event], now_s: float) -> None:
+def _refuse_unserved(
+    scheduler: Scheduler, events: list[Event], now_s: float
+) -> None:
     """Take back from their upstreams what another VM may still serve.
 
     That is what has not been sent, and what may be sent again.  It is refused
     with `CutOffError`, and so is what waits in a queue.
     """
-    take_held(scheduler.links)
+    pop_deferred(scheduler.links)
     for state in list(scheduler.requests.values()):
         if state.attempt is not None:
-            if not _may_hand_back(scheduler, state, now_s):
+            if not _may_end_attempt(scheduler, state, now_s):
                 continue
             requeue(scheduler, events, state)
         _refuse(scheduler, events, scheduler.requests[state.request.request_id])
 
 
-def _may_hand_back(
+def _may_end_attempt(
     scheduler: Scheduler, state: RequestState, now_s: float
 ) -> bool:
     """Return whether an attempt may be ended for one at another VM."""
--- a/bluebellhub/scheduler/rank_ratios.py
+++ b/bluebellhub/scheduler/rank_ratios.py
@@ -5,9 +5,9 @@
 there are VMs would queue for it.  Instead, each VM sends at its share of the
 rate at which the upstreams take requests: slots that become free, and a part of
 those that are free.  The share is in proportion to the requests that the VMs
-get, by their reports.  Higher ranks have theirs first, but a part of the
-capacity is kept for those below, so that none is starved.  What the ranks ask
-for is compared in slot time, not in requests.
+get, by their reports.  Higher ranks have theirs first, but a share of the
+capacity is reserved for those below, so that none is starved.  What the ranks
+ask for is compared in slot time, not in requests.
 """
 
 from collections.abc import Mapping, Sequence
@@ -27,10 +27,10 @@
 
 # A VM always has a share, so that it notices when capacity is back.
 RATIO_MIN: Final = 0.02
-# Parts of the capacity kept for each rank that asks for it, and for all ranks
-# below another one.
-KEPT_PART: Final = 0.1
-KEPT_PART_MAX: Final = 0.25
+# Shares of the capacity that are reserved for each rank that asks for it, and
+# for all ranks below another one.
+RESERVED_SHARE: Final = 0.1
+RESERVED_SHARE_MAX: Final = 0.25
 # Part of the slots short of the target that is given out in a second.  With
 # more than the age of the reports allows, all VMs overshoot in turn.
 FREE_GAIN: Final = 1.0
@@ -68,7 +68,7 @@
     """Return which ratio of the requests of a rank can be sent now.
 
     Higher ranks have their requests sent first, on all VMs, but for what is
-    kept for those below.  No rank is served more often than one above it.
+    reserved for those below.  No rank is served more often than one above it.
     """
     costs = _costs_per_s(share, upstreams, now_s)
     capacity = _capacity_per_s(share, upstreams, now_s)
@@ -76,22 +76,22 @@
     for other in sorted(costs):
         if other >= rank:
             break
-        needed = costs[other] + _kept_per_s(costs, other, capacity)
+        needed = costs[other] + _reserved_per_s(costs, other, capacity)
         left -= costs[other] * min(1.0, left / needed)
-    needed = costs.get(rank, 0.0) + _kept_per_s(costs, rank, capacity)
+    needed = costs.get(rank, 0.0) + _reserved_per_s(costs, rank, capacity)
     return max(RATIO_MIN, left / max(needed, COST_MIN_PER_S))
 
 
-def _kept_per_s(
+def _reserved_per_s(
     costs: Mapping[int, float], rank: int, capacity: float
 ) -> float:
-    """Return what is kept for the ranks below, in mean requests per second."""
-    kept = sum(
-        min(cost, KEPT_PART * capacity)
+    """Return the mean requests per second reserved for the ranks below."""
+    reserved = sum(
+        min(cost, RESERVED_SHARE * capacity)
         for lower, cost in costs.items()
         if lower > rank
     )
-    return min(kept, KEPT_PART_MAX * capacity)
+    return min(reserved, RESERVED_SHARE_MAX * capacity)
 
 
 def _costs_per_s(
--- a/bluebellhub/site/tests/test_replica_demand.py
+++ b/bluebellhub/site/tests/test_replica_demand.py
@@ -3,10 +3,11 @@
 import pytest
 
 from bluebellhub.registration import record_outage
+from bluebellhub.request.heads import UpstreamLoad
 from bluebellhub.route import Service
 from bluebellhub.scaling import ScalingBounds
-from bluebellhub.site.reports import DomainReport, Peer, RemoteDomain, VmReport
 from bluebellhub.site.replica_demand import domain_demands, scaling_bounds
+from bluebellhub.site.reports import DomainReport, Peer, RemoteDomain, VmReport
 from bluebellhub.site.state import set_vms
 from bluebellhub.site.tests.small_site import (
     make_registration,
@@ -16,7 +17,6 @@
 from bluebellhub.site.usage_sources import expected_vms
 from bluebellhub.site.version_moves import apply_move_commands
 from bluebellhub.site.vm_location import VmLocation
-from bluebellhub.request.heads import UpstreamLoad
 from bluebellhub.version_move import MoveCommand
 
 NOW_S = 10.0
--- a/bluebellhub/site/vm_reports.py
+++ b/bluebellhub/site/vm_reports.py
@@ -6,9 +6,9 @@
 
 from bluebellhub.rates import bucket_levels
 from bluebellhub.reachability import is_cut_off
-from bluebellhub.site.domain_loads import queued_counts
 from bluebellhub.site.contact import contact_age_s, set_peers_contact
 from bluebellhub.site.demand import make_demand, set_reported_demand
+from bluebellhub.site.domain_loads import queued_counts
 from bluebellhub.site.liveness import live_domains, live_peers, live_share
 from bluebellhub.site.peer_usage import (
     ADOPTION_S,
