Name the upstream that sent an error response to the VM that forwarded

What would have happened: an error response that is kept while another attempt is made was sent to the other VM with the name of the later attempt's upstream. If the error said Server-Leaving, the VM that was cut off took the wrong upstream for a leaving one and sent it nothing any more once its links were back; a stated limit or pause went astray alike.

Cause: the name was read from the progress of the request, not kept with the response. Now a buffered response has its upstream.

Test: test_error_response_names_the_upstream_that_sent_it failed before in three of three runs. Its neighbours use the name of a header that the tests of the platform have.

--- a/bluebellhub/adapters/proxy/response_forwarding.py
+++ b/bluebellhub/adapters/proxy/response_forwarding.py
@@ -71,7 +71,10 @@
         _reserve(context, len(body))
         if isinstance(event, h11.EndOfMessage):
             return BufferedResponse(
-                response.status, response.forwarded_headers, bytes(body)
+                response.status,
+                response.forwarded_headers,
+                bytes(body),
+                connection.spec.name,
             )
 
 
@@ -103,18 +106,20 @@
     await send_response_head(
         context.connection,
         buffered.status,
-        _headers_for(context, buffered.headers),
+        _headers_for(context, buffered.headers, buffered.upstream),
         len(buffered.body),
     )
     await send_chunk(context.connection, buffered.body)
     await end_response(context.connection)
 
 
-def _headers_for(context: RequestContext, headers: Headers) -> Headers:
+def _headers_for(
+    context: RequestContext, headers: Headers, upstream: str
+) -> Headers:
     """Return the response headers; another VM learns the upstream's name."""
     if not context.connection.is_peer:
         return headers
-    return (*headers, upstream_header(context.progress['upstream']))
+    return (*headers, upstream_header(upstream))
 
 
 async def forward_response(
@@ -140,7 +145,10 @@
         event = await read_event(connection)
     on_complete()
     buffered = BufferedResponse(
-        response.status, response.forwarded_headers, bytes(body)
+        response.status,
+        response.forwarded_headers,
+        bytes(body),
+        connection.spec.name,
     )
     body.clear()
     await send_buffered(context, buffered)
@@ -265,6 +273,10 @@
         await send_response_head(
             context.connection,
             response.status,
-            _headers_for(context, response.forwarded_headers),
+            _headers_for(
+                context,
+                response.forwarded_headers,
+                context.progress['upstream'],
+            ),
             None,
         )
--- a/bluebellhub/adapters/proxy/state.py
+++ b/bluebellhub/adapters/proxy/state.py
@@ -63,11 +63,12 @@
 
 
 class BufferedResponse(NamedTuple):
-    """A complete response of an upstream that was not forwarded yet."""
+    """A complete response of ``upstream`` that was not forwarded yet."""
 
     status: int
     headers: Headers
     body: bytes
+    upstream: str
 
 
 class ResponseProgress(TypedDict):
--- a/bluebellhub/adapters/proxy/tests/test_cut_off.py
+++ b/bluebellhub/adapters/proxy/tests/test_cut_off.py
@@ -40,14 +40,14 @@
     send_and_receive,
 )
 from bluebellhub.clock import now_s
-from bluebellhub.platform.tests.wire import REQUEST_ID, request
+from bluebellhub.platform.tests.wire import REQUEST_ID, TOKENS_NAME, request
 from bluebellhub.reachability import is_cut_off
 from bluebellhub.site.tests.small_site import make_registration
 from bluebellhub.site.upstreams import apply_registration
 
 STREAMED = STREAM + CHUNKED + TWO_EVENTS + LAST
 STREAM_HEAD = STREAM + REQUEST_ID + CHUNKED
-ATTEMPTS = b'Bluebellhub-Attempts: 1\r\n'
+ATTEMPTS = b'Bluebellhub-Attempts: 2\r\n'
 DEADLINE = b'x-bluebellhub-deadline-ms'
 WAIT_S = 2.0
 
@@ -266,6 +266,21 @@
         closed.set()
 
 
+async def test_error_response_names_the_upstream_that_sent_it():
+    """The later attempt's upstream was named, and taken for one that leaves."""
+    leaving = ERROR.replace(b'\r\n', b'\r\nServer-Leaving: 1\r\n', 1)
+    async with forwarding_hubs([(leaving, 'close')], **IDEMPOTENT) as hubs:
+        fill_retry_budget(hubs.helper)
+        entry = make_registration(DEAD_ADDRESS, address=DEAD_ADDRESS)
+        apply_registration(hubs.helper.proxy.site, entry, now_s())
+        peer = hubs.helper._replace(port=hubs.peer_port)
+        received = await send_and_receive(
+            peer, request(headers=CLOSE + ATTEMPTS)
+        )
+    assert status_of(received) == 500
+    assert b'bluebellhub-upstream: u0\r\n' in received
+
+
 async def test_caller_that_leaves_ends_the_work_at_the_helper():
     """Also the connection of the helper to its upstream is closed."""
     closed = trio.Event()
@@ -281,7 +296,7 @@
 
 
 async def test_request_counts_once_in_the_limit_of_its_account():
-    tokens = b'X-Bluebellhub-Token-Counts: 100,20\r\n'
+    tokens = TOKENS_NAME + b': 100,20\r\n'
     async with forwarding_hubs([(COMPLETE, 'keep')], **ONCE) as hubs:
         cut_off(hubs.cut)
         await send_and_receive(hubs.cut, request(headers=CLOSE + tokens))
