Isolate an error over one upstream when the links are checked

An unexpected error over one upstream ended the whole check, which then counted as 'no upstream accepts a connection': while other VMs were in contact, the VM would have taken itself for cut off.

Cause: the connections of a check shared one fate, and the result of a check that failed was the one that has consequences. Now such an error ends that connection alone, with a log line and a counter, and a check that fails as a whole says nothing against the links.

--- a/bluebellhub/adapters/node.py
+++ b/bluebellhub/adapters/node.py
@@ -224,8 +224,8 @@
 
 
 async def _check_links(node: Node, event: CheckLinks) -> None:
-    """Check the links; whatever happens, the check has a result."""
-    is_reached = False
+    """Check the links; an unexpected error does not look like a cut."""
+    is_reached = True
     with isolate_fault('link_check'):
         is_reached = await accepts_any(event.addresses, CHECK_TIMEOUT_S)
     was_cut_off = is_cut_off(node.scheduler.links)
--- a/bluebellhub/adapters/sockets.py
+++ b/bluebellhub/adapters/sockets.py
@@ -7,6 +7,8 @@
 
 import trio
 
+from bluebellhub.faults import isolate_fault
+
 __all__ = [
     'SOCKET_OPTIONS',
     'accepts_any',
@@ -86,13 +88,14 @@
         address: str, delay_s: float, scope: trio.CancelScope
     ) -> None:
         await trio.sleep(delay_s)
-        try:
-            stream = await open_stream(address, timeout_s)
-        except (OSError, trio.TooSlowError):
-            return
-        await trio.aclose_forcefully(stream)
-        accepted.append(address)
-        scope.cancel()
+        with isolate_fault('link_check', address=address):
+            try:
+                stream = await open_stream(address, timeout_s)
+            except (OSError, trio.TooSlowError):
+                return
+            await trio.aclose_forcefully(stream)
+            accepted.append(address)
+            scope.cancel()
 
     async with trio.open_nursery() as nursery:
         for number, address in enumerate(addresses):
