Compute a rank's ratio once for a refusal

Since each refused request summed up the capacity of all upstreams twice, for its log line and for its Retry-After. No change of behaviour.

--- a/bluebellhub/scheduler/credit.py
+++ b/bluebellhub/scheduler/credit.py
@@ -62,16 +62,17 @@
 
 
 def retry_after_s(
-    scheduler: Scheduler, request: Request, now_s: float
+    scheduler: Scheduler, request: Request, ratio: float, now_s: float
 ) -> float:
     """Return when the account can expect a place for the refused request.
 
     That is when its share allows what it has queued here and this request, and
-    the requests that were refused lately, which come back before it.
+    the requests that were refused lately, which come back before it.  ``ratio``
+    is that of the request's rank which can be sent now.
     """
     target = request.target
     rank = request.tier.rank
-    ratio = min(1.0, capacity_ratio(scheduler, target, rank, now_s))
+    ratio = min(1.0, ratio)
     share = share_of(scheduler, target)
     per_s = fair_rate_per_s(share, ratio, rank, request.account, now_s)
     ahead = sum(
--- a/bluebellhub/scheduler/shedding.py
+++ b/bluebellhub/scheduler/shedding.py
@@ -216,7 +216,7 @@
     request = state.request
     rank = request.tier.rank
     ratio = capacity_ratio(scheduler, request.target, rank, now_s)
-    wait_s = retry_after_s(scheduler, request, now_s)
+    wait_s = retry_after_s(scheduler, request, ratio, now_s)
     return ShedError(
         f'no place in time ({rule}, rank {rank}, ratio {ratio:.2f})',
         retry_after_s=wait_s,
