Compute the mean slot time once for all ranks

The ratio of a rank is computed for each request that waits, and the mean slot time was predicted anew for each rank in it.

--- a/bluebellhub/scheduler/rank_ratios.py
+++ b/bluebellhub/scheduler/rank_ratios.py
@@ -101,21 +101,12 @@
     demand = own_demand(share, now_s)
     for rank, per_s in share.other_demand.items():
         demand[rank] = demand.get(rank, 0.0) + per_s
-    return {
-        rank: per_s * _slot_time_ratio(share, upstreams, rank, now_s)
-        for rank, per_s in demand.items()
-    }
-
-
-def _slot_time_ratio(
-    share: TargetShare, upstreams: Sequence[Upstream], rank: int, now_s: float
-) -> float:
-    """Return the slot time of a rank's requests in relation to the mean.
-
-    That is 1.0 for a service, whose requests say nothing of their work.
-    """
-    work = share.by_rank.get(rank)
-    if work is None or not upstreams or share.mean['output_tokens'] <= 1:
-        return 1.0
+    if not upstreams or share.mean['output_tokens'] <= 1:
+        # The requests of a service say nothing of their work.
+        return demand
     upstream = upstreams[0]
-    return tokens_s(work, upstream, now_s) / hold_s(share, upstream, now_s)
+    mean_s = hold_s(share, upstream, now_s)
+    for rank, work in share.by_rank.items():
+        ratio = tokens_s(work, upstream, now_s) / mean_s
+        demand[rank] = demand.get(rank, 0.0) * ratio
+    return {rank: cost for rank, cost in demand.items() if cost}
