Decide outside of input and output what is forwarded again

Which requests may go to another VM, after which refusals a further VM is asked, and how many, was decided in the adapter. It stands with the choice of the VM in site/peer_choice.py now, with a table of its cases. No change of behaviour.

--- a/bluebellhub/adapters/proxy/peer_forwarding.py
+++ b/bluebellhub/adapters/proxy/peer_forwarding.py
@@ -5,7 +5,6 @@
 """
 
 from functools import partial
-from typing import Final
 
 import logbook
 
@@ -52,29 +51,14 @@
     record_helper_failure,
     record_helper_response,
 )
-from bluebellhub.site.peer_choice import choose_helper
+from bluebellhub.site.peer_choice import choose_helper, may_offer_again
 from bluebellhub.upstream import UpstreamSpec
 
-__all__ = ['forward_to_peer', 'may_forward']
-
-HELPERS_MAX: Final = 3
-# Why a VM turns a forwarded request away that another VM may take.
-UNABLE_REASONS: Final = frozenset(
-    ('cut_off', 'draining', 'no_upstream', 'not_allowed')
-)
+__all__ = ['forward_to_peer']
 
 log = logbook.Logger('bluebellhub.forwarding')
 
 
-def may_forward(context: RequestContext, error: RefusalError) -> bool:
-    """Return whether another VM may take a request that is refused here."""
-    if not isinstance(error, CutOffError) or context.connection.is_peer:
-        return False
-    if error.attempts_left < 1:
-        return False
-    return error.run == 'no' or context.admission.request.idempotent
-
-
 async def forward_to_peer(
     proxy: Proxy, context: RequestContext, error: CutOffError
 ) -> RefusalError | None:
@@ -83,10 +67,7 @@
     Raises `CallerGoneError`.
     """
     tried: list[str] = []
-    while len(tried) < HELPERS_MAX:
-        helper = choose_helper(proxy.site, tried, now_s())
-        if helper is None:
-            break
+    while helper := choose_helper(proxy.site, tried, now_s()):
         tried.append(helper)
         failure = await _forward(proxy, context, helper, error.attempts_left)
         _record_result(proxy, context, helper, failure)
@@ -207,7 +188,7 @@
 ) -> AttemptFailure | None:
     """Pass a refusal on, unless another VM may still take the request."""
     buffered = await read_response(context, connection, response)
-    if refusal.is_unsent and refusal.reason in UNABLE_REASONS:
+    if refusal.is_unsent and may_offer_again(refusal.reason):
         context.progress['forwarding'] = 'unsent'
         return AttemptFailure('refused', refusal.reason)
     if context.progress['has_begun']:
--- a/bluebellhub/adapters/proxy/request_handling.py
+++ b/bluebellhub/adapters/proxy/request_handling.py
@@ -27,10 +27,7 @@
     watch_disconnect,
 )
 from bluebellhub.adapters.proxy.http_exchange import CALLER_GONE
-from bluebellhub.adapters.proxy.peer_forwarding import (
-    forward_to_peer,
-    may_forward,
-)
+from bluebellhub.adapters.proxy.peer_forwarding import forward_to_peer
 from bluebellhub.adapters.proxy.request_logs import (
     log_end,
     log_refused,
@@ -56,10 +53,8 @@
     ShedError,
 )
 from bluebellhub.scheduler import Dispatch, attempt_failed, response_ended
-from bluebellhub.site.admission import (
-    UNLIMITED,
-    refund,
-)
+from bluebellhub.site.admission import UNLIMITED, refund
+from bluebellhub.site.peer_choice import may_forward
 
 __all__ = ['handle_request']
 
@@ -124,7 +119,7 @@
     proxy: Proxy, context: RequestContext, decision: Dispatch | RefusalError
 ) -> None:
     """Run an attempt or refuse the request, as the scheduler decided."""
-    if isinstance(decision, CutOffError) and may_forward(context, decision):
+    if isinstance(decision, CutOffError):
         await _forward(proxy, context, decision)
     elif isinstance(decision, RefusalError):
         await _end_without_success(proxy, context, decision)
@@ -135,7 +130,14 @@
 async def _forward(
     proxy: Proxy, context: RequestContext, decision: CutOffError
 ) -> None:
-    """Have another VM serve the request, which counts in its limits there."""
+    """Have another VM serve the request, which counts in its limits there.
+
+    One that another VM has forwarded to this one is refused instead.
+    """
+    request = context.admission.request
+    if context.connection.is_peer or not may_forward(request, decision):
+        await _end_without_success(proxy, context, decision)
+        return
     refund(proxy.site, context.admission)
     admission = context.admission._replace(cost=0.0)
     context = context._replace(admission=admission)
--- a/bluebellhub/site/peer_choice.py
+++ b/bluebellhub/site/peer_choice.py
@@ -5,8 +5,10 @@
 """
 
 from collections.abc import Collection
+from typing import Final
 
-from bluebellhub.request.refusal import NotAllowedError
+from bluebellhub.request import Request
+from bluebellhub.request.refusal import CutOffError, NotAllowedError
 from bluebellhub.site.helper_pauses import is_paused
 from bluebellhub.site.liveness import live_domains, live_vm_names
 from bluebellhub.site.state import Site
@@ -15,8 +17,16 @@
 __all__ = [
     'check_member',
     'choose_helper',
+    'may_forward',
+    'may_offer_again',
 ]
 
+HELPERS_MAX: Final = 3
+# Why a VM turns a forwarded request away that another VM may take.
+UNABLE_REASONS: Final = frozenset(
+    ('cut_off', 'draining', 'no_upstream', 'not_allowed')
+)
+
 
 def check_member(site: Site, ip: str) -> None:
     """Raise `NotAllowedError` unless a VM of the fleet has the address."""
@@ -27,13 +37,29 @@
         raise NotAllowedError('the sender is no VM of this fleet')
 
 
+def may_forward(request: Request, error: CutOffError) -> bool:
+    """Return whether another VM may take a request that is refused here.
+
+    It must not have run yet, or be idempotent, and have attempts left.
+    """
+    is_safe = error.run == 'no' or request.idempotent
+    return is_safe and error.attempts_left > 0
+
+
+def may_offer_again(reason: str) -> bool:
+    """Return whether another VM may take what one refused for this reason."""
+    return reason in UNABLE_REASONS
+
+
 def choose_helper(
     site: Site, tried: Collection[str], now_s: float
 ) -> str | None:
     """Return the VM that gets a request, or ``None`` if there is none.
 
-    Those in ``tried`` have turned it away.
+    Those in ``tried`` have turned it away; after a few, no other is asked.
     """
+    if len(tried) >= HELPERS_MAX:
+        return None
     usable = {
         name: location
         for name, location in site.vms.items()
--- a/bluebellhub/site/tests/test_peer_choice.py
+++ b/bluebellhub/site/tests/test_peer_choice.py
@@ -2,12 +2,19 @@
 
 import pytest
 
-from bluebellhub.request.refusal import NotAllowedError
+from bluebellhub.contract import DEFAULT_TIERS
+from bluebellhub.request import make_request
+from bluebellhub.request.refusal import CutOffError, NotAllowedError
 from bluebellhub.site.helper_pauses import (
     record_helper_failure,
     record_helper_response,
 )
-from bluebellhub.site.peer_choice import check_member, choose_helper
+from bluebellhub.site.peer_choice import (
+    check_member,
+    choose_helper,
+    may_forward,
+    may_offer_again,
+)
 from bluebellhub.site.reports import (
     DomainReport,
     Peer,
@@ -73,6 +80,8 @@
             {'r1', 'r3'},
         ),
         ([('a', 'd', 0, True)], [('r1', True)], (), {None}),
+        # Three VMs have turned it away.
+        ([('a', 'd', 0, False)], [], ('x', 'y', 'z'), {None}),
     ],
 )
 def test_helper_is_near_idle_and_in_contact(peers, remote, tried, chosen):
@@ -98,3 +107,36 @@
         return
     with pytest.raises(NotAllowedError):
         check_member(site, ip)
+
+
+@pytest.mark.parametrize(
+    ('run', 'idempotent', 'attempts_left', 'expected'),
+    [
+        ('no', False, 1, True),
+        ('no', True, 2, True),
+        ('no', True, 0, False),
+        ('unknown', True, 1, True),
+        ('unknown', False, 1, False),
+    ],
+)
+def test_request_that_may_have_run_once_is_not_forwarded(
+    run, idempotent, attempts_left, expected
+):
+    request = make_request('1', DEFAULT_TIERS[0], 's', idempotent=idempotent)
+    error = CutOffError('', run=run, attempts_left=attempts_left)
+    assert may_forward(request, error) == expected
+
+
+@pytest.mark.parametrize(
+    ('reason', 'expected'),
+    [
+        ('cut_off', True),
+        ('draining', True),
+        ('no_upstream', True),
+        ('quota', False),
+        ('shed', False),
+        ('unauthenticated', False),
+    ],
+)
+def test_refusal_that_holds_everywhere_is_passed_on(reason, expected):
+    assert may_offer_again(reason) == expected
