--- a/benchmarks/bench.py
+++ b/benchmarks/bench.py
@@ -6,7 +6,8 @@
 from benchmarks.workloads import Site, make_contracts
 from bluebellhub.fleet import Fleet, leased_slots
 from bluebellhub.scheduler import Scheduler, add_upstream, make_scheduler
-from bluebellhub.scheduler.state import SchedulerOptions, SlotSource
+from bluebellhub.scheduler.options import SchedulerOptions
+from bluebellhub.scheduler.state import SlotSource
 from bluebellhub.standins.engine_model import Engine, cancel, make_engine
 from bluebellhub.standins.virtual_clock import VirtualClock, make_clock
 from bluebellhub.standins.virtual_fleet import add_vm
--- a/benchmarks/cost.py
+++ b/benchmarks/cost.py
@@ -35,7 +35,7 @@
     tokens_arrived,
 )
 from bluebellhub.scheduler.capacity import full_window_slots
-from bluebellhub.scheduler.state import SchedulerOptions
+from bluebellhub.scheduler.options import SchedulerOptions
 from bluebellhub.upstream import UpstreamSpec, make_upstream
 
 __all__ = ['main']
--- a/benchmarks/fleet.py
+++ b/benchmarks/fleet.py
@@ -26,7 +26,7 @@
 from benchmarks.protocol import measure_protocol
 from benchmarks.workloads import SITES, Site, make_arrivals
 from bluebellhub.registry import Registry, make_registry
-from bluebellhub.scheduler.state import SchedulerOptions
+from bluebellhub.scheduler.options import SchedulerOptions
 from bluebellhub.standins.virtual_state import write_as_operator
 from bluebellhub.upstream import Upstream
 
--- a/benchmarks/moving.py
+++ b/benchmarks/moving.py
@@ -7,7 +7,7 @@
 from benchmarks.bench import Simulation, make_fleet_simulation
 from benchmarks.harness import run_simulation, schedule
 from benchmarks.workloads import SITES, Site, make_arrivals
-from bluebellhub.scheduler.state import SchedulerOptions
+from bluebellhub.scheduler.options import SchedulerOptions
 from bluebellhub.standins.faults import Fault
 from bluebellhub.standins.platform_model import read_object
 from bluebellhub.standins.virtual_state import write_as_operator
--- a/benchmarks/policies.py
+++ b/benchmarks/policies.py
@@ -15,7 +15,7 @@
 from benchmarks.outcome import Summary, summarise
 from benchmarks.workloads import SITES, Site, make_arrivals
 from bluebellhub.scheduler.capacity import full_window_slots
-from bluebellhub.scheduler.state import SchedulerOptions
+from bluebellhub.scheduler.options import SchedulerOptions
 from bluebellhub.standins.faults import make_fault
 
 __all__ = ['POLICIES', 'Case', 'main', 'measure_case']
--- a/benchmarks/protocol.py
+++ b/benchmarks/protocol.py
@@ -30,7 +30,7 @@
     wire_name,
 )
 from bluebellhub.scheduler import Scheduler, make_scheduler
-from bluebellhub.scheduler.state import SchedulerOptions
+from bluebellhub.scheduler.options import SchedulerOptions
 from bluebellhub.upstream import Upstream
 
 __all__ = ['build_member', 'measure_protocol']
--- a/bluebellhub/adapters/assembly.py
+++ b/bluebellhub/adapters/assembly.py
@@ -43,7 +43,8 @@
 from bluebellhub.scheduler import Scheduler, make_scheduler
 from bluebellhub.scheduler.capacity import full_window_slots
 from bluebellhub.scheduler.configure import apply_change
-from bluebellhub.scheduler.state import SchedulerOptions, SlotSource
+from bluebellhub.scheduler.options import SchedulerOptions
+from bluebellhub.scheduler.state import SlotSource
 from bluebellhub.scheduler.submit import account_limits
 from bluebellhub.settings import Settings
 from bluebellhub.upstream import Upstream, make_upstream
--- a/bluebellhub/scheduler/__init__.py
+++ b/bluebellhub/scheduler/__init__.py
@@ -24,7 +24,6 @@
     response_ended,
     tokens_arrived,
 )
-from bluebellhub.scheduler.shedding import tick
 from bluebellhub.scheduler.state import (
     Scheduler,
     add_upstream,
@@ -32,6 +31,7 @@
     remove_upstream,
 )
 from bluebellhub.scheduler.submit import submit
+from bluebellhub.scheduler.ticks import tick
 
 __all__ = [
     'Cancel',
--- a/bluebellhub/scheduler/shedding.py
+++ b/bluebellhub/scheduler/shedding.py
@@ -4,60 +4,39 @@
 its first token at an upstream: on this VM and, in a fleet, on all live VMs.
 """
 
-from collections.abc import Callable
-from typing import Final, Literal
+from typing import Final
 
 from bluebellhub.admission import (
-    QueuedRequest,
     ranks,
     requests_below,
     requests_of_rank,
 )
 from bluebellhub.contract import DEFAULT_TIERS
-from bluebellhub.faults import isolate_fault
 from bluebellhub.invariants import check_invariant
-from bluebellhub.registry import Registry, make_registry
-from bluebellhub.request import RefusalError, RequestState, execution_status
+from bluebellhub.request import RequestState
 from bluebellhub.request.refusal import (
     NoUpstreamError,
     ShedError,
-    UpstreamFailedError,
 )
-from bluebellhub.scheduler.candidate import is_hopeless, make_candidate
+from bluebellhub.scheduler.candidate import make_candidate
 from bluebellhub.scheduler.capacity import usable_slots
-from bluebellhub.scheduler.crashes import refuse_quarantined
-from bluebellhub.scheduler.credit import capacity_ratio, retry_after_s
-from bluebellhub.scheduler.dispatch import dispatch_queued
 from bluebellhub.scheduler.eligibility import is_eligible
 from bluebellhub.scheduler.events import Event
+from bluebellhub.scheduler.expiries import expiries
 from bluebellhub.scheduler.finish import refuse
-from bluebellhub.scheduler.links import watch_links
-from bluebellhub.scheduler.requeueing import requeue_expired
 from bluebellhub.scheduler.state import (
     Scheduler,
     queue_of,
     upstreams_for,
 )
 
-__all__ = ['may_shed', 'shed', 'tick', 'total_slots']
+__all__ = ['expire_by_tier', 'may_shed', 'shed', 'total_slots']
 
 RETRY_AFTER_S: Final = 4.0
-RETRY_QUEUE_SHARE: Final = 0.6
 FLOOR_REQUEST_TIMEOUT_S: Final = 0.6
-# Part of the longest wait in the queue after which a request is refused while
-# the upstreams cannot take all requests.
-SHORT_WAIT_SHARE: Final = 0.3
 LOWEST_RANK: Final = max(tier.rank for tier in DEFAULT_TIERS)
 
 
-# Why a queued request is refused: nothing has room in time, not even an idle
-# upstream would be in time, or a request of a higher rank has no place either.
-ShedRule = Literal['no_place', 'hopeless', 'higher_refused']
-Expiry = Callable[[Scheduler, list[Event], str, float], None]
-
-expiries: Registry[Expiry] = make_registry('expiry')
-
-
 def total_slots(scheduler: Scheduler, target: str, now_s: float) -> int:
     """Return the sum of slots that this VM may use for a model or service."""
     return sum(
@@ -122,20 +101,6 @@
     refuse(scheduler, events, state, error)
 
 
-def tick(scheduler: Scheduler, now_s: float) -> list[Event]:
-    """Do the periodic work: requeue, refuse and dispatch; return the events."""
-    events: list[Event] = []
-    requeue_expired(scheduler, events)
-    watch_links(scheduler, events, now_s)
-    refuse_quarantined(scheduler, events, now_s)
-    expire = expiries.find(scheduler.options.discipline)
-    for target in scheduler.queues:
-        with isolate_fault('queue', target=target):
-            expire(scheduler, events, target, now_s)
-        events.extend(dispatch_queued(scheduler, target, now_s))
-    return events
-
-
 @expiries.register('immediate')
 @expiries.register('tiered')
 def expire_by_tier(
@@ -147,82 +112,6 @@
         _refuse_infeasible(scheduler, events, target, rank, now_s)
 
 
-@expiries.register('shared')
-def expire_overdue(
-    scheduler: Scheduler, events: list[Event], target: str, now_s: float
-) -> None:
-    """Refuse requests that have been queued for as long as allowed."""
-    queue = queue_of(scheduler, target)
-    short = {
-        rank
-        for rank in ranks(queue)
-        if capacity_ratio(scheduler, target, rank, now_s) < 1
-    }
-    for entry in list(queue.waiting.values()):
-        state = scheduler.requests.get(entry.request_id)
-        if state is None:
-            continue
-        is_short = entry.rank in short
-        if is_short and is_hopeless(scheduler, state, now_s):
-            error = _overdue_error(scheduler, state, 'hopeless', now_s)
-            refuse(scheduler, events, state, error)
-        elif now_s >= _queue_deadline_s(state, is_short=is_short):
-            _refuse_lower(scheduler, events, entry, now_s)
-            error = _overdue_error(scheduler, state, 'no_place', now_s)
-            refuse(scheduler, events, state, error)
-
-
-def _refuse_lower(
-    scheduler: Scheduler,
-    events: list[Event],
-    refused: QueuedRequest,
-    now_s: float,
-) -> None:
-    """Refuse what is queued below the rank of a request that is refused."""
-    target = scheduler.requests[refused.request_id].request.target
-    for entry in requests_below(queue_of(scheduler, target), refused.rank):
-        state = scheduler.requests[entry.request_id]
-        error = _overdue_error(scheduler, state, 'higher_refused', now_s)
-        refuse(scheduler, events, state, error)
-
-
-def _queue_deadline_s(state: RequestState, *, is_short: bool) -> float:
-    """Return the time until which the request may stay queued.
-
-    While capacity ``is_short``, waiting makes it late; its caller is told
-    early, to try again in time, and those behind it are not late because of it.
-    A request that was sent before may wait longer, for a retry: for a share
-    of the time in which a response is of use to its caller.
-    """
-    request = state.request
-    if not state.attempts:
-        share = SHORT_WAIT_SHARE if is_short else 1.0
-        return request.arrived_at_s + request.tier.first_token_s * share
-    left_s = request.ends_at_s - request.arrived_at_s
-    return request.arrived_at_s + left_s * RETRY_QUEUE_SHARE
-
-
-def _overdue_error(
-    scheduler: Scheduler, state: RequestState, rule: ShedRule, now_s: float
-) -> RefusalError:
-    """Return the refusal of a request that was queued for too long.
-
-    It tells by which rule, and which ratio of its rank can be sent, so that a
-    starved rank can be told from one that asks for too much.
-    """
-    scheduler.counters['sheds', rule] += 1
-    if execution_status(state) == 'unknown':
-        return UpstreamFailedError('no upstream for another attempt')
-    request = state.request
-    rank = request.tier.rank
-    ratio = capacity_ratio(scheduler, request.target, rank, now_s)
-    wait_s = retry_after_s(scheduler, request, ratio, now_s)
-    return ShedError(
-        f'no place in time ({rule}, rank {rank}, ratio {ratio:.2f})',
-        retry_after_s=wait_s,
-    )
-
-
 def _apply_floor(
     scheduler: Scheduler, events: list[Event], target: str
 ) -> None:
--- a/bluebellhub/scheduler/state.py
+++ b/bluebellhub/scheduler/state.py
@@ -28,6 +28,7 @@
 from bluebellhub.routing.domain_shares import DomainShares, make_domain_shares
 from bluebellhub.routing.output_length import OutputLengths, make_lengths
 from bluebellhub.routing.prefix import forget_upstream
+from bluebellhub.scheduler.options import SchedulerOptions
 from bluebellhub.scheduler.shares import TargetShare
 from bluebellhub.upstream import Upstream
 from bluebellhub.version_move.comparison import OutcomeCounts
@@ -37,7 +38,6 @@
 __all__ = [
     'Flags',
     'Scheduler',
-    'SchedulerOptions',
     'add_upstream',
     'asks_to_wait',
     'is_leaving',
@@ -52,24 +52,6 @@
 ColdShare = Callable[[Upstream], float]
 
 
-class SchedulerOptions(NamedTuple):
-    """Names of the registered variants that a scheduler uses, and switches.
-
-    ``policy`` is a routing policy, ``discipline`` a scheduling discipline
-    and ``retry_budget`` a retry budget.  ``retry_share`` is the ratio of
-    retries to requests.  With ``adapts_windows``, late first tokens shrink
-    the window of an upstream.  With ``probes_silent``, an upstream that
-    sends no byte in time is probed over a new connection.
-    """
-
-    policy: str = 'predicted'
-    discipline: str = 'tiered'
-    retry_share: float = 0.1
-    retry_budget: str = 'credit'
-    adapts_windows: bool = True
-    probes_silent: bool = True
-
-
 class Flags(TypedDict):
     """Scalar state of the scheduler.
 
--- a/bluebellhub/scheduler/tests/small_scheduler.py
+++ b/bluebellhub/scheduler/tests/small_scheduler.py
@@ -4,7 +4,7 @@
 from bluebellhub.request import make_request
 from bluebellhub.scheduler import Refuse, add_upstream, make_scheduler, submit
 from bluebellhub.scheduler.capacity import full_window_slots
-from bluebellhub.scheduler.state import SchedulerOptions
+from bluebellhub.scheduler.options import SchedulerOptions
 from bluebellhub.upstream import UpstreamSpec, make_upstream
 
 __all__ = [
--- a/bluebellhub/scheduler/tests/test_lost_upstreams.py
+++ b/bluebellhub/scheduler/tests/test_lost_upstreams.py
@@ -16,7 +16,7 @@
     tick,
 )
 from bluebellhub.scheduler.capacity import full_window_slots
-from bluebellhub.scheduler.state import SchedulerOptions
+from bluebellhub.scheduler.options import SchedulerOptions
 from bluebellhub.scheduler.tests.small_scheduler import (
     event_types,
     refusal_reasons_of,
--- a/bluebellhub/scheduler/tests/test_scheduler.py
+++ b/bluebellhub/scheduler/tests/test_scheduler.py
@@ -15,8 +15,8 @@
     tokens_arrived,
 )
 from bluebellhub.scheduler.capacity import full_window_slots
+from bluebellhub.scheduler.options import SchedulerOptions
 from bluebellhub.scheduler.shedding import shed
-from bluebellhub.scheduler.state import SchedulerOptions
 from bluebellhub.scheduler.tests.small_scheduler import (
     event_types,
     make_small_scheduler,
--- a/bluebellhub/site/state.py
+++ b/bluebellhub/site/state.py
@@ -25,7 +25,7 @@
 from bluebellhub.route import ActiveConfig, make_active_config
 from bluebellhub.scheduler import Scheduler, make_scheduler
 from bluebellhub.scheduler.capacity import unused_window_slots
-from bluebellhub.scheduler.state import SchedulerOptions
+from bluebellhub.scheduler.options import SchedulerOptions
 from bluebellhub.site.grid import Grid, make_grid, report_age_s
 from bluebellhub.site.helper_pauses import Helpers, make_helpers
 from bluebellhub.site.relay_reports import StoreRelays, make_store_relays
--- a/bluebellhub/tests/test_metrics.py
+++ b/bluebellhub/tests/test_metrics.py
@@ -6,7 +6,7 @@
 from bluebellhub.metrics import render_metrics
 from bluebellhub.scheduler import make_scheduler
 from bluebellhub.scheduler.capacity import full_window_slots
-from bluebellhub.scheduler.state import SchedulerOptions
+from bluebellhub.scheduler.options import SchedulerOptions
 
 LABELS = 'outcome="answered",target="plans"'
 
