Start without a port for forwarded requests

Where a platform leaves a daemon one internal port, the template renders the address for forwarded requests without a port, and since the daemon did not start. Such an address counts as left out now: the VM neither takes forwarded requests nor forwards its own. The new row of test_settings_template.py failed before with the settings' error.

--- a/bluebellhub/settings.py
+++ b/bluebellhub/settings.py
@@ -163,6 +163,7 @@
     if duty_text and isinstance(site, dict):
         site.setdefault('duty', _parse_yaml(duty_text, DUTY_VARIABLE))
     settings = read_record(Settings, _without_empty(fields), 'settings')
+    settings = settings._replace(site=_without_forwarding(settings.site))
     _check_names(settings)
     _check_addresses(settings)
     return settings
@@ -193,6 +194,16 @@
     }
 
 
+def _without_forwarding(site: SiteSettings) -> SiteSettings:
+    """Return the settings without a forwarding address that has no port.
+
+    A template renders one so where the platform leaves no port for it.
+    """
+    if site.forward_listen.endswith(':'):
+        return site._replace(forward_listen='')
+    return site
+
+
 def _check_names(settings: Settings) -> None:
     """Check the routing policy and the log level."""
     if settings.policy not in policies.entries:
--- a/bluebellhub/tests/test_settings_template.py
+++ b/bluebellhub/tests/test_settings_template.py
@@ -122,6 +122,17 @@
     assert start(without(path)).vm == 'front-rennes-1'
 
 
+@pytest.mark.parametrize(
+    ('ports', 'expected'),
+    [([7400, 7415], '10.1.0.35:7415'), ([7400], '')],
+)
+def test_forwarding_is_off_without_a_port_of_its_own(ports, expected):
+    """A daemon that needed only one port did not start."""
+    fields = without()
+    fields['internalPorts'] = ports
+    assert start(fields).site.forward_listen == expected
+
+
 @pytest.mark.parametrize('path', [name for name in REQUIRED if name != 'ip'])
 def test_a_required_field_is_named_when_it_is_missing(path):
     fields = without(path)
