Forget the pauses of VMs that are gone

The pauses of VMs that failed to serve forwarded requests were kept for good, also of VMs that were replaced. They are removed with the VM. Test: test_pause_of_a_vm_that_is_gone_is_forgotten.

--- a/bluebellhub/site/helper_pauses.py
+++ b/bluebellhub/site/helper_pauses.py
@@ -1,10 +1,12 @@
 """Pauses of VMs that have failed to serve forwarded requests."""
 
+from collections.abc import Collection
 from math import inf
 from typing import Final, NamedTuple
 
 __all__ = [
     'Helpers',
+    'forget_helpers',
     'is_paused',
     'make_helpers',
     'record_helper_failure',
@@ -39,6 +41,12 @@
     return pause is not None and now_s < pause.until_s
 
 
+def forget_helpers(helpers: Helpers, known: Collection[str]) -> None:
+    """Remove the pauses of VMs that are no longer ``known``."""
+    for name in helpers.pauses.keys() - set(known):
+        helpers.pauses.pop(name)
+
+
 def record_helper_failure(helpers: Helpers, name: str, now_s: float) -> None:
     """Pause a VM that failed to serve, longer after each failure in a row."""
     known = helpers.pauses.get(name, HelperPause(0, -inf))
--- a/bluebellhub/site/state.py
+++ b/bluebellhub/site/state.py
@@ -27,7 +27,11 @@
 from bluebellhub.scheduler.capacity import unused_window_slots
 from bluebellhub.scheduler.options import SchedulerOptions
 from bluebellhub.site.grid import Grid, make_grid, report_age_s
-from bluebellhub.site.helper_pauses import Helpers, make_helpers
+from bluebellhub.site.helper_pauses import (
+    Helpers,
+    forget_helpers,
+    make_helpers,
+)
 from bluebellhub.site.relay_reports import StoreRelays, make_store_relays
 from bluebellhub.site.reports import Peer, RemoteDomain
 from bluebellhub.site.vm_location import VmLocation
@@ -189,6 +193,7 @@
     site.vms.update(vms)
     site.scheduler.flags['vm_count'] = max(1, len(site.vms))
     refresh_shares(site.scheduler.rate_limits)
+    forget_helpers(site.helpers, site.vms)
     grid = make_grid(site.vm, site.vms)
     site.flags['grid'] = grid
     site.scheduler.flags['report_age_s'] = report_age_s(grid)
--- a/bluebellhub/site/tests/test_peer_choice.py
+++ b/bluebellhub/site/tests/test_peer_choice.py
@@ -96,6 +96,14 @@
     assert _chosen(site) == {'a'}
 
 
+def test_pause_of_a_vm_that_is_gone_is_forgotten():
+    site = _make_site([('a', 'd', 0, False), ('b', 'd', 9, False)])
+    for name in ('a', 'b'):
+        record_helper_failure(site.helpers, name, NOW_S)
+    set_vms(site, {name: site.vms[name] for name in ('hub-1', 'b')})
+    assert set(site.helpers.pauses) == {'b'}
+
+
 @pytest.mark.parametrize(
     ('ip', 'is_member'),
     [('10.0.0.1', True), ('10.0.0.9', True), ('10.0.0.2', False), ('', False)],
