--- a/bluebellhub/adapters/proxy/tests/test_cut_off.py
+++ b/bluebellhub/adapters/proxy/tests/test_cut_off.py
@@ -50,6 +50,7 @@
 ATTEMPTS = b'Bluebellhub-Attempts: 2\r\n'
 DEADLINE = b'x-bluebellhub-deadline-ms'
 WAIT_S = 2.0
+TIME_LIMIT_S = 0.5
 
 
 @contextmanager
@@ -221,6 +222,30 @@
     assert len(arrivals) == 1
 
 
+async def test_booking_at_a_helper_that_stands_still_ends_in_time():
+    """It may run once the helper goes on, so nobody else gets it."""
+    arrivals = []
+
+    async def take_and_wait(stream):
+        async with stream:
+            arrivals.append(await read_head(stream))
+            await trio.sleep_forever()
+
+    async with trio.open_nursery() as nursery:
+        port = await listen(nursery, take_and_wait)
+        route = {**ONCE, 'timeout_s': TIME_LIMIT_S}
+        async with running_hub(addresses=(DEAD_ADDRESS,), **route) as hub:
+            cut_off(hub)
+            for name in ('hub-2', 'hub-3'):
+                announce_helper(hub, port, name)
+            with trio.fail_after(WAIT_S):
+                received = await send_and_receive(hub, request(headers=CLOSE))
+        nursery.cancel_scope.cancel()
+    assert status_of(received) == 504
+    assert b'"run":"unknown"' in received
+    assert len(arrivals) == 1
+
+
 async def test_unreachable_helper_is_passed_over():
     async with forwarding_hubs([(COMPLETE, 'keep')], **ONCE) as hubs:
         cut_off(hubs.cut)
