Give no two processes of a test the same address

The same was seen once before (failures.feature).

Reproduced by giving a hub the address of another hub, of an engine or of a peer (four pairs of four): the same TimeoutError after 40 s, the hub ended with "Address already in use". 60 starts side by side with other addresses had no failure. The logs of both failures are gone, so the entry in KNOWN-RED.txt stays.

Change: all addresses of a site are chosen together and stay bound until then; test_signals.py, which chose its three one by one, does the same. A start that fails names each process with its exit code and the end of its log, and its processes are stopped (they were left running, and the hook after it failed).

--- a/bluebellhub/tests/test_signals.py
+++ b/bluebellhub/tests/test_signals.py
@@ -14,6 +14,7 @@
 
 from bluebellhub.contract import hash_key
 from bluebellhub.platform.tests.wire import REQUEST_ID
+from bluebellhub.tests.addresses import choose_addresses
 
 HUP, TERM, INT = signal.SIGHUP, signal.SIGTERM, signal.SIGINT
 HUP_BIT = 1 << (HUP - 1)
@@ -52,17 +53,13 @@
     return '127.0.0.1:%d' % listener.getsockname()[1]
 
 
-def _free_address():
-    with _listen() as listener:
-        return _address(listener)
-
-
 @contextmanager
 def _daemon(folder, template, **fields):
     """Run a daemon; yields its process and its address."""
-    listen = _free_address()
+    listen, peers, ready = choose_addresses(3)
+    fields |= {'listen': listen, 'peers': peers, 'ready': ready}
     path = folder / 'hub.yaml'
-    path.write_text((COMMON + template).format(listen=listen, **fields))
+    path.write_text((COMMON + template).format(**fields))
     process = subprocess.Popen(
         [sys.executable, '-m', 'bluebellhub.daemon', '--settings', str(path)],
         stdout=subprocess.DEVNULL,
@@ -93,10 +90,6 @@
         time.sleep(PAUSE_S)
 
 
-def _site_fields():
-    return {'peers': _free_address(), 'ready': _free_address()}
-
-
 def _receive_all(caller):
     received = b''
     while part := caller.recv(65536):
@@ -109,7 +102,7 @@
     [(TERM, HUP), (TERM, TERM), (HUP, TERM, HUP, INT), (INT, HUP, TERM, HUP)],
 )
 def test_signals_while_a_vm_of_a_site_stops_cut_no_request(tmp_path, series):
-    with _daemon(tmp_path, OF_A_SITE, **_site_fields()) as (process, address):
+    with _daemon(tmp_path, OF_A_SITE) as (process, address):
         with _connect(process, address) as caller:
             caller.sendall(REQUEST % (b'/a/x', REQUEST_ID) + b'bo')
             time.sleep(PAUSE_S)
@@ -161,7 +154,7 @@
 
 @pytest.mark.parametrize('wait_s', [0.0, 0.05, 0.1, 0.2])
 def test_hangup_while_a_vm_starts_does_not_end_it(tmp_path, wait_s):
-    with _daemon(tmp_path, OF_A_SITE, **_site_fields()) as (process, address):
+    with _daemon(tmp_path, OF_A_SITE) as (process, address):
         _await_handled_hangup(process)
         time.sleep(wait_s)
         _send_series(process, [HUP, HUP])
--- a/features/environment.py
+++ b/features/environment.py
@@ -7,12 +7,8 @@
 
 
 def before_feature(context, _feature):
-    """Start the processes in a temporary folder."""
-    context.folder = tempfile.TemporaryDirectory()
-    context.site = start_site(Path(context.folder.name))
-
-
-def after_feature(context, _feature):
-    """Stop the processes and delete their folder."""
-    stop_site(context.site)
-    context.folder.cleanup()
+    """Start the processes in a temporary folder; the cleanups end both."""
+    folder = tempfile.TemporaryDirectory()
+    context.add_cleanup(folder.cleanup)
+    context.site = start_site(Path(folder.name))
+    context.add_cleanup(stop_site, context.site)
--- a/features/processes.py
+++ b/features/processes.py
@@ -1,8 +1,6 @@
 """Start and stop a small fleet of real processes on loopback."""
 
 import os
-import random
-import socket
 import subprocess
 import sys
 import time
@@ -12,14 +10,26 @@
 import httpx
 
 from bluebellhub.contract import hash_key
+from bluebellhub.tests.addresses import choose_addresses
 
-__all__ = ['Site', 'hash_test_key', 'start_site', 'stop_site', 'wait_until']
+__all__ = [
+    'Site',
+    'StartError',
+    'hash_test_key',
+    'start_site',
+    'stop_site',
+    'wait_until',
+]
 
 READY_TIMEOUT_S: Final = 40.0
-LISTENING_PORTS: Final = range(20_000, 32_000)
+LOG_LINES_SHOWN: Final = 20
 FAILURE_DOMAINS: Final = ('rennes', 'vannes', 'brest')
 
 
+class StartError(TimeoutError):
+    """The processes of a site did not serve in time."""
+
+
 class Site(NamedTuple):
     """Running processes and their addresses."""
 
@@ -36,22 +46,6 @@
     return hash_key('orchard')
 
 
-def _free_address() -> str:
-    """Return an address that nothing listens on.
-
-    Its port is below those of outgoing connections, so that no connection gets
-    it before the process that is started with it listens.
-    """
-    while True:
-        port = random.choice(LISTENING_PORTS)
-        with socket.socket() as free_socket:
-            try:
-                free_socket.bind(('127.0.0.1', port))
-            except OSError:
-                continue
-            return f'127.0.0.1:{port}'
-
-
 def _start(site: Site, name: str, *command: str) -> None:
     environment = {**os.environ, 'BLUEBELLHUB_FATAL': '1'}
     log = (site.folder / f'{name}.log').open('w')
@@ -66,27 +60,53 @@
 def start_site(folder: Path) -> Site:
     """Start the stand-ins and three hubs, and wait until they are serving.
 
-    Raises `TimeoutError` after ``READY_TIMEOUT_S``.
+    Raises `StartError` after ``READY_TIMEOUT_S``; the processes are stopped
+    then.
     """
-    engines = [_free_address() for _ in FAILURE_DOMAINS]
-    hubs = [_free_address() for _ in FAILURE_DOMAINS]
-    site = Site(_free_address(), engines, _free_address(), hubs, {}, folder)
+    site, peer_addresses = _make_site(folder)
+    try:
+        _start_processes(site, peer_addresses)
+    except TimeoutError as error:
+        description = _describe(site)
+        stop_site(site)
+        raise StartError(description) from error
+    return site
+
+
+def _make_site(folder: Path) -> tuple[Site, list[str]]:
+    """Return a site without processes, and its hubs' addresses for peers."""
+    count = len(FAILURE_DOMAINS)
+    platform, service, *others = choose_addresses(2 + 3 * count)
+    engines, hubs = others[:count], others[count : 2 * count]
+    site = Site(platform, engines, service, hubs, {}, folder)
+    return site, others[2 * count :]
+
+
+def _start_processes(site: Site, peer_addresses: list[str]) -> None:
     standin_module = 'bluebellhub.standins.main'
     _start(
         site, 'platform', standin_module, 'platform', '--listen', site.platform
     )
     _start(site, 'service', standin_module, 'service', '--listen', site.service)
-    for number, address in enumerate(engines):
+    for number, address in enumerate(site.engines):
         start_engine(site, number, address)
     vm_entries = []
     for number, domain in enumerate(FAILURE_DOMAINS):
-        peer_address = _free_address()
-        start_hub(site, number, peer_address)
-        vm_entries.append([f'hub-{number}', peer_address, domain])
+        start_hub(site, number, peer_addresses[number])
+        vm_entries.append([f'hub-{number}', peer_addresses[number], domain])
     wait_until(lambda: _publish_vms(site, vm_entries))
     _put_objects(site)
-    wait_until(lambda: all(_is_serving(site, hub) for hub in hubs))
-    return site
+    wait_until(lambda: all(_is_serving(site, hub) for hub in site.hubs))
+
+
+def _describe(site: Site) -> str:
+    """Return the exit code and the end of the log of each process."""
+    lines = ['the processes did not serve in time']
+    for name, process in site.processes.items():
+        lines.append(f'{name}: exit code {process.poll()}')
+        log = (site.folder / f'{name}.log').read_text(errors='replace')
+        lines.extend(log.splitlines()[-LOG_LINES_SHOWN:])
+    return '\n'.join(lines)
 
 
 def start_engine(site: Site, number: int, address: str) -> None:
