Fill upstreams less that fail when they reject many requests

What callers would see: an upstream that states that it fails if it rejects more than N requests per second, and that may let fewer wait, falls again and again, and takes its requests with it.

Cause: the VMs aim at 1.15 requests for each slot, so that none is idle between two reports, and what is too much waits at the upstream. That ratio was the same for all upstreams, and Server-Brittle was not read.

Change: the limit is read, told to the other VMs, and also assumed for upstreams of the same service that have not answered yet.

--- a/bluebellhub/adapters/proxy/gossip.py
+++ b/bluebellhub/adapters/proxy/gossip.py
@@ -17,7 +17,10 @@
     send_all,
 )
 from bluebellhub.adapters.proxy.state import Proxy
-from bluebellhub.adapters.proxy.statements import apply_reported_limits
+from bluebellhub.adapters.proxy.statements import (
+    apply_reported_limits,
+    apply_reported_rejections,
+)
 from bluebellhub.adapters.proxy.usage_reports import receive_usage_report
 from bluebellhub.clock import now_s
 from bluebellhub.faults import isolate_fault
@@ -35,6 +38,7 @@
     DomainReport,
     GossipBatch,
     LimitReport,
+    RejectionLimitReport,
     StepReport,
 )
 from bluebellhub.site.state import Site
@@ -127,6 +131,13 @@
     apply_reported_limits(proxy, report)
 
 
+@gossip_handlers.register(RejectionLimitReport.__name__)
+def _apply_rejection_limits(
+    proxy: Proxy, sender: str, report: RejectionLimitReport
+) -> None:
+    apply_reported_rejections(proxy, report)
+
+
 @gossip_handlers.register(StepReport.__name__)
 def _apply_steps(proxy: Proxy, sender: str, report: StepReport) -> None:
     apply_step_report(proxy.site, sender, report)
--- a/bluebellhub/adapters/proxy/statements.py
+++ b/bluebellhub/adapters/proxy/statements.py
@@ -12,7 +12,11 @@
 )
 from bluebellhub.clock import now_s
 from bluebellhub.request.heads import ResponseHead
-from bluebellhub.site.reports import LimitReport
+from bluebellhub.site.rejection_limits import (
+    apply_rejection_report,
+    apply_stated_rejections,
+)
+from bluebellhub.site.reports import LimitReport, RejectionLimitReport
 from bluebellhub.site.stated_limits import (
     apply_limit_report,
     apply_stated_limit,
@@ -23,6 +27,7 @@
     'apply_load',
     'apply_needs',
     'apply_reported_limits',
+    'apply_reported_rejections',
 ]
 
 LOGGED_MAX_BYTES: Final = 64
@@ -32,15 +37,16 @@
 
 
 def apply_needs(proxy: Proxy, name: str, response: ResponseHead) -> None:
-    """Apply the rate limit that the upstream states, its pause and its leave.
+    """Apply the limits that the upstream states, its pause and its leave.
 
-    A response without a rate limit ends an earlier one.  What is malformed
+    A response without a limit ends an earlier one.  What is malformed
     changes nothing, and neither does a response of another upstream that has
     the address now.
     """
     if response.is_misdirected:
         return
     _apply_rate_limit(proxy, name, response)
+    _apply_rejection_limit(proxy, name, response)
     _apply_pause(proxy, name, response)
     if response.is_leaving:
         _apply_leave(proxy, name)
@@ -57,6 +63,19 @@
         _record_change(proxy, name, per_s, 'response')
 
 
+def _apply_rejection_limit(
+    proxy: Proxy, name: str, response: ResponseHead
+) -> None:
+    malformed = response.malformed_rejection_limit
+    if malformed is not None:
+        _log_malformed('rejection limit', name, malformed)
+        _count_rejection_limit(proxy, 'malformed')
+        return
+    per_s = response.rejections_per_s
+    if apply_stated_rejections(proxy.site, name, per_s, now_s()):
+        _record_rejection_limit(proxy, name, per_s, 'response')
+
+
 def _apply_pause(proxy: Proxy, name: str, response: ResponseHead) -> None:
     """Send the upstream nothing for as long as it asks for in a response.
 
@@ -138,6 +157,14 @@
         _record_change(proxy, entry.upstream, entry.per_s, 'gossip')
 
 
+def apply_reported_rejections(
+    proxy: Proxy, report: RejectionLimitReport
+) -> None:
+    """Apply the rejection limits that another VM reports."""
+    for entry in apply_rejection_report(proxy.site, report, now_s()):
+        _record_rejection_limit(proxy, entry.upstream, entry.per_s, 'gossip')
+
+
 def _record_change(
     proxy: Proxy, name: str, per_s: float | None, source: str
 ) -> None:
@@ -151,3 +178,18 @@
 
 def _count(proxy: Proxy, change: str) -> None:
     proxy.node.scheduler.counters['stated_limits', change] += 1
+
+
+def _record_rejection_limit(
+    proxy: Proxy, name: str, per_s: float | None, source: str
+) -> None:
+    """Log and count a rejection limit that is new here, or its end."""
+    log.info(
+        'upstream changed its rejection limit',
+        extra={'upstream': name, 'per_s': per_s, 'source': source},
+    )
+    _count_rejection_limit(proxy, 'lifted' if per_s is None else 'stated')
+
+
+def _count_rejection_limit(proxy: Proxy, change: str) -> None:
+    proxy.node.scheduler.counters['rejection_limits', change] += 1
--- a/bluebellhub/backpressure/__init__.py
+++ b/bluebellhub/backpressure/__init__.py
@@ -17,7 +17,6 @@
 from bluebellhub.backpressure.rate_limit import (
     RateLimits,
     ShareOf,
-    StatedLimit,
     forget_limits,
     is_within_limit,
     make_rate_limits,
@@ -27,6 +26,13 @@
     refresh_shares,
 )
 from bluebellhub.backpressure.rate_share import RateShare, rate_share
+from bluebellhub.backpressure.statements import (
+    StatedLimit,
+    Statements,
+    forget_statements,
+    merge_statement,
+    record_statement,
+)
 
 __all__ = [
     'PAUSE_MAX_S',
@@ -36,8 +42,10 @@
     'RateShare',
     'ShareOf',
     'StatedLimit',
+    'Statements',
     'forget_departure',
     'forget_limits',
+    'forget_statements',
     'is_asked_to_wait',
     'is_departing',
     'is_within_limit',
@@ -45,10 +53,12 @@
     'make_pauses',
     'make_rate_limits',
     'merge_limit',
+    'merge_statement',
     'rate_share',
     'record_departure',
     'record_limited_send',
     'record_pause',
+    'record_statement',
     'record_stated_limit',
     'refresh_shares',
 ]
--- a/bluebellhub/backpressure/rate_limit.py
+++ b/bluebellhub/backpressure/rate_limit.py
@@ -7,7 +7,7 @@
 """
 
 from collections.abc import Callable, Collection
-from typing import Final, NamedTuple
+from typing import NamedTuple
 
 from bluebellhub.backpressure.rate_share import (
     RateShare,
@@ -17,11 +17,17 @@
     rate_share,
     spend_token,
 )
+from bluebellhub.backpressure.statements import (
+    StatedLimit,
+    Statements,
+    forget_statements,
+    merge_statement,
+    record_statement,
+)
 
 __all__ = [
     'RateLimits',
     'ShareOf',
-    'StatedLimit',
     'forget_limits',
     'is_within_limit',
     'make_rate_limits',
@@ -31,26 +37,9 @@
     'refresh_shares',
 ]
 
-# What other VMs were told seems newer than it is by the time on the way. So the
-# end of a limit counts only if it is newer by more than that.
-TRANSFER_MAX_S: Final = 1.0
-
 ShareOf = Callable[[str, float], RateShare]
 
 
-class StatedLimit(NamedTuple):
-    """What an upstream stated last, at ``at_s``.
-
-    ``per_s`` is ``None`` if it stated no limit. ``incarnation`` is that of the
-    upstream, a later one is greater: after a new start, the limit does not
-    apply any more.
-    """
-
-    incarnation: str
-    per_s: float | None
-    at_s: float
-
-
 class RateLimits(NamedTuple):
     """The root: the newest statement of each upstream that had a limit.
 
@@ -59,7 +48,7 @@
     """
 
     share_of: ShareOf
-    stated: dict[str, StatedLimit]
+    stated: Statements
     buckets: dict[str, TokenBucket]
 
 
@@ -80,12 +69,10 @@
 
     Responses without a limit are recorded only after one with a limit.
     """
-    known = limits.stated.get(upstream)
-    if known is None and stated.per_s is None:
-        return False
-    if known is not None and stated.incarnation < known.incarnation:
-        return False
-    return _store(limits, upstream, stated)
+    is_news = record_statement(limits.stated, upstream, stated)
+    if is_news:
+        _update_bucket(limits, upstream, stated)
+    return is_news
 
 
 def merge_limit(limits: RateLimits, upstream: str, stated: StatedLimit) -> bool:
@@ -93,16 +80,15 @@
 
     Of two statements the newer one counts, and when in doubt the limit.
     """
-    known = limits.stated.get(upstream)
-    if known is not None and not _is_newer(stated, known):
-        return False
-    return _store(limits, upstream, stated)
+    is_news = merge_statement(limits.stated, upstream, stated)
+    if is_news:
+        _update_bucket(limits, upstream, stated)
+    return is_news
 
 
 def forget_limits(limits: RateLimits, registered: Collection[str]) -> None:
     """Remove the limits of upstreams that are no longer registered."""
-    for name in limits.stated.keys() - set(registered):
-        limits.stated.pop(name)
+    for name in forget_statements(limits.stated, registered):
         limits.buckets.pop(name, None)
 
 
@@ -134,27 +120,13 @@
         limits.buckets[upstream] = spend_token(bucket, now_s)
 
 
-def _store(limits: RateLimits, upstream: str, stated: StatedLimit) -> bool:
-    """Store a statement; return whether it differs from the one before.
-
-    The tokens that are left stay when a limit changes.
-    """
-    known = limits.stated.get(upstream)
-    limits.stated[upstream] = stated
-    if known is not None and known._replace(at_s=stated.at_s) == stated:
-        return False
+def _update_bucket(
+    limits: RateLimits, upstream: str, stated: StatedLimit
+) -> None:
+    """Apply a limit that is new; the tokens that are left stay."""
     if stated.per_s is None:
         limits.buckets.pop(upstream, None)
-        return known is not None and known.per_s is not None
+        return
     share = limits.share_of(upstream, stated.per_s)
     bucket = limits.buckets.get(upstream) or make_bucket(share, stated.at_s)
     limits.buckets[upstream] = bucket._replace(share=share)
-    return True
-
-
-def _is_newer(stated: StatedLimit, known: StatedLimit) -> bool:
-    if stated.incarnation != known.incarnation:
-        return stated.incarnation > known.incarnation
-    is_lifted = stated.per_s is None and known.per_s is not None
-    margin_s = TRANSFER_MAX_S if is_lifted else 0.0
-    return stated.at_s > known.at_s + margin_s
--- a/bluebellhub/metrics.py
+++ b/bluebellhub/metrics.py
@@ -34,6 +34,7 @@
     'refused_reports': 'upstream',
     'reports': 'upstream',
     'stated_limits': 'change',
+    'rejection_limits': 'change',
     'quarantined': 'evidence',
     'asked_pauses': 'change',
     'departures': 'source',
--- a/bluebellhub/platform/header_names.py
+++ b/bluebellhub/platform/header_names.py
@@ -12,6 +12,7 @@
     'NOT_EXECUTED',
     'PROMPT_PARTS',
     'RATE_LIMIT',
+    'REJECTION_LIMIT',
     'REQUEST_ID',
     'RESPONSE_SIGNATURE',
     'RESTRICTED',
@@ -36,6 +37,8 @@
 SERVER_LOAD: Final = b'x-bluebellhub-server-load'
 # The requests per second that the upstream takes from all VMs together.
 RATE_LIMIT: Final = b'server-limit'
+# The requests per second that the upstream may reject before it fails.
+REJECTION_LIMIT: Final = b'server-brittle'
 LEAVING: Final = b'server-leaving'
 # With status 503: for how long the upstream wants nothing from this VM.
 RETRY_AFTER: Final = b'retry-after'
--- a/bluebellhub/platform/headers.py
+++ b/bluebellhub/platform/headers.py
@@ -1,10 +1,15 @@
 """Decodes and encodes the heads of requests and responses."""
 
-import re
 from collections.abc import Iterable, Mapping
 from email.utils import parsedate_to_datetime
 from typing import Final
 
+from bluebellhub.platform.figures import (
+    read_count,
+    read_counts,
+    read_decimal,
+    read_limit,
+)
 from bluebellhub.platform.header_names import (
     CLIENT_ACCOUNT,
     DEADLINE_MS,
@@ -15,6 +20,7 @@
     NOT_EXECUTED,
     PROMPT_PARTS,
     RATE_LIMIT,
+    REJECTION_LIMIT,
     REQUEST_ID,
     RESPONSE_SIGNATURE,
     RESTRICTED,
@@ -56,8 +62,6 @@
 SLOWDOWN_MIN: Final = 0.1
 SLOWDOWN_MAX: Final = 100.0
 PERCENT: Final = 100.0
-COUNT: Final = re.compile(rb'\d{1,9}')
-DECIMAL_NUMBER: Final = re.compile(rb'\d{1,9}(\.\d{1,9})?')
 
 
 def read_request_head(
@@ -134,8 +138,8 @@
     by_name = dict(headers)
     request_id = by_name.get(REQUEST_ID)
     media_type = by_name.get(b'content-type', b'').lower()
-    rate_limit = by_name.get(RATE_LIMIT)
-    rate_limit_per_s = _read_decimal(rate_limit)
+    rate_limit = read_limit(by_name.get(RATE_LIMIT))
+    rejection_limit = read_limit(by_name.get(REJECTION_LIMIT))
     stated_load = by_name.get(SERVER_LOAD)
     load = _read_load(stated_load)
     stated_pause = by_name.get(RETRY_AFTER) if status == UNAVAILABLE else None
@@ -151,8 +155,10 @@
         load=load,
         idle_s=_read_idle_s(by_name),
         forwarded_headers=_without(headers, _hop_by_hop(by_name)),
-        rate_limit_per_s=rate_limit_per_s,
-        malformed_rate_limit=rate_limit if rate_limit_per_s is None else None,
+        rate_limit_per_s=rate_limit.per_s,
+        malformed_rate_limit=rate_limit.malformed,
+        rejections_per_s=rejection_limit.per_s,
+        malformed_rejection_limit=rejection_limit.malformed,
         malformed_load=stated_load if load is None else None,
         pause_s=pause_s,
         malformed_pause=stated_pause if pause_s is None else None,
@@ -179,13 +185,13 @@
 
 def _read_time_limit_s(field: bytes | None) -> float | None:
     """Return the time limit; ``None`` if it is absent or malformed."""
-    limit_ms = _read_decimal(field)
+    limit_ms = read_decimal(field)
     return None if limit_ms is None else limit_ms / MS_PER_S
 
 
 def _read_tokens(field: bytes | None) -> TokenCounts | None:
     """Return the token counts; ``None`` if absent or malformed."""
-    counts = _read_counts(field, len(TokenCounts._fields))
+    counts = read_counts(field, len(TokenCounts._fields))
     return TokenCounts(*counts) if counts else None
 
 
@@ -203,20 +209,13 @@
     return tuple(ids)
 
 
-def _read_decimal(field: bytes | None) -> float | None:
-    """Return a decimal number; ``None`` if it is absent or malformed."""
-    if field is None or not DECIMAL_NUMBER.fullmatch(field):
-        return None
-    return float(field)
-
-
 def _read_pause_s(field: bytes | None, date: bytes | None) -> float | None:
     """Return a pause in seconds; ``None`` if it is absent or malformed.
 
     A pause until a date counts from the date of the response, because the
     clock of the upstream may differ from that of this VM.
     """
-    pause_s = _read_decimal(field)
+    pause_s = read_decimal(field)
     if pause_s is not None or not field or not date:
         return pause_s
     try:
@@ -235,7 +234,7 @@
     state more.  Figures that are not known are ignored.
     """
     figures = [part.strip() for part in (field or b'').split(b',')]
-    counts = [_read_count(figure) for figure in figures[:LOAD_COUNTS]]
+    counts = [read_count(figure) for figure in figures[:LOAD_COUNTS]]
     found = [count for count in counts if count is not None]
     if len(found) < LOAD_COUNTS:
         return None
@@ -246,31 +245,12 @@
 
 def _read_slowdown(figures: list[bytes]) -> float | None:
     """Return the slowdown, stated in hundredths; ``None`` if malformed."""
-    stated = _read_decimal(figures[0]) if figures else None
+    stated = read_decimal(figures[0]) if figures else None
     if not stated:
         return None
     return min(SLOWDOWN_MAX, max(SLOWDOWN_MIN, stated / PERCENT))
 
 
-def _read_counts(field: bytes | None, expected: int) -> list[int]:
-    """Return comma-separated counts; none unless all ``expected`` are there.
-
-    A count with more digits than any real one has is malformed: divided or
-    raised to a power later on, it would exceed the range of a float.
-    """
-    parts = (field or b'').split(b',')
-    counts = [_read_count(part.strip()) for part in parts]
-    found = [count for count in counts if count is not None]
-    return found if len(found) == len(counts) == expected else []
-
-
-def _read_count(field: bytes | None) -> int | None:
-    """Return a count; ``None`` if it is absent or malformed."""
-    if field is None or not COUNT.fullmatch(field):
-        return None
-    return int(field)
-
-
 def _read_idle_s(by_name: Mapping[bytes, bytes]) -> float:
     """Return for how many seconds the upstream keeps an idle connection.
 
--- a/bluebellhub/platform/tests/test_headers.py
+++ b/bluebellhub/platform/tests/test_headers.py
@@ -206,6 +206,12 @@
         (200, (b'server-limit', b'1e9'), 'malformed_rate_limit', b'1e9'),
         (200, (b'server-limit', b''), 'malformed_rate_limit', b''),
         (200, (b'server-limit', b'9' * 400), 'rate_limit_per_s', None),
+        (200, (b'server-brittle', b'6'), 'rejections_per_s', 6.0),
+        (503, (b'server-brittle', b'0'), 'rejections_per_s', 0.0),
+        (200, (b'x', b'y'), 'rejections_per_s', None),
+        (200, (b'server-brittle', b'-1'), 'rejections_per_s', None),
+        (200, (b'server-brittle', b'-1'), 'malformed_rejection_limit', b'-1'),
+        (200, (b'server-brittle', b'6'), 'malformed_rejection_limit', None),
     ],
 )
 def test_response_head_is_decoded(status, pair, field, expected):
--- a/bluebellhub/request/heads.py
+++ b/bluebellhub/request/heads.py
@@ -75,10 +75,12 @@
     caller.  ``rate_limit_per_s`` is the number of requests per second that the
     upstream takes from all VMs together; ``None`` means no limit, unless
     ``malformed_rate_limit`` has what the upstream stated instead of a number,
-    as ``malformed_load`` has instead of a load.  An upstream that turned the
-    request away wants no other from this VM for ``pause_s`` seconds, if it is
-    set; ``malformed_pause`` has what was stated instead.  An
-    upstream that ``is_leaving`` gets no requests any more.
+    as ``malformed_load`` has instead of a load.  An upstream that rejects more
+    than ``rejections_per_s`` requests per second fails, if that is set; if not,
+    ``malformed_rejection_limit`` may have what was stated.  An upstream that
+    turned the request away wants no other from this VM for ``pause_s`` seconds,
+    if it is set; ``malformed_pause`` has what was stated instead.  An upstream
+    that ``is_leaving`` gets no requests any more.
     """
 
     status: int
@@ -93,6 +95,8 @@
     forwarded_headers: Headers
     rate_limit_per_s: float | None = None
     malformed_rate_limit: bytes | None = None
+    rejections_per_s: float | None = None
+    malformed_rejection_limit: bytes | None = None
     malformed_load: bytes | None = None
     pause_s: float | None = None
     malformed_pause: bytes | None = None
--- a/bluebellhub/scheduler/eligibility.py
+++ b/bluebellhub/scheduler/eligibility.py
@@ -74,6 +74,17 @@
     )
 
 
+@eligibility_rules.register('rejection_limit')
+def is_slot_free(
+    scheduler: Scheduler, request: Request, upstream: Upstream, now_s: float
+) -> bool:
+    """Return false if an upstream that must reject little has no free slot."""
+    if upstream.rejections_per_s is None:
+        return True
+    used = len(upstream.work) + upstream.other_vms_work
+    return used < upstream.window.slots
+
+
 @eligibility_rules.register('asked_pause')
 def is_not_asked_to_wait(
     scheduler: Scheduler, request: Request, upstream: Upstream, now_s: float
--- a/bluebellhub/scheduler/failed_attempts.py
+++ b/bluebellhub/scheduler/failed_attempts.py
@@ -2,6 +2,7 @@
 
 from typing import Final
 
+from bluebellhub.backpressure import record_pause
 from bluebellhub.request import AttemptFailure, RequestState
 from bluebellhub.routing.prefix import forget_upstream
 from bluebellhub.scheduler import leaving
@@ -17,6 +18,9 @@
 UPSTREAM_FAULT_KINDS: Final = frozenset(
     ('connect_failed', 'silent', 'upstream_error', 'misdirected'),
 )
+# For how long an upstream that must reject little gets nothing from a VM whose
+# request it has rejected.
+REJECTED_PAUSE_S: Final = 1.0
 BAD_OUTCOME_KINDS: Final = frozenset(
     (
         'abandoned',
@@ -46,6 +50,14 @@
         return
     if failure.kind in BAD_OUTCOME_KINDS:
         record_outcome(scheduler, state, upstream.spec.version, bad=True)
+    if failure.kind == 'refused' and upstream.rejections_per_s is not None:
+        record_pause(
+            scheduler.pauses,
+            name,
+            upstream.incarnation,
+            REJECTED_PAUSE_S,
+            now_s,
+        )
     leaving.record_link_failure(scheduler, upstream, failure.kind, now_s)
     if failure.kind in UPSTREAM_FAULT_KINDS:
         restarted = failure.kind in RESTART_KINDS
--- a/bluebellhub/scheduler/rank_ratios.py
+++ b/bluebellhub/scheduler/rank_ratios.py
@@ -7,7 +7,8 @@
 those that are free.  The share is in proportion to the requests that the VMs
 get, by their reports.  Higher ranks have theirs first, but a share of the
 capacity is reserved for those below, so that none is starved.  What the ranks
-ask for is compared in slot time, not in requests.
+ask for is compared in slot time, not in requests.  Upstreams that must reject
+little are filled less.
 """
 
 from collections.abc import Mapping, Sequence
@@ -21,7 +22,7 @@
     own_demand,
     tokens_s,
 )
-from bluebellhub.upstream import Upstream
+from bluebellhub.upstream import Upstream, fill_ratio
 
 __all__ = ['admission_ratio']
 
@@ -55,10 +56,14 @@
     for upstream in upstreams:
         slots = upstream.window.slots
         work = len(upstream.work) + upstream.other_vms_work
-        served = slots / hold_s(share, upstream, now_s)
-        capacity += max(
-            0.0, served + gain_per_s * (slots * WORK_TARGET_RATIO - work)
-        )
+        held_s = hold_s(share, upstream, now_s)
+        served = slots / held_s
+        target = slots * WORK_TARGET_RATIO
+        if upstream.rejections_per_s is not None:
+            ratio = fill_ratio(slots, held_s, upstream.rejections_per_s)
+            served *= ratio
+            target = slots * ratio
+        capacity += max(0.0, served + gain_per_s * (target - work))
     return capacity
 
 
--- a/bluebellhub/site/gossip.py
+++ b/bluebellhub/site/gossip.py
@@ -16,12 +16,14 @@
     row_peers,
 )
 from bluebellhub.site.liveness import live_vm_names
+from bluebellhub.site.rejection_limits import make_rejection_report
 from bluebellhub.site.reports import (
     CrashEvidence,
     DomainReport,
     GossipBatch,
     GossipItem,
     LimitReport,
+    RejectionLimitReport,
     StepReport,
     VmReport,
 )
@@ -58,8 +60,8 @@
     ``relayed`` holds, for each VM of the row, the start and the sequence number
     of its newest report that went to this VM's column. ``evidence_sent`` tells
     which evidence of crashes the other VMs have, and ``steps_sent`` which step
-    times the leader of version moves has; ``limits_sent`` holds the rate limits
-    of upstreams that were sent.
+    times the leader of version moves has; ``limits_sent`` holds the limits of
+    upstreams that were sent.
     """
 
     last_report: VmReport | None
@@ -76,7 +78,12 @@
 
     to: list[str]
     message: (
-        GossipBatch | DomainReport | CrashEvidence | StepReport | LimitReport
+        GossipBatch
+        | DomainReport
+        | CrashEvidence
+        | StepReport
+        | LimitReport
+        | RejectionLimitReport
     )
 
 
@@ -140,10 +147,14 @@
 def _add_limit_report(
     site: Site, state: GossipState, multicasts: list[Multicast], now_s: float
 ) -> None:
-    """Add the rate limits that upstreams state to the messages."""
-    report = make_limit_report(site, state.limits_sent, now_s)
+    """Add the limits that upstreams state to the messages."""
+    sent = state.limits_sent
+    report = make_limit_report(site, sent, now_s)
     if report is not None:
         multicasts.append(Multicast(_all_peers(site, now_s), report))
+    rejections = make_rejection_report(site, sent, now_s)
+    if rejections is not None:
+        multicasts.append(Multicast(_all_peers(site, now_s), rejections))
 
 
 def _all_peers(site: Site, now_s: float) -> list[str]:
--- a/bluebellhub/site/reports.py
+++ b/bluebellhub/site/reports.py
@@ -17,6 +17,7 @@
     'MoveDecision',
     'Peer',
     'RemoteDomain',
+    'RejectionLimitReport',
     'ReportedLimit',
     'ReportedSlowdown',
     'StepReport',
@@ -110,10 +111,10 @@
 
 
 class ReportedLimit(NamedTuple):
-    """The rate limit that an upstream stated ``age_s`` seconds ago.
+    """A limit that an upstream stated ``age_s`` seconds ago.
 
-    ``per_s`` counts the requests of all VMs; ``None`` means that the upstream
-    states no limit any more.
+    ``per_s`` counts the requests of all VMs, or those that it rejects;
+    ``None`` means that the upstream states no limit any more.
     """
 
     upstream: str
@@ -124,7 +125,14 @@
 
 @message_types.register('LimitReport')
 class LimitReport(NamedTuple):
-    """Rate limits that upstreams state, from the sender or from other VMs."""
+    """Rate limits that upstreams state, to the sender or to other VMs."""
+
+    limits: list[ReportedLimit]
+
+
+@message_types.register('RejectionLimitReport')
+class RejectionLimitReport(NamedTuple):
+    """Rejection limits that upstreams state, to the sender or to other VMs."""
 
     limits: list[ReportedLimit]
 
--- a/bluebellhub/site/state.py
+++ b/bluebellhub/site/state.py
@@ -7,6 +7,7 @@
 
 from bluebellhub.backpressure import (
     RateShare,
+    Statements,
     make_rate_limits,
     rate_share,
     refresh_shares,
@@ -104,6 +105,7 @@
     reported as admitted, by account; ``moves`` holds the version moves by
     service. ``duty`` is this VM's part in the duties that one VM at a time
     holds. ``helpers`` are the VMs that serve for this one while it is cut off.
+    ``rejection_limits`` are those that upstreams state.
     """
 
     vm: str
@@ -123,6 +125,7 @@
     duty: Duty
     store_relays: StoreRelays
     helpers: Helpers
+    rejection_limits: Statements
 
 
 def make_site(
@@ -184,6 +187,7 @@
         make_duty(vm, start_id, bounds.duty, now_s),
         make_store_relays(),
         make_helpers(),
+        {},
     )
 
 
--- a/bluebellhub/site/stated_limits.py
+++ b/bluebellhub/site/stated_limits.py
@@ -9,6 +9,7 @@
 
 from bluebellhub.backpressure import (
     StatedLimit,
+    Statements,
     forget_limits,
     merge_limit,
     record_stated_limit,
@@ -18,10 +19,12 @@
 
 __all__ = [
     'LimitsSent',
+    'SentLimits',
     'apply_limit_report',
     'apply_stated_limit',
     'make_limit_report',
     'make_limits_sent',
+    'take_due',
 ]
 
 # Limits without changes are sent again after this time, for VMs that missed
@@ -41,15 +44,20 @@
     last_at_s: float
 
 
+# What was sent last of each upstream.
+SentLimits = dict[str, SentLimit]
+
+
 class LimitsSent(NamedTuple):
-    """The limits that the other VMs have, by upstream."""
+    """The limits that the other VMs have."""
 
-    limits: dict[str, SentLimit]
+    limits: SentLimits
+    rejection_limits: SentLimits
 
 
 def make_limits_sent() -> LimitsSent:
     """Create the state of a VM that has sent no limits."""
-    return LimitsSent({})
+    return LimitsSent({}, {})
 
 
 def apply_stated_limit(
@@ -85,35 +93,32 @@
 def make_limit_report(
     site: Site, sent: LimitsSent, now_s: float
 ) -> LimitReport | None:
-    """Return a report of the limits that are due, or ``None`` if none is.
+    """Return a report of the limits that are due, or ``None`` if none is."""
+    limits = site.scheduler.rate_limits
+    forget_limits(limits, site.registrations.entries)
+    entries = take_due(limits.stated, sent.limits, now_s)
+    return LimitReport(entries) if entries else None
+
+
+def take_due(
+    statements: Statements, sent: SentLimits, now_s: float
+) -> list[ReportedLimit]:
+    """Return the limits that are due, and record that they are sent.
 
     New ones go first, then those that were sent the longest ago.
     """
-    limits = site.scheduler.rate_limits
-    if not limits.stated:
-        return None
-    _forget_removed(site, sent)
+    for gone in sent.keys() - statements.keys():
+        sent.pop(gone)
     due = [
         name
-        for name, stated in limits.stated.items()
-        if _is_due(sent.limits.get(name), stated, now_s)
+        for name, stated in statements.items()
+        if _is_due(sent.get(name), stated, now_s)
     ]
     due.sort(key=lambda name: _last_sent_s(sent, name))
     reported = due[:REPORTED_LIMITS_MAX]
     for name in reported:
-        _record_sent(sent, name, limits.stated[name], now_s)
-    entries = [
-        _reported_limit(name, limits.stated[name], now_s) for name in reported
-    ]
-    return LimitReport(entries) if entries else None
-
-
-def _forget_removed(site: Site, sent: LimitsSent) -> None:
-    """Remove what is known and was sent of upstreams that are gone."""
-    limits = site.scheduler.rate_limits
-    forget_limits(limits, site.registrations.entries)
-    for name in sent.limits.keys() - limits.stated.keys():
-        sent.limits.pop(name)
+        _record_sent(sent, name, statements[name], now_s)
+    return [_reported_limit(name, statements[name], now_s) for name in reported]
 
 
 def _reported_limit(
@@ -138,18 +143,16 @@
     return sent.incarnation == stated.incarnation and sent.per_s == stated.per_s
 
 
-def _last_sent_s(sent: LimitsSent, name: str) -> float:
-    known = sent.limits.get(name)
+def _last_sent_s(sent: SentLimits, name: str) -> float:
+    known = sent.get(name)
     return -inf if known is None else known.last_at_s
 
 
 def _record_sent(
-    sent: LimitsSent, name: str, stated: StatedLimit, now_s: float
+    sent: SentLimits, name: str, stated: StatedLimit, now_s: float
 ) -> None:
-    known = sent.limits.get(name)
+    known = sent.get(name)
     first_at_s = now_s
     if known is not None and _is_same(known, stated):
         first_at_s = known.first_at_s
-    sent.limits[name] = SentLimit(
-        stated.incarnation, stated.per_s, first_at_s, now_s
-    )
+    sent[name] = SentLimit(stated.incarnation, stated.per_s, first_at_s, now_s)
--- a/bluebellhub/site/tests/overloaded_engines.py
+++ b/bluebellhub/site/tests/overloaded_engines.py
@@ -11,9 +11,12 @@
     'Engine',
     'Kind',
     'Load',
+    'Room',
     'capacity_per_s',
+    'has_room',
     'make_engines',
     'start_request',
+    'stated_rejections',
 ]
 
 TOKENS_PER_EVENT = 7
@@ -37,6 +40,22 @@
 SHORT = Kind('short', 1800, 3, 0.5)
 
 
+class Room(NamedTuple):
+    """How many requests may wait at an engine, and rejections that it states.
+
+    From ``states_at_s`` on, an engine that rejects more than ``rejections_max``
+    requests in a second fails; from ``scarce_at_s`` on, fewer requests may wait
+    there.  VMs learn of the limit only if it ``is_read``.
+    """
+
+    rejections_max: int
+    waiting_max: int = 0
+    usual_max: int = 24
+    states_at_s: float = 4.0
+    scarce_at_s: float = 8.0
+    is_read: bool = True
+
+
 class Load(NamedTuple):
     """A fleet and its demand, in relation to what the engines can serve.
 
@@ -55,6 +74,7 @@
     senders: dict[str, float] = {'yard': 1.0}
     hasty: tuple[str, ...] = ()
     speeds: tuple[float, ...] = (1.0, 0.7, 1.6)
+    room: Room | None = None
 
 
 class Engine(NamedTuple):
@@ -110,3 +130,21 @@
     step_s = STEP_S + STEP_PER_REQUEST_S * len(engine.running)
     decode_s = kind.events * TOKENS_PER_EVENT * step_s / engine.speed
     return first_s, first_s + decode_s
+
+
+def has_room(load, engine, now_s):
+    """Return whether an engine takes one more request."""
+    room = load.room
+    if room is None or len(engine.running) < engine.slots:
+        return True
+    is_scarce = now_s >= room.scarce_at_s
+    waiting_max = room.waiting_max if is_scarce else room.usual_max
+    return len(engine.queue) < waiting_max
+
+
+def stated_rejections(load, now_s):
+    """Return the rejections per second that a VM reads that engines state."""
+    room = load.room
+    if room is None or not room.is_read or now_s < room.states_at_s:
+        return None
+    return float(room.rejections_max)
--- a/bluebellhub/site/tests/overloaded_fleet.py
+++ b/bluebellhub/site/tests/overloaded_fleet.py
@@ -12,11 +12,13 @@
 from random import Random
 from typing import NamedTuple
 
-from bluebellhub.request.heads import TokenCounts, UpstreamLoad
+from bluebellhub.request import AttemptFailure
+from bluebellhub.request.heads import TokenCounts
 from bluebellhub.route import Account, Route, Split, make_table
 from bluebellhub.scheduler import (
     Dispatch,
     Refuse,
+    attempt_failed,
     response_ended,
     submit,
     tick,
@@ -29,17 +31,18 @@
     TOKENS_PER_EVENT,
     Load,
     capacity_per_s,
+    has_room,
     make_engines,
     start_request,
 )
 from bluebellhub.site.tests.overloaded_reports import send_reports
+from bluebellhub.site.tests.overloaded_statements import apply_head
 from bluebellhub.site.tests.small_site import (
     make_registration,
     make_request_head,
 )
 from bluebellhub.site.upstreams import (
     apply_registration,
-    apply_response_load,
     apply_routing_table,
 )
 from bluebellhub.site.vm_location import VmLocation
@@ -49,6 +52,7 @@
 
 TICK_S = 0.05
 TIMEOUT_S = 6.0
+ROUND_TRIP_S = 0.002
 
 
 class Result(NamedTuple):
@@ -66,6 +70,7 @@
     upset: int
     counts: Counter
     retry_s: list
+    rejected_s: list
 
 
 class Fleet(NamedTuple):
@@ -77,6 +82,7 @@
     sent: dict
     result: Counter
     retry_s: list
+    rejected_s: list
 
 
 def simulate(load, duration_s=16.0, seed=1):
@@ -92,7 +98,7 @@
         for number, name in enumerate(names)
     ]
     fleet = Fleet(
-        load, make_clock(), Random(seed), sites, engines, {}, Counter(), []
+        load, make_clock(), Random(seed), sites, engines, {}, Counter(), [], []
     )
     for number, site in enumerate(sites):
         offset_s = TICK_S * number / len(sites)
@@ -170,13 +176,30 @@
 def _apply(now_s, fleet, site, events):
     for event in events:
         if isinstance(event, Dispatch):
-            engine = fleet.engines[event.upstream]
-            engine.queue.append((site, event))
-            _start_next(now_s, fleet, engine)
+            _arrive_at_engine(now_s, fleet, site, event)
         elif isinstance(event, Refuse):
             _end_refused(now_s, fleet, site, event)
 
 
+def _arrive_at_engine(now_s, fleet, site, event):
+    engine = fleet.engines[event.upstream]
+    if has_room(fleet.load, engine, now_s):
+        engine.queue.append((site, event))
+        _start_next(now_s, fleet, engine)
+        return
+    fleet.rejected_s.append((event.upstream, now_s))
+    rejected_s = now_s + ROUND_TRIP_S
+    call_at(fleet.clock, rejected_s, _end_rejected, fleet, site, event)
+
+
+def _end_rejected(now_s, fleet, site, event):
+    apply_head(now_s, fleet, site, event)
+    failed = attempt_failed(
+        site.scheduler, event.request_id, AttemptFailure('refused'), now_s
+    )
+    _apply(now_s, fleet, site, failed)
+
+
 def _end_refused(now_s, fleet, site, event):
     kind, account, arrived_s, attempt = fleet.sent[event.request_id]
     engines = fleet.engines.values()
@@ -230,9 +253,7 @@
         _count(fleet, kind, account, 'again')
     is_late = now_s - arrived_s > kind.objective_s
     _count(fleet, kind, account, 'late' if is_late else 'in_time')
-    engine = fleet.engines[event.upstream]
-    load = UpstreamLoad(len(engine.running), len(engine.queue), engine.slots)
-    apply_response_load(site, event.upstream, load, now_s)
+    apply_head(now_s, fleet, site, event)
     arrived = partial(tokens_arrived, site.scheduler, event.request_id)
     _apply(now_s, fleet, site, arrived(0, TOKENS_PER_EVENT, now_s))
 
@@ -267,4 +288,5 @@
         counts['upset', ''],
         counts,
         fleet.retry_s,
+        fleet.rejected_s,
     )
--- a/bluebellhub/site/tests/simulated_fleet.py
+++ b/bluebellhub/site/tests/simulated_fleet.py
@@ -14,7 +14,13 @@
     make_multicasts,
 )
 from bluebellhub.site.grid import gossip_interval_s
-from bluebellhub.site.reports import CrashEvidence, DomainReport, LimitReport
+from bluebellhub.site.rejection_limits import apply_rejection_report
+from bluebellhub.site.reports import (
+    CrashEvidence,
+    DomainReport,
+    LimitReport,
+    RejectionLimitReport,
+)
 from bluebellhub.site.state import Bounds, make_site, set_vms
 from bluebellhub.site.stated_limits import apply_limit_report
 from bluebellhub.site.tests.small_site import (
@@ -164,5 +170,7 @@
         apply_crash_evidence(site, message, now_s)
     elif isinstance(message, LimitReport):
         apply_limit_report(site, message, now_s)
+    elif isinstance(message, RejectionLimitReport):
+        apply_rejection_report(site, message, now_s)
     else:
         apply_gossip(site, message.items, now_s)
--- a/bluebellhub/site/upstreams.py
+++ b/bluebellhub/site/upstreams.py
@@ -17,6 +17,7 @@
 from bluebellhub.request.heads import UpstreamLoad
 from bluebellhub.route import RoutingTable, Service, activate_table
 from bluebellhub.scheduler import add_upstream, confirm_end, remove_upstream
+from bluebellhub.site.rejection_limits import assume_rejection_limit
 from bluebellhub.site.state import Site
 from bluebellhub.upstream import UpstreamSpec, make_upstream, mark_cold
 from bluebellhub.upstream.slowdown import Slowdown, bounded_ratio
@@ -185,6 +186,9 @@
         tokens_per_event=max(1, service.tokens_per_event),
     )
     upstream = make_upstream(spec, warm=True)
+    is_new = entry.name not in site.scheduler.upstreams
     add_upstream(
         site.scheduler, upstream._replace(incarnation=str(entry.started_at_ms))
     )
+    if is_new:
+        assume_rejection_limit(site, entry.name)
--- a/bluebellhub/tests/test_outer_names.py
+++ b/bluebellhub/tests/test_outer_names.py
@@ -224,6 +224,7 @@
         'refused_reports': 'upstream',
         'reports': 'upstream',
         'stated_limits': 'change',
+        'rejection_limits': 'change',
         'quarantined': 'evidence',
         'asked_pauses': 'change',
         'departures': 'source',
--- a/bluebellhub/upstream/__init__.py
+++ b/bluebellhub/upstream/__init__.py
@@ -1,5 +1,6 @@
 """Upstreams: settings, speed, window, load reports, requests in progress."""
 
+from bluebellhub.upstream.fill_ratio import fill_ratio
 from bluebellhub.upstream.speed import Speed, make_speed, observe_prefill
 from bluebellhub.upstream.straggler import is_straggler
 from bluebellhub.upstream.upstream import (
@@ -38,6 +39,7 @@
     'Work',
     'add_work',
     'backlog_tokens',
+    'fill_ratio',
     'finish_prefill',
     'is_cold',
     'is_straggler',
--- a/bluebellhub/upstream/upstream.py
+++ b/bluebellhub/upstream/upstream.py
@@ -107,6 +107,7 @@
     per second from this VM while the upstream is cold.  ``error_ratio`` is the
     smoothed ratio of error responses.  ``incarnation`` changes with each start
     of an upstream that keeps its name.  ``slowdown`` is what it stated last.
+    If it rejects more than ``rejections_per_s`` requests per second, it fails.
     """
 
     spec: UpstreamSpec
@@ -123,6 +124,7 @@
     error_ratio: float = 0.0
     incarnation: str = ''
     slowdown: Slowdown = Slowdown()
+    rejections_per_s: float | None = None
 
 
 def make_upstream(spec: UpstreamSpec, *, warm: bool = False) -> Upstream:
