Show that one silence of an upstream counts as many failures

What callers see: after an upstream was silent for a second, the VMs may leave it out for up to eight: all that waits there fails together, and each of these failures doubles the pause.

A fix was tried and dropped: failures of attempts that began before the last one count no more while nothing comes from the upstream.

--- a/bluebellhub/scheduler/tests/test_failures.py
+++ b/bluebellhub/scheduler/tests/test_failures.py
@@ -57,6 +57,26 @@
     assert Probe(first.upstream) in events
 
 
+@pytest.mark.parametrize('kind', ['silent', 'connect_failed'])
+@pytest.mark.parametrize(
+    'waiting',
+    [
+        1,
+        pytest.param(2, marks=pytest.mark.known_red),
+        pytest.param(6, marks=pytest.mark.known_red),
+    ],
+)
+def test_one_silence_of_an_upstream_counts_as_one_failure(kind, waiting):
+    """Six requests that waited while it was silent pause it for eight s."""
+    scheduler = make_small_scheduler(window=8)
+    names = [f'r{number}' for number in range(waiting)]
+    for name in names:
+        submit_request(scheduler, name, idempotent=False)
+    for name in names:
+        attempt_failed(scheduler, name, AttemptFailure(kind), 1.0)
+    assert scheduler.upstreams['u0'].paused_until_s == 1.25
+
+
 def test_the_retry_budget_limits_retries():
     scheduler = make_small_scheduler(upstreams=3, window=30)
     outcomes = []
