Log and count both kinds of limits in one place

Found by reading the change: what logs and counts a rejection limit stood beside the same lines for a rate limit. One function serves both; the log lines and counters are unchanged. Without any statement, forgetting those of removed upstreams now costs nothing. Two doc comments said less than the code does.

--- a/bluebellhub/adapters/proxy/statements.py
+++ b/bluebellhub/adapters/proxy/statements.py
@@ -1,6 +1,6 @@
 """Applies what an upstream states of its load and its needs in a response."""
 
-from typing import Final
+from typing import Final, NamedTuple
 
 import logbook
 
@@ -36,6 +36,17 @@
 log = logbook.Logger('bluebellhub.statements')
 
 
+class LimitKind(NamedTuple):
+    """How a kind of limit is called in the log, and the name of its counter."""
+
+    label: str
+    counter: str
+
+
+RATE_LIMIT: Final = LimitKind('rate limit', 'stated_limits')
+REJECTION_LIMIT: Final = LimitKind('rejection limit', 'rejection_limits')
+
+
 def apply_needs(proxy: Proxy, name: str, response: ResponseHead) -> None:
     """Apply the limits that the upstream states, its pause and its leave.
 
@@ -55,12 +66,11 @@
 def _apply_rate_limit(proxy: Proxy, name: str, response: ResponseHead) -> None:
     malformed = response.malformed_rate_limit
     if malformed is not None:
-        _log_malformed('rate limit', name, malformed)
-        _count(proxy, 'malformed')
+        _refuse_limit(proxy, RATE_LIMIT, name, malformed)
         return
     per_s = response.rate_limit_per_s
     if apply_stated_limit(proxy.site, name, per_s, now_s()):
-        _record_change(proxy, name, per_s, 'response')
+        _record_change(proxy, RATE_LIMIT, name, per_s, 'response')
 
 
 def _apply_rejection_limit(
@@ -68,12 +78,11 @@
 ) -> None:
     malformed = response.malformed_rejection_limit
     if malformed is not None:
-        _log_malformed('rejection limit', name, malformed)
-        _count_rejection_limit(proxy, 'malformed')
+        _refuse_limit(proxy, REJECTION_LIMIT, name, malformed)
         return
     per_s = response.rejections_per_s
     if apply_stated_rejections(proxy.site, name, per_s, now_s()):
-        _record_rejection_limit(proxy, name, per_s, 'response')
+        _record_change(proxy, REJECTION_LIMIT, name, per_s, 'response')
 
 
 def _apply_pause(proxy: Proxy, name: str, response: ResponseHead) -> None:
@@ -154,7 +163,7 @@
 def apply_reported_limits(proxy: Proxy, report: LimitReport) -> None:
     """Apply the rate limits that another VM reports."""
     for entry in apply_limit_report(proxy.site, report, now_s()):
-        _record_change(proxy, entry.upstream, entry.per_s, 'gossip')
+        _record_change(proxy, RATE_LIMIT, entry.upstream, entry.per_s, 'gossip')
 
 
 def apply_reported_rejections(
@@ -162,34 +171,26 @@
 ) -> None:
     """Apply the rejection limits that another VM reports."""
     for entry in apply_rejection_report(proxy.site, report, now_s()):
-        _record_rejection_limit(proxy, entry.upstream, entry.per_s, 'gossip')
+        _record_change(
+            proxy, REJECTION_LIMIT, entry.upstream, entry.per_s, 'gossip'
+        )
 
 
-def _record_change(
-    proxy: Proxy, name: str, per_s: float | None, source: str
+def _refuse_limit(
+    proxy: Proxy, kind: LimitKind, name: str, malformed: bytes
 ) -> None:
-    """Log and count a limit that this VM keeps from now on, or its end."""
-    log.info(
-        'upstream changed its rate limit',
-        extra={'upstream': name, 'per_s': per_s, 'source': source},
-    )
-    _count(proxy, 'lifted' if per_s is None else 'stated')
-
-
-def _count(proxy: Proxy, change: str) -> None:
-    proxy.node.scheduler.counters['stated_limits', change] += 1
+    """Log and count a limit that is not a number."""
+    _log_malformed(kind.label, name, malformed)
+    proxy.node.scheduler.counters[kind.counter, 'malformed'] += 1
 
 
-def _record_rejection_limit(
-    proxy: Proxy, name: str, per_s: float | None, source: str
+def _record_change(
+    proxy: Proxy, kind: LimitKind, name: str, per_s: float | None, source: str
 ) -> None:
-    """Log and count a rejection limit that is new here, or its end."""
+    """Log and count a limit that this VM keeps from now on, or its end."""
     log.info(
-        'upstream changed its rejection limit',
+        f'upstream changed its {kind.label}',
         extra={'upstream': name, 'per_s': per_s, 'source': source},
     )
-    _count_rejection_limit(proxy, 'lifted' if per_s is None else 'stated')
-
-
-def _count_rejection_limit(proxy: Proxy, change: str) -> None:
-    proxy.node.scheduler.counters['rejection_limits', change] += 1
+    change = 'lifted' if per_s is None else 'stated'
+    proxy.node.scheduler.counters[kind.counter, change] += 1
--- a/bluebellhub/backpressure/statements.py
+++ b/bluebellhub/backpressure/statements.py
@@ -65,6 +65,8 @@
     statements: Statements, registered: Collection[str]
 ) -> set[str]:
     """Remove upstreams that are no longer registered; return their names."""
+    if not statements:
+        return set()
     gone = statements.keys() - set(registered)
     for name in gone:
         statements.pop(name)
--- a/bluebellhub/site/rejection_limits.py
+++ b/bluebellhub/site/rejection_limits.py
@@ -59,9 +59,9 @@
 
 
 def assume_rejection_limit(site: Site, name: str) -> None:
-    """Assume for an upstream that has registered what others of it state.
+    """Assume for a new upstream what another of its service states.
 
-    That holds until its first response.  Without it, an upstream that has
+    That holds until its next response.  Without it, an upstream that has
     failed would get requests from all VMs at once when it is back.
     """
     upstreams = site.scheduler.upstreams
@@ -83,9 +83,9 @@
 
 
 def _set_limit(site: Site, name: str, per_s: float | None) -> None:
-    """Set an upstream's limit, also for those that serve the same with it.
+    """Set an upstream's limit, and assume it for others of its service.
 
-    They are in need together; what they state themselves goes first.
+    They are in need together.  Those that have stated a limit keep theirs.
     """
     if name not in site.scheduler.upstreams:
         return
