Bound the work of the fill ratio by an upstream's number of slots

Found by reading: the loss formula was computed slot by slot, and the number of slots is what an upstream registers. One with a billion slots that states a rejection limit would have kept the loop of every VM busy for minutes.

Change: beyond 1,000 slots the highest ratio holds; hardly a request finds that many in use. Test: test_fill_ratio.py, whose last row did not end before.

--- a/bluebellhub/upstream/fill_ratio.py
+++ b/bluebellhub/upstream/fill_ratio.py
@@ -17,6 +17,8 @@
 MEAN_RATIO: Final = 0.125
 # Hold times are distinguished by so many significant digits.
 HOLD_DIGITS: Final = 1
+# With more slots, hardly a request finds all of them in use.
+SLOTS_MAX: Final = 1000
 
 
 def fill_ratio(slots: int, hold_s: float, rejections_per_s: float) -> float:
@@ -27,6 +29,8 @@
     >>> fill_ratio(8, 1.0, 8.0), fill_ratio(8, 1.0, 2.0)
     (0.8, 0.55)
     """
+    if slots > SLOTS_MAX:
+        return RATIO_MAX
     return _fill_ratio(
         slots, float(f'{hold_s:.{HOLD_DIGITS}e}'), rejections_per_s
     )
