End assumed rejection limits with those that they were taken from

What callers would see: after an upstream has stated no limit any more, those of its service that nothing was sent to meanwhile went on being filled less and got a request only at a free slot, at each VM until it sent them one.

Cause: what is assumed for an upstream was copied from another one and had no age of its own; only a response of the upstream itself ended it. And one that had stated none was assumed to be in need again with the next statement of another, since a response without a limit was not recorded.

Change: the limits of a service are derived from the statements, once for each change: what an upstream states itself since its start, else the lowest that another states. The end or removal of that one ends it.

Found by reading.

--- a/bluebellhub/site/rejection_limits.py
+++ b/bluebellhub/site/rejection_limits.py
@@ -1,18 +1,24 @@
 """Limits on their rejections that upstreams state, known to all VMs of a site.
 
 An upstream in need fails if it has to reject more requests per second than it
-states.  Then the VMs fill it less, and requests wait at the VMs.
+states.  Then the VMs fill it less, and requests wait at the VMs.  The upstreams
+of a service are in need together: one that has not responded since counts like
+the others.
 """
 
+from collections.abc import Iterable
+
 from bluebellhub.backpressure import (
     StatedLimit,
     forget_statements,
     merge_statement,
     record_statement,
 )
+from bluebellhub.scheduler.state import upstreams_for
 from bluebellhub.site.reports import RejectionLimitReport, ReportedLimit
 from bluebellhub.site.state import Site
 from bluebellhub.site.stated_limits import LimitsSent, take_due
+from bluebellhub.upstream import Upstream
 
 __all__ = [
     'apply_rejection_report',
@@ -33,10 +39,14 @@
     if upstream is None:
         return False
     stated = StatedLimit(upstream.incarnation, per_s, now_s)
-    record_statement(site.rejection_limits, name, stated)
+    statements = site.rejection_limits
+    if statements:
+        # That it states none ends what was assumed.
+        statements.setdefault(name, stated)
+    record_statement(statements, name, stated)
     if upstream.rejections_per_s == per_s:
         return False
-    _set_limit(site, name, per_s)
+    _update_services(site, [name])
     return True
 
 
@@ -53,51 +63,69 @@
             StatedLimit(entry.incarnation, entry.per_s, now_s - entry.age_s),
         )
     ]
-    for entry in news:
-        _set_limit(site, entry.upstream, entry.per_s)
+    _update_services(site, [entry.upstream for entry in report.limits])
     return news
 
 
 def assume_rejection_limit(site: Site, name: str) -> None:
-    """Assume for a new upstream what another of its service states.
+    """Assume for a new upstream what others of its service state.
 
-    That holds until its next response.  Without it, an upstream that has
-    failed would get requests from all VMs at once when it is back.
+    Without it, an upstream that has failed would get requests from all VMs at
+    once when it is back.
     """
-    upstreams = site.scheduler.upstreams
-    for target in upstreams[name].spec.targets:
-        for peer in site.scheduler.by_target[target]:
-            stated = site.rejection_limits.get(peer)
-            if stated is not None and stated.per_s is not None:
-                _replace_limit(site, name, stated.per_s)
-                return
+    if site.rejection_limits:
+        _update_services(site, [name])
 
 
 def make_rejection_report(
     site: Site, sent: LimitsSent, now_s: float
 ) -> RejectionLimitReport | None:
     """Return a report of the limits that are due, or ``None`` if none is."""
-    forget_statements(site.rejection_limits, site.registrations.entries)
+    if forget_statements(site.rejection_limits, site.registrations.entries):
+        _update_services(site, site.scheduler.upstreams)
     entries = take_due(site.rejection_limits, sent.rejection_limits, now_s)
     return RejectionLimitReport(entries) if entries else None
 
 
-def _set_limit(site: Site, name: str, per_s: float | None) -> None:
-    """Set an upstream's limit, and assume it for others of its service.
+def _update_services(site: Site, names: Iterable[str]) -> None:
+    """Set the limits of all upstreams that serve what these do."""
+    upstreams = site.scheduler.upstreams
+    targets = {
+        target
+        for name in names
+        if name in upstreams
+        for target in upstreams[name].spec.targets
+    }
+    for target in targets:
+        peers = upstreams_for(site.scheduler, target)
+        assumed = min(_stated_limits(site, peers), default=None)
+        for peer in peers:
+            _update_limit(site, peer, assumed)
+
+
+def _stated_limits(site: Site, peers: Iterable[Upstream]) -> list[float]:
+    statements = site.rejection_limits
+    stated = [statements.get(peer.spec.name) for peer in peers]
+    return [
+        each.per_s
+        for each in stated
+        if each is not None and each.per_s is not None
+    ]
+
+
+def _update_limit(
+    site: Site, upstream: Upstream, assumed: float | None
+) -> None:
+    """Set what an upstream states, or what is assumed until it responds.
 
-    They are in need together.  Those that have stated a limit keep theirs.
+    After a new start, what it stated before still counts as assumed.
     """
-    if name not in site.scheduler.upstreams:
-        return
-    _replace_limit(site, name, per_s)
-    if per_s is None:
-        return
-    for target in site.scheduler.upstreams[name].spec.targets:
-        for peer in site.scheduler.by_target[target]:
-            if peer not in site.rejection_limits:
-                _replace_limit(site, peer, per_s)
-
-
-def _replace_limit(site: Site, name: str, per_s: float | None) -> None:
-    upstreams = site.scheduler.upstreams
-    upstreams[name] = upstreams[name]._replace(rejections_per_s=per_s)
+    name = upstream.spec.name
+    stated = site.rejection_limits.get(name)
+    per_s = assumed
+    if stated is not None and stated.incarnation >= upstream.incarnation:
+        per_s = stated.per_s
+    if upstream.rejections_per_s != per_s:
+        site.scheduler.upstreams[name] = upstream._replace(
+            rejections_per_s=per_s
+        )
--- a/bluebellhub/site/tests/test_rejecting_upstreams.py
+++ b/bluebellhub/site/tests/test_rejecting_upstreams.py
@@ -150,6 +150,33 @@
         assert known == {per_s}
 
 
+@pytest.mark.parametrize(
+    ('stated', 'expected'),
+    [
+        ([('u1', 4.0)], 4.0),
+        ([('u1', 4.0), ('u1', None)], None),
+        ([('u1', 4.0), ('u2', None)], None),
+        ([('u1', 4.0), ('u2', None), ('u1', 2.0)], None),
+        ([('u1', 4.0), ('u3', 2.0), ('u1', None)], 2.0),
+        ([('u1', 4.0), ('u3', 2.0), ('u3', None)], 4.0),
+    ],
+)
+def test_assumed_limit_ends_with_those_that_it_was_taken_from(stated, expected):
+    entries = [make_registration(name) for name in ('u1', 'u2', 'u3')]
+    site = make_small_site(*entries)
+    for number, (name, per_s) in enumerate(stated):
+        apply_stated_rejections(site, name, per_s, number)
+    assert site.scheduler.upstreams['u2'].rejections_per_s == expected
+
+
+def test_assumed_limit_ends_with_the_removal_of_its_upstream():
+    site = make_small_site(make_registration(), make_registration('u2'))
+    apply_stated_rejections(site, 'u1', 4.0, 0.0)
+    apply_removal(site, 'u1', 10.0)
+    make_rejection_report(site, make_limits_sent(), 10.0)
+    assert site.scheduler.upstreams['u2'].rejections_per_s is None
+
+
 @pytest.mark.parametrize(
     ('stated', 'expected'),
     [
