Count only what an upstream has rejected as a rejection

What callers would see: a VM that had connected to an upstream in need while that asked it to wait gave the attempt up, and left the upstream out for another second, as if it had rejected the request.

Cause: both end as 'refused'; nothing was sent in the one case.

Change: the pause needs an attempt that was sent. The simulated fleet says so of its attempts too, as the adapter does.

Found by reading. Test: the last row of test_rejected_request_is_not_sent_there_again_at_once failed before.

--- a/bluebellhub/scheduler/failed_attempts.py
+++ b/bluebellhub/scheduler/failed_attempts.py
@@ -3,14 +3,14 @@
 from typing import Final
 
 from bluebellhub.backpressure import record_pause
-from bluebellhub.request import AttemptFailure, RequestState
+from bluebellhub.request import Attempt, AttemptFailure, RequestState
 from bluebellhub.routing.prefix import forget_upstream
 from bluebellhub.scheduler import leaving
 from bluebellhub.scheduler.crashes import suspect_prompt
 from bluebellhub.scheduler.events import Event, Probe
 from bluebellhub.scheduler.outcomes import record_outcome
 from bluebellhub.scheduler.state import Scheduler, signals_of
-from bluebellhub.upstream import record_failure
+from bluebellhub.upstream import Upstream, record_failure
 
 __all__ = ['record_failed_attempt', 'record_restart']
 
@@ -44,20 +44,15 @@
 
     ``state`` is that of the request while the attempt ran.
     """
-    name = state.attempt.upstream if state.attempt else ''
+    if state.attempt is None:
+        return
+    name = state.attempt.upstream
     upstream = scheduler.upstreams.get(name)
     if upstream is None:
         return
     if failure.kind in BAD_OUTCOME_KINDS:
         record_outcome(scheduler, state, upstream.spec.version, bad=True)
-    if failure.kind == 'refused' and upstream.rejections_per_s is not None:
-        record_pause(
-            scheduler.pauses,
-            name,
-            upstream.incarnation,
-            REJECTED_PAUSE_S,
-            now_s,
-        )
+    _pause_after_rejection(scheduler, state.attempt, upstream, failure, now_s)
     leaving.record_link_failure(scheduler, upstream, failure.kind, now_s)
     if failure.kind in UPSTREAM_FAULT_KINDS:
         restarted = failure.kind in RESTART_KINDS
@@ -71,6 +66,29 @@
     suspect_prompt(scheduler, events, state, failure, now_s)
 
 
+def _pause_after_rejection(
+    scheduler: Scheduler,
+    attempt: Attempt,
+    upstream: Upstream,
+    failure: AttemptFailure,
+    now_s: float,
+) -> None:
+    """Send an upstream that must reject little nothing for a moment.
+
+    An attempt that was given up before it was sent is no rejection.
+    """
+    if upstream.rejections_per_s is None:
+        return
+    if failure.kind == 'refused' and attempt.sent:
+        record_pause(
+            scheduler.pauses,
+            upstream.spec.name,
+            upstream.incarnation,
+            REJECTED_PAUSE_S,
+            now_s,
+        )
+
+
 def record_restart(scheduler: Scheduler, name: str, now_s: float) -> None:
     """Count a restart and forget the blocks that the upstream had cached."""
     signals = signals_of(scheduler, name)
--- a/bluebellhub/site/tests/overloaded_fleet.py
+++ b/bluebellhub/site/tests/overloaded_fleet.py
@@ -19,6 +19,7 @@
     Dispatch,
     Refuse,
     attempt_failed,
+    request_sent,
     response_ended,
     submit,
     tick,
@@ -188,6 +189,7 @@
         _start_next(now_s, fleet, engine)
         return
     fleet.rejected_s.append((event.upstream, now_s))
+    request_sent(site.scheduler, event.request_id)
     rejected_s = now_s + ROUND_TRIP_S
     call_at(fleet.clock, rejected_s, _end_rejected, fleet, site, event)
 
--- a/bluebellhub/site/tests/test_rejecting_upstreams.py
+++ b/bluebellhub/site/tests/test_rejecting_upstreams.py
@@ -10,7 +10,7 @@
 
 from bluebellhub.request import AttemptFailure
 from bluebellhub.request.heads import UpstreamLoad
-from bluebellhub.scheduler import attempt_failed
+from bluebellhub.scheduler import attempt_failed, request_sent
 from bluebellhub.scheduler.credit import share_of
 from bluebellhub.scheduler.shares import observe_plain
 from bluebellhub.site.rejection_limits import (
@@ -116,20 +116,24 @@
 
 
 @pytest.mark.parametrize(
-    ('kind', 'stated', 'is_sent'),
+    ('kind', 'stated', 'has_left', 'is_sent'),
     [
-        ('refused', 4.0, False),
-        ('refused', None, True),
-        ('answered_error', 4.0, True),
+        ('refused', 4.0, True, False),
+        ('refused', None, True, True),
+        ('answered_error', 4.0, True, True),
+        # Given up here, since the upstream had asked to wait meanwhile.
+        ('refused', 4.0, False, True),
     ],
 )
 def test_rejected_request_is_not_sent_there_again_at_once(
-    kind, stated, is_sent
+    kind, stated, has_left, is_sent
 ):
     site = make_small_site(make_registration(slots=8))
     apply_stated_rejections(site, 'u1', stated, 0.0)
     admission, _ = send(site, 'r', 1.0)
     request_id = admission.request.request_id
+    if has_left:
+        request_sent(site.scheduler, request_id)
     attempt_failed(site.scheduler, request_id, AttemptFailure(kind), 1.0)
     _, events = send(site, 'r2', 1.1)
     assert bool(dispatched_upstreams(events)) == is_sent
