Log malformed limits and pauses as rarely as malformed loads

What operators would see: an upstream that writes an unreadable rate limit, rejection limit or pause into every response filled the log of each VM with one warning a response. Loads had this fixed; the same cause stood here.

Change: all figures that upstreams state are logged at most once a minute for each kind; each is still counted.

Found by reading.

--- a/bluebellhub/adapters/proxy/statements.py
+++ b/bluebellhub/adapters/proxy/statements.py
@@ -95,7 +95,7 @@
     if pause_s is not None and pause_s > PAUSE_MAX_S:
         malformed = b'%.0f s' % pause_s
     if malformed is not None:
-        _log_malformed('pause', name, malformed)
+        _log_malformed(proxy, 'pause', name, malformed)
         _count_pause(proxy, 'malformed')
     elif pause_s is not None:
         _record_pause(proxy, name, pause_s)
@@ -135,16 +135,12 @@
     if response.load is not None:
         apply_response_load(proxy.site, name, response.load, now_s())
     if response.malformed_load is not None:
-        if _may_log(proxy, 'load'):
-            _log_malformed('load', name, response.malformed_load)
+        _log_malformed(proxy, 'load', name, response.malformed_load)
         proxy.node.scheduler.counters['refused_reports', name] += 1
 
 
 def _may_log(proxy: Proxy, kind: str) -> bool:
-    """Return whether a line of this kind may be logged, and note that it is.
-
-    Loads come with every response, and a faulty upstream would fill the log.
-    """
+    """Return whether a line of this kind may be logged, and note that it is."""
     current_s = now_s()
     logged_at_s = proxy.logged_at_s.get(kind)
     if logged_at_s is not None and current_s - logged_at_s < LOG_INTERVAL_S:
@@ -153,7 +149,13 @@
     return True
 
 
-def _log_malformed(kind: str, name: str, stated: bytes) -> None:
+def _log_malformed(proxy: Proxy, kind: str, name: str, stated: bytes) -> None:
+    """Log a figure that cannot be read, unless one was logged lately.
+
+    A faulty upstream may state it in every response, and would fill the log.
+    """
+    if not _may_log(proxy, kind):
+        return
     start = stated[:LOGGED_MAX_BYTES].decode('latin-1')
     log.warning(
         f'malformed {kind} ignored', extra={'upstream': name, 'stated': start}
@@ -180,7 +182,7 @@
     proxy: Proxy, kind: LimitKind, name: str, malformed: bytes
 ) -> None:
     """Log and count a limit that is not a number."""
-    _log_malformed(kind.label, name, malformed)
+    _log_malformed(proxy, kind.label, name, malformed)
     proxy.node.scheduler.counters[kind.counter, 'malformed'] += 1
 
 
