Apply both kinds of limits by one function

Found by reading: rate limits and rejection limits were decoded into four fields of the response head and applied by two functions of the same shape. Now each is one field with its own type, and one function applies both; its name no longer stands for another class as well. The fill of an upstream that must reject little is no branch in the sum of the capacity any more, but the ratio that the sum uses.

--- a/bluebellhub/adapters/proxy/statements.py
+++ b/bluebellhub/adapters/proxy/statements.py
@@ -1,5 +1,6 @@
 """Applies what an upstream states of its load and its needs in a response."""
 
+from collections.abc import Callable
 from typing import Final, NamedTuple
 
 import logbook
@@ -11,12 +12,13 @@
     record_pause,
 )
 from bluebellhub.clock import now_s
-from bluebellhub.request.heads import ResponseHead
+from bluebellhub.request.heads import LimitField, ResponseHead
 from bluebellhub.site.rejection_limits import (
     apply_rejection_report,
     apply_stated_rejections,
 )
 from bluebellhub.site.reports import LimitReport, RejectionLimitReport
+from bluebellhub.site.state import Site
 from bluebellhub.site.stated_limits import (
     apply_limit_report,
     apply_stated_limit,
@@ -37,14 +39,21 @@
 
 
 class LimitKind(NamedTuple):
-    """How a kind of limit is called in the log, and the name of its counter."""
+    """A kind of limit that upstreams state.
+
+    ``apply`` applies what one states in a response, and returns whether that
+    differs from what this VM knew.  ``label`` stands in the log.
+    """
 
     label: str
     counter: str
+    apply: Callable[[Site, str, float | None, float], bool]
 
 
-RATE_LIMIT: Final = LimitKind('rate limit', 'stated_limits')
-REJECTION_LIMIT: Final = LimitKind('rejection limit', 'rejection_limits')
+RATE_LIMIT: Final = LimitKind('rate limit', 'stated_limits', apply_stated_limit)
+REJECTION_LIMIT: Final = LimitKind(
+    'rejection limit', 'rejection_limits', apply_stated_rejections
+)
 
 
 def apply_needs(proxy: Proxy, name: str, response: ResponseHead) -> None:
@@ -56,33 +65,21 @@
     """
     if response.is_misdirected:
         return
-    _apply_rate_limit(proxy, name, response)
-    _apply_rejection_limit(proxy, name, response)
+    _apply_limit(proxy, RATE_LIMIT, name, response.rate_limit)
+    _apply_limit(proxy, REJECTION_LIMIT, name, response.rejection_limit)
     _apply_pause(proxy, name, response)
     if response.is_leaving:
         _apply_leave(proxy, name)
 
 
-def _apply_rate_limit(proxy: Proxy, name: str, response: ResponseHead) -> None:
-    malformed = response.malformed_rate_limit
-    if malformed is not None:
-        _refuse_limit(proxy, RATE_LIMIT, name, malformed)
-        return
-    per_s = response.rate_limit_per_s
-    if apply_stated_limit(proxy.site, name, per_s, now_s()):
-        _record_change(proxy, RATE_LIMIT, name, per_s, 'response')
-
-
-def _apply_rejection_limit(
-    proxy: Proxy, name: str, response: ResponseHead
+def _apply_limit(
+    proxy: Proxy, kind: LimitKind, name: str, limit: LimitField
 ) -> None:
-    malformed = response.malformed_rejection_limit
-    if malformed is not None:
-        _refuse_limit(proxy, REJECTION_LIMIT, name, malformed)
-        return
-    per_s = response.rejections_per_s
-    if apply_stated_rejections(proxy.site, name, per_s, now_s()):
-        _record_change(proxy, REJECTION_LIMIT, name, per_s, 'response')
+    if limit.malformed is not None:
+        _log_malformed(proxy, kind.label, name, limit.malformed)
+        proxy.node.scheduler.counters[kind.counter, 'malformed'] += 1
+    elif kind.apply(proxy.site, name, limit.per_s, now_s()):
+        _record_change(proxy, kind, name, limit.per_s, 'response')
 
 
 def _apply_pause(proxy: Proxy, name: str, response: ResponseHead) -> None:
@@ -178,14 +175,6 @@
         )
 
 
-def _refuse_limit(
-    proxy: Proxy, kind: LimitKind, name: str, malformed: bytes
-) -> None:
-    """Log and count a limit that is not a number."""
-    _log_malformed(proxy, kind.label, name, malformed)
-    proxy.node.scheduler.counters[kind.counter, 'malformed'] += 1
-
-
 def _record_change(
     proxy: Proxy, kind: LimitKind, name: str, per_s: float | None, source: str
 ) -> None:
--- a/bluebellhub/platform/figures.py
+++ b/bluebellhub/platform/figures.py
@@ -1,10 +1,11 @@
 """Reads the figures in headers; what is malformed is told from a number."""
 
 import re
-from typing import Final, NamedTuple
+from typing import Final
+
+from bluebellhub.request.heads import LimitField
 
 __all__ = [
-    'StatedLimit',
     'read_count',
     'read_counts',
     'read_decimal',
@@ -15,13 +16,6 @@
 DECIMAL_NUMBER: Final = re.compile(rb'\d{1,9}(\.\d{1,9})?')
 
 
-class StatedLimit(NamedTuple):
-    """A limit per second, or what was stated instead of a number."""
-
-    per_s: float | None
-    malformed: bytes | None
-
-
 def read_decimal(field: bytes | None) -> float | None:
     """Return a decimal number; ``None`` if it is absent or malformed."""
     if field is None or not DECIMAL_NUMBER.fullmatch(field):
@@ -29,10 +23,10 @@
     return float(field)
 
 
-def read_limit(field: bytes | None) -> StatedLimit:
+def read_limit(field: bytes | None) -> LimitField:
     """Return a limit per second, unless it is absent or malformed."""
     per_s = read_decimal(field)
-    return StatedLimit(per_s, field if per_s is None else None)
+    return LimitField(per_s, field if per_s is None else None)
 
 
 def read_counts(field: bytes | None, expected: int) -> list[int]:
--- a/bluebellhub/platform/headers.py
+++ b/bluebellhub/platform/headers.py
@@ -138,8 +138,6 @@
     by_name = dict(headers)
     request_id = by_name.get(REQUEST_ID)
     media_type = by_name.get(b'content-type', b'').lower()
-    rate_limit = read_limit(by_name.get(RATE_LIMIT))
-    rejection_limit = read_limit(by_name.get(REJECTION_LIMIT))
     stated_load = by_name.get(SERVER_LOAD)
     load = _read_load(stated_load)
     stated_pause = by_name.get(RETRY_AFTER) if status == UNAVAILABLE else None
@@ -155,10 +153,8 @@
         load=load,
         idle_s=_read_idle_s(by_name),
         forwarded_headers=_without(headers, _hop_by_hop(by_name)),
-        rate_limit_per_s=rate_limit.per_s,
-        malformed_rate_limit=rate_limit.malformed,
-        rejections_per_s=rejection_limit.per_s,
-        malformed_rejection_limit=rejection_limit.malformed,
+        rate_limit=read_limit(by_name.get(RATE_LIMIT)),
+        rejection_limit=read_limit(by_name.get(REJECTION_LIMIT)),
         malformed_load=stated_load if load is None else None,
         pause_s=pause_s,
         malformed_pause=stated_pause if pause_s is None else None,
--- a/bluebellhub/platform/tests/test_headers.py
+++ b/bluebellhub/platform/tests/test_headers.py
@@ -1,5 +1,7 @@
 """Decoding and encoding of request and response heads."""
 
+from operator import attrgetter
+
 import pytest
 
 from bluebellhub.platform.headers import (
@@ -185,9 +187,9 @@
         (200, (b'keep-alive', b'timeout=5, max=3'), 'idle_s', 5.0),
         (200, (b'connection', b'close'), 'idle_s', 0.0),
         (200, (b'x-bluebellhub-request-id', b'77'), 'request_id', '77'),
-        (200, (b'server-limit', b'4.5'), 'rate_limit_per_s', 4.5),
-        (503, (b'server-limit', b'0'), 'rate_limit_per_s', 0.0),
-        (200, (b'x', b'y'), 'rate_limit_per_s', None),
+        (200, (b'server-limit', b'4.5'), 'rate_limit.per_s', 4.5),
+        (503, (b'server-limit', b'0'), 'rate_limit.per_s', 0.0),
+        (200, (b'x', b'y'), 'rate_limit.per_s', None),
         (503, (b'retry-after', b'3'), 'pause_s', 3.0),
         (503, (b'retry-after', b'1.5'), 'pause_s', 1.5),
         (503, (b'retry-after', b'-3'), 'pause_s', None),
@@ -199,23 +201,24 @@
         (503, (b'x', b'y'), 'malformed_pause', None),
         (429, (b'retry-after', b'3'), 'pause_s', None),
         (200, (b'retry-after', b'soon'), 'malformed_pause', None),
-        (200, (b'x', b'y'), 'malformed_rate_limit', None),
-        (200, (b'server-limit', b'4.5'), 'malformed_rate_limit', None),
-        (200, (b'server-limit', b'-1'), 'malformed_rate_limit', b'-1'),
-        (200, (b'server-limit', b'nan'), 'malformed_rate_limit', b'nan'),
-        (200, (b'server-limit', b'1e9'), 'malformed_rate_limit', b'1e9'),
-        (200, (b'server-limit', b''), 'malformed_rate_limit', b''),
-        (200, (b'server-limit', b'9' * 400), 'rate_limit_per_s', None),
-        (200, (b'server-brittle', b'6'), 'rejections_per_s', 6.0),
-        (503, (b'server-brittle', b'0'), 'rejections_per_s', 0.0),
-        (200, (b'x', b'y'), 'rejections_per_s', None),
-        (200, (b'server-brittle', b'-1'), 'rejections_per_s', None),
-        (200, (b'server-brittle', b'-1'), 'malformed_rejection_limit', b'-1'),
-        (200, (b'server-brittle', b'6'), 'malformed_rejection_limit', None),
+        (200, (b'x', b'y'), 'rate_limit.malformed', None),
+        (200, (b'server-limit', b'4.5'), 'rate_limit.malformed', None),
+        (200, (b'server-limit', b'-1'), 'rate_limit.malformed', b'-1'),
+        (200, (b'server-limit', b'nan'), 'rate_limit.malformed', b'nan'),
+        (200, (b'server-limit', b'1e9'), 'rate_limit.malformed', b'1e9'),
+        (200, (b'server-limit', b''), 'rate_limit.malformed', b''),
+        (200, (b'server-limit', b'9' * 400), 'rate_limit.per_s', None),
+        (200, (b'server-brittle', b'6'), 'rejection_limit.per_s', 6.0),
+        (503, (b'server-brittle', b'0'), 'rejection_limit.per_s', 0.0),
+        (200, (b'x', b'y'), 'rejection_limit.per_s', None),
+        (200, (b'server-brittle', b'-1'), 'rejection_limit.per_s', None),
+        (200, (b'server-brittle', b'-1'), 'rejection_limit.malformed', b'-1'),
+        (200, (b'server-brittle', b'6'), 'rejection_limit.malformed', None),
     ],
 )
 def test_response_head_is_decoded(status, pair, field, expected):
-    assert getattr(read_response_head(status, [pair]), field) == expected
+    head = read_response_head(status, [pair])
+    assert attrgetter(field)(head) == expected
 
 
 @pytest.mark.parametrize(
--- a/bluebellhub/request/heads.py
+++ b/bluebellhub/request/heads.py
@@ -5,6 +5,7 @@
 __all__ = [
     'ERROR_STATUS_MIN',
     'Headers',
+    'LimitField',
     'RequestHead',
     'ResponseHead',
     'TokenCounts',
@@ -61,6 +62,20 @@
     slowdown: float | None = None
 
 
+class LimitField(NamedTuple):
+    """A limit per second that an upstream states.
+
+    ``malformed`` is what it stated instead of a number; it states no limit if
+    both are ``None``.
+    """
+
+    per_s: float | None = None
+    malformed: bytes | None = None
+
+
+NO_LIMIT: Final = LimitField()
+
+
 class ResponseHead(NamedTuple):
     """Head of an upstream's response.
 
@@ -72,12 +87,9 @@
     encoding, so that it is not the body that the upstream produced.  The
     upstream keeps an idle connection open for ``idle_s`` seconds; 0 means
     that it closes the connection.  ``forwarded_headers`` are sent on to the
-    caller.  ``rate_limit_per_s`` is the number of requests per second that the
-    upstream takes from all VMs together; ``None`` means no limit, unless
-    ``malformed_rate_limit`` has what the upstream stated instead of a number,
-    as ``malformed_load`` has instead of a load.  An upstream that rejects more
-    than ``rejections_per_s`` requests per second fails, if that is set; if not,
-    ``malformed_rejection_limit`` may have what was stated.  An upstream that
+    caller.  ``rate_limit`` counts the requests that the upstream takes from all
+    VMs together; one that rejects more than ``rejection_limit`` fails.
+    ``malformed_load`` has what it stated instead of a load.  An upstream that
     turned the request away wants no other from this VM for ``pause_s`` seconds,
     if it is set; ``malformed_pause`` has what was stated instead.  An upstream
     that ``is_leaving`` gets no requests any more.
@@ -93,10 +105,8 @@
     load: UpstreamLoad | None
     idle_s: float
     forwarded_headers: Headers
-    rate_limit_per_s: float | None = None
-    malformed_rate_limit: bytes | None = None
-    rejections_per_s: float | None = None
-    malformed_rejection_limit: bytes | None = None
+    rate_limit: LimitField = NO_LIMIT
+    rejection_limit: LimitField = NO_LIMIT
     malformed_load: bytes | None = None
     pause_s: float | None = None
     malformed_pause: bytes | None = None
--- a/bluebellhub/scheduler/rank_ratios.py
+++ b/bluebellhub/scheduler/rank_ratios.py
@@ -57,16 +57,22 @@
         slots = upstream.window.slots
         work = len(upstream.work) + upstream.other_vms_work
         held_s = hold_s(share, upstream, now_s)
-        served = slots / held_s
-        target = slots * WORK_TARGET_RATIO
-        if upstream.rejections_per_s is not None:
-            ratio = fill_ratio(slots, held_s, upstream.rejections_per_s)
-            served *= ratio
-            target = slots * ratio
-        capacity += max(0.0, served + gain_per_s * (target - work))
+        ratio = _target_ratio(upstream, held_s)
+        served = slots * min(1.0, ratio) / held_s
+        capacity += max(0.0, served + gain_per_s * (slots * ratio - work))
     return capacity
 
 
+def _target_ratio(upstream: Upstream, held_s: float) -> float:
+    """Return how much work an upstream should have, in relation to its slots.
+
+    Requests hold a slot for ``held_s`` seconds.
+    """
+    if upstream.rejections_per_s is None:
+        return WORK_TARGET_RATIO
+    return fill_ratio(upstream.window.slots, held_s, upstream.rejections_per_s)
+
+
 def admission_ratio(
     share: TargetShare, upstreams: Sequence[Upstream], rank: int, now_s: float
 ) -> float:
