--- a/bluebellhub/backpressure/departure.py
+++ b/bluebellhub/backpressure/departure.py
@@ -30,7 +30,7 @@
 def record_departure(
     departures: Departures, upstream: str, incarnation: str
 ) -> bool:
-    """Record that an upstream is leaving; return whether this is news."""
+    """Record that an upstream is leaving; return whether it was not known."""
     if is_departing(departures, upstream, incarnation):
         return False
     departures.incarnations[upstream] = incarnation
--- a/bluebellhub/backpressure/rate_limit.py
+++ b/bluebellhub/backpressure/rate_limit.py
@@ -65,25 +65,25 @@
 def record_stated_limit(
     limits: RateLimits, upstream: str, stated: StatedLimit
 ) -> bool:
-    """Record what a response to this VM states; return whether it is news.
+    """Record what a response to this VM states; return whether it changes.
 
     Responses without a limit are recorded only after one with a limit.
     """
-    is_news = record_statement(limits.stated, upstream, stated)
-    if is_news:
+    has_changed = record_statement(limits.stated, upstream, stated)
+    if has_changed:
         _update_bucket(limits, upstream, stated)
-    return is_news
+    return has_changed
 
 
 def merge_limit(limits: RateLimits, upstream: str, stated: StatedLimit) -> bool:
-    """Record what another VM was told; return whether it is news here.
+    """Record what another VM was told; return whether it changes the limit.
 
     Of two statements the newer one counts, and when in doubt the limit.
     """
-    is_news = merge_statement(limits.stated, upstream, stated)
-    if is_news:
+    has_changed = merge_statement(limits.stated, upstream, stated)
+    if has_changed:
         _update_bucket(limits, upstream, stated)
-    return is_news
+    return has_changed
 
 
 def forget_limits(limits: RateLimits, registered: Collection[str]) -> None:
--- a/bluebellhub/backpressure/statements.py
+++ b/bluebellhub/backpressure/statements.py
@@ -36,7 +36,7 @@
 def record_statement(
     statements: Statements, upstream: str, stated: StatedLimit
 ) -> bool:
-    """Record what a response to this VM states; return whether it is news.
+    """Record what a response to this VM states; return whether it changes.
 
     Responses without a limit are recorded only after one with a limit.
     """
@@ -51,7 +51,7 @@
 def merge_statement(
     statements: Statements, upstream: str, stated: StatedLimit
 ) -> bool:
-    """Record what another VM was told; return whether it is news here.
+    """Record what another VM was told; return whether it changes the limit.
 
     Of two statements the newer one counts, and when in doubt the limit.
     """
--- a/bluebellhub/backpressure/tests/test_pause.py
+++ b/bluebellhub/backpressure/tests/test_pause.py
@@ -52,7 +52,7 @@
     assert len(pauses.by_upstream) <= 2
 
 
-def test_only_the_first_statement_of_a_pause_is_news():
+def test_only_the_first_statement_of_a_pause_is_a_change():
     pauses = make_pauses(_least)
     assert record_pause(pauses, 'u1', 'a', 3.0, 0.0)
     assert not record_pause(pauses, 'u1', 'a', 3.0, 1.0)
--- a/bluebellhub/backpressure/tests/test_rate_limit.py
+++ b/bluebellhub/backpressure/tests/test_rate_limit.py
@@ -94,7 +94,7 @@
 
 
 @pytest.mark.parametrize(
-    ('known', 'reported', 'expected', 'is_news'),
+    ('known', 'reported', 'expected', 'has_changed'),
     [
         (None, StatedLimit('1', 2.0, 5.0), 2.0, True),
         (None, StatedLimit('1', None, 5.0), None, False),
@@ -111,12 +111,12 @@
     ],
 )
 def test_newer_statement_of_other_vms_counts(
-    known, reported, expected, is_news
+    known, reported, expected, has_changed
 ):
     limits = make_rate_limits()
     if known is not None:
         merge_limit(limits, 'u', known)
-    assert merge_limit(limits, 'u', reported) is is_news
+    assert merge_limit(limits, 'u', reported) is has_changed
     assert limits.stated['u'].per_s == expected
     assert ('u' in limits.buckets) is (expected is not None)
 
--- a/bluebellhub/site/rejection_limits.py
+++ b/bluebellhub/site/rejection_limits.py
@@ -17,7 +17,7 @@
 from bluebellhub.scheduler.state import upstreams_for
 from bluebellhub.site.reports import RejectionLimitReport, ReportedLimit
 from bluebellhub.site.state import Site
-from bluebellhub.site.stated_limits import LimitsSent, take_due
+from bluebellhub.site.stated_limits import LimitsSent, collect_due
 from bluebellhub.upstream import Upstream
 
 __all__ = [
@@ -53,8 +53,8 @@
 def apply_rejection_report(
     site: Site, report: RejectionLimitReport, now_s: float
 ) -> list[ReportedLimit]:
-    """Apply what another VM reports; return what is news here."""
-    news = [
+    """Apply what another VM reports; return what has changed here."""
+    changed = [
         entry
         for entry in report.limits
         if merge_statement(
@@ -64,7 +64,7 @@
         )
     ]
     _update_services(site, [entry.upstream for entry in report.limits])
-    return news
+    return changed
 
 
 def assume_rejection_limit(site: Site, name: str) -> None:
@@ -83,7 +83,7 @@
     """Return a report of the limits that are due, or ``None`` if none is."""
     if forget_statements(site.rejection_limits, site.registrations.entries):
         _update_services(site, site.scheduler.upstreams)
-    entries = take_due(site.rejection_limits, sent.rejection_limits, now_s)
+    entries = collect_due(site.rejection_limits, sent.rejection_limits, now_s)
     return RejectionLimitReport(entries) if entries else None
 
 
--- a/bluebellhub/site/stated_limits.py
+++ b/bluebellhub/site/stated_limits.py
@@ -24,7 +24,7 @@
     'apply_stated_limit',
     'make_limit_report',
     'make_limits_sent',
-    'take_due',
+    'collect_due',
 ]
 
 # Limits without changes are sent again after this time, for VMs that missed
@@ -77,7 +77,7 @@
 def apply_limit_report(
     site: Site, report: LimitReport, now_s: float
 ) -> list[ReportedLimit]:
-    """Apply what another VM reports; return what is news here."""
+    """Apply what another VM reports; return what has changed here."""
     limits = site.scheduler.rate_limits
     return [
         entry
@@ -96,11 +96,11 @@
     """Return a report of the limits that are due, or ``None`` if none is."""
     limits = site.scheduler.rate_limits
     forget_limits(limits, site.registrations.entries)
-    entries = take_due(limits.stated, sent.limits, now_s)
+    entries = collect_due(limits.stated, sent.limits, now_s)
     return LimitReport(entries) if entries else None
 
 
-def take_due(
+def collect_due(
     statements: Statements, sent: SentLimits, now_s: float
 ) -> list[ReportedLimit]:
     """Return the limits that are due, and record that they are sent.
--- a/bluebellhub/site/tests/test_rejecting_upstreams.py
+++ b/bluebellhub/site/tests/test_rejecting_upstreams.py
@@ -42,24 +42,24 @@
 STATED = ((4.0, 1.0), (None, 6.0))
 
 
-def _count_falls(rejected_s, rejections_max):
+def _count_failures(rejected_s, rejections_max):
     """Return how often more requests were rejected in a second than allowed.
 
-    After a fall, an engine counts anew.
+    After a failure, an engine counts anew.
     """
-    falls = 0
+    failures = 0
     recent = defaultdict(list)
     for upstream, now_s in rejected_s:
         since_s = now_s - SECOND_S
         recent[upstream] = [at_s for at_s in recent[upstream] if at_s > since_s]
         recent[upstream].append(now_s)
         if len(recent[upstream]) > rejections_max:
-            falls += 1
+            failures += 1
             recent[upstream].clear()
-    return falls
+    return failures
 
 
-def _most_falls(load):
+def _most_failures(load):
     """Return how often engines may fail while they state a limit."""
     return 2 + 0.1 * load.engines
 
@@ -82,8 +82,8 @@
 ):
     load = load._replace(room=Room(rejections_max, waiting_max))
     result = simulate(load)
-    falls = _count_falls(result.rejected_s, rejections_max)
-    assert falls <= _most_falls(load)
+    failures = _count_failures(result.rejected_s, rejections_max)
+    assert failures <= _most_failures(load)
     unread = load._replace(room=load.room._replace(is_read=False))
     served = simulate(unread).in_time
     # Engines that failed would serve less, but these ones never do.
--- a/bluebellhub/site/tests/test_vm_reports.py
+++ b/bluebellhub/site/tests/test_vm_reports.py
@@ -71,7 +71,7 @@
 
 
 @pytest.mark.parametrize(
-    ('news', 'charged'),
+    ('received', 'charged'),
     [
         ([(0.1, _report(1, 500.0))], 0.0),
         ([(0.1, _report(1, 500.0)), (0.2, _report(2, 560.0))], 60.0),
@@ -89,11 +89,11 @@
         ),
     ],
 )
-def test_peer_usage_is_charged_once(news, charged):
+def test_peer_usage_is_charged_once(received, charged):
     site = make_small_site(make_registration(), vms=('hub-1', 'hub-2'))
-    for at_s, item in news:
+    for at_s, item in received:
         apply_vm_report(site, 'hub-2', item, at_s)
-    send(site, now_s=news[-1][0], tokens=TokenCounts(0, 1))
+    send(site, now_s=received[-1][0], tokens=TokenCounts(0, 1))
     assert site.quotas.buckets['yard'].level == FULL_LEVEL - charged - 1.0
 
 
