--- a/bluebellhub/adapters/attempts.py
+++ b/bluebellhub/adapters/attempts.py
@@ -12,12 +12,16 @@
     Callable,
 )
 from contextlib import aclosing
-from typing import Any, Final, NamedTuple
+from typing import Final, NamedTuple
 
 import httpx
 import trio
 
-from bluebellhub.adapters.attempt_control import AttemptControl
+from bluebellhub.adapters.attempt_control import (
+    AttemptCancelledError,
+    AttemptControl,
+    wait_for,
+)
 from bluebellhub.adapters.chat import cached_tokens
 from bluebellhub.adapters.connections import Pool, use_pool
 from bluebellhub.adapters.exchange import Exchange, Head
@@ -39,7 +43,6 @@
     read_response,
 )
 from bluebellhub.adapters.time_limits import TimeLimits
-from bluebellhub.errors import HubError
 from bluebellhub.registry import Registry, make_registry
 from bluebellhub.request import AttemptFailure
 from bluebellhub.request.heads import ERROR_STATUS_MIN
@@ -84,10 +87,6 @@
 Part = bytes | Head | Completed | Cancelled | AttemptFailure
 
 
-class AttemptCancelledError(HubError):
-    """The scheduler has cancelled the attempt."""
-
-
 class Hooks(NamedTuple):
     """Callbacks: before the first byte is sent, and when tokens arrive.
 
@@ -148,28 +147,6 @@
     return 'cut'
 
 
-async def _wait_for(
-    context: AttemptContext, wait_s: float, wait: Callable[[], Awaitable[Any]]
-) -> Any:
-    """Wait for at most ``wait_s`` seconds.
-
-    Raises `trio.TooSlowError` after that time and `AttemptCancelledError`
-    when the attempt is cancelled.
-    """
-    control = context.control
-    if control['cancelled']:
-        raise AttemptCancelledError
-    with trio.move_on_after(wait_s) as scope:
-        control['scope'] = scope
-        try:
-            return await wait()
-        finally:
-            control['scope'] = None
-    if control['cancelled']:
-        raise AttemptCancelledError
-    raise trio.TooSlowError
-
-
 def _make_trace(hooks: Hooks) -> Callable[[str, object], Awaitable[None]]:
     """Return a trace callback that calls ``on_sent`` before the first byte."""
 
@@ -197,8 +174,8 @@
             },
             extensions={'trace': _make_trace(context.hooks)},
         )
-        response = await _wait_for(
-            context,
+        response = await wait_for(
+            context.control,
             context.limits.first_byte_s,
             lambda: client.send(request, stream=True),
         )
@@ -259,7 +236,7 @@
     wait_s = limits.next_byte_s if has_started else limits.first_byte_s
     # One read may hold many chunks, which the client returns without waiting.
     await trio.lowlevel.checkpoint()
-    chunk = await _wait_for(context, wait_s, lambda: anext(chunks, None))
+    chunk = await wait_for(context.control, wait_s, lambda: anext(chunks, None))
     if chunk is None:
         raise httpx.ReadError('the stream ended early')
     advanced, frames = parse_frames(reader, chunk)
@@ -284,8 +261,8 @@
             },
             extensions={'trace': _make_trace(context.hooks)},
         )
-        head, body = await _wait_for(
-            context,
+        head, body = await wait_for(
+            context.control,
             context.limits.first_byte_s,
             lambda: read_response(client, request, context.reservation),
         )
--- a/bluebellhub/routing/tests/domain_fleet.py
+++ b/bluebellhub/routing/tests/domain_fleet.py
@@ -7,10 +7,9 @@
 """
 
 from collections import Counter, deque
-from heapq import heappop, heappush
+from heapq import heappop
 from itertools import count
 from random import Random
-from typing import NamedTuple
 
 from bluebellhub.routing import Candidate, policies
 from bluebellhub.routing.domain_shares import (
@@ -23,80 +22,29 @@
 )
 from bluebellhub.routing.domains import DomainLoad, decide_shares
 from bluebellhub.routing.links import record_bad_response, record_in_time
+from bluebellhub.routing.tests.domain_fleet_state import (
+    SAMPLE_S,
+    Fleet,
+    Result,
+    Server,
+    Simulation,
+    domain_count,
+    domain_of,
+    is_domain_out,
+    loads_at,
+    schedule,
+    snapshot,
+)
 
 __all__ = ['Fleet', 'Result', 'simulate']
 
-SAMPLE_S = 0.05
 OBJECTIVE_S = 0.3
 LOST_S = 0.4
 
 
-class Fleet(NamedTuple):
-    """A fleet; ``loads`` holds each domain's ratio of its usual capacity.
-
-    ``loads`` is a tuple or a function of the time.  ``lossy`` maps pairs of
-    domains to the ratio of late requests, ``out`` a domain to when it is out.
-    ``remote_age_s`` is the age of what another domain has reported.
-    """
-
-    loads: object
-    upstreams: int = 2
-    slots: int = 8
-    vms: int = 20
-    work_s: float = 0.6
-    local_age_s: float = 0.25
-    remote_age_s: float = 0.5
-    decision_s: float = 0.5
-    empty: tuple = ()
-    lossy: dict = {}
-    out: dict = {}
-
-
-class Result(NamedTuple):
-    """Ratios of requests, and requests in progress away from home.
-
-    ``crossing`` holds their number at each decision, ``pairs`` how
-    many requests went from one domain to another.
-    """
-
-    in_time: float
-    crossed: float
-    in_time_by_domain: dict
-    crossing: list
-    pairs: Counter
-
-
-class Server(NamedTuple):
-    """An upstream; ``in_flight`` holds the VM of each request sent there."""
-
-    name: str
-    domain: int
-    slots: int
-    running: set
-    queue: deque
-    in_flight: list
-
-
-class Simulation(NamedTuple):
-    """The state of a run; ``agenda`` is a heap of due actions."""
-
-    fleet: Fleet
-    is_decided: bool
-    random: Random
-    servers: list
-    shares: list
-    snapshots: deque
-    waiting: Counter
-    agenda: list
-    order: count
-    tally: Counter
-    pairs: Counter
-    crossing: list
-
-
 def simulate(fleet, *, is_decided, duration_s=20.0, seed=1):
     """Return what the policy achieves with or without the decision."""
-    domains = _domain_count(fleet)
+    domains = domain_count(fleet)
     servers = [
         Server(f'{domain}-{number}', domain, fleet.slots, set(), deque(), [])
         for domain in range(domains)
@@ -118,10 +66,10 @@
         Counter(),
         [],
     )
-    _schedule(simulation, 0.0, _sample)
-    _schedule(simulation, 0.0, _decide)
+    schedule(simulation, 0.0, _sample)
+    schedule(simulation, 0.0, _decide)
     for domain in range(domains):
-        _schedule(simulation, 0.0, _arrive, domain)
+        schedule(simulation, 0.0, _arrive, domain)
     while simulation.agenda[0][0] < duration_s:
         at_s, _, action, args = heappop(simulation.agenda)
         action(simulation, at_s, *args)
@@ -142,40 +90,18 @@
     )
 
 
-def _schedule(simulation, at_s, action, *args):
-    entry = (at_s, next(simulation.order), action, args)
-    heappush(simulation.agenda, entry)
-
-
-def _loads(fleet, now_s):
-    return fleet.loads(now_s) if callable(fleet.loads) else fleet.loads
-
-
-def _domain_count(fleet):
-    return len(_loads(fleet, 0.0))
-
-
-def _domain_of(simulation, vm):
-    return vm % _domain_count(simulation.fleet)
-
-
 def _sample(simulation, now_s):
     """Take the samples that reports of a later time contain."""
     sent = {
         server.name: Counter(server.in_flight) for server in simulation.servers
     }
     simulation.snapshots.append((sent, Counter(simulation.waiting)))
-    _schedule(simulation, now_s + SAMPLE_S, _sample)
-
-
-def _snapshot(simulation, age_s):
-    position = round(age_s / SAMPLE_S) + 1
-    return simulation.snapshots[-min(position, len(simulation.snapshots))]
+    schedule(simulation, now_s + SAMPLE_S, _sample)
 
 
 def _decide(simulation, now_s):
     """Let every domain decide; its VMs decide alike."""
-    domains = range(_domain_count(simulation.fleet))
+    domains = range(domain_count(simulation.fleet))
     for here in domains:
         loads = {
             domain: _load(simulation, here, domain, now_s) for domain in domains
@@ -188,22 +114,22 @@
             set_decision(shares, 's', decision, now_s)
     simulation.crossing.append(
         sum(
-            _domain_of(simulation, vm) != server.domain
+            domain_of(simulation, vm) != server.domain
             for server in simulation.servers
             for vm in server.in_flight
         )
     )
-    _schedule(simulation, now_s + simulation.fleet.decision_s, _decide)
+    schedule(simulation, now_s + simulation.fleet.decision_s, _decide)
 
 
 def _load(simulation, here, domain, now_s):
     """Return a domain's load as the VMs of another domain know it."""
     fleet = simulation.fleet
-    is_out = _is_out(fleet, domain, now_s)
+    is_out = is_domain_out(fleet, domain, now_s)
     servers = [entry for entry in simulation.servers if entry.domain == domain]
     work = _work_seen(simulation, here)
     age_s = fleet.local_age_s if here == domain else fleet.remote_age_s
-    queued = _snapshot(simulation, age_s)[1][domain]
+    queued = snapshot(simulation, age_s)[1][domain]
     return DomainLoad(
         str(domain),
         0 if is_out else sum(server.slots for server in servers),
@@ -223,28 +149,23 @@
         (True, fleet.local_age_s),
         (False, fleet.remote_age_s),
     ):
-        sent, _ = _snapshot(simulation, age_s)
+        sent, _ = snapshot(simulation, age_s)
         for server in simulation.servers:
             for vm, number in sent[server.name].items():
-                domain = _domain_of(simulation, vm)
+                domain = domain_of(simulation, vm)
                 if (domain == here) == is_near:
                     found[server.domain, domain] += number
     return found
 
 
-def _is_out(fleet, domain, now_s):
-    start_s, end_s = fleet.out.get(domain, (0.0, 0.0))
-    return start_s <= now_s < end_s
-
-
 def _arrive(simulation, now_s, domain):
     """Let a request arrive at a VM of a domain, and plan the next one."""
     fleet = simulation.fleet
     capacity_per_s = fleet.upstreams * fleet.slots / fleet.work_s
-    per_s = max(0.01, _loads(fleet, now_s)[domain] * capacity_per_s)
+    per_s = max(0.01, loads_at(fleet, now_s)[domain] * capacity_per_s)
     next_s = now_s + simulation.random.expovariate(per_s)
-    _schedule(simulation, next_s, _arrive, domain)
-    vm = domain + _domain_count(fleet) * simulation.random.randrange(fleet.vms)
+    schedule(simulation, next_s, _arrive, domain)
+    vm = domain + domain_count(fleet) * simulation.random.randrange(fleet.vms)
     simulation.tally['requests'] += 1
     simulation.tally['requests', domain] += 1
     simulation.waiting[domain] += 1
@@ -253,7 +174,7 @@
 
 def _place(simulation, now_s, vm, arrived_s, request_id):
     """Send a request; it waits for as long as no upstream may take it."""
-    domain = _domain_of(simulation, vm)
+    domain = domain_of(simulation, vm)
     if now_s - arrived_s > OBJECTIVE_S:
         simulation.waiting[domain] -= 1
         return
@@ -264,7 +185,7 @@
     ]
     if not candidates:
         args = (vm, arrived_s, request_id)
-        _schedule(simulation, now_s + SAMPLE_S, _place, *args)
+        schedule(simulation, now_s + SAMPLE_S, _place, *args)
         return
     simulation.waiting[domain] -= 1
     policy = policies.find('proportional')
@@ -284,10 +205,10 @@
 def _candidate(simulation, server, vm, request_id, now_s):
     """Return an upstream as a VM knows it, or ``None`` if it gets nothing."""
     fleet = simulation.fleet
-    here = _domain_of(simulation, vm)
+    here = domain_of(simulation, vm)
     is_local = server.domain == here
     shares = simulation.shares[vm]
-    if _is_out(fleet, server.domain, now_s):
+    if is_domain_out(fleet, server.domain, now_s):
         return None
     if simulation.is_decided and not is_local:
         if not may_leave(shares, 's', str(server.domain), request_id, now_s):
@@ -317,17 +238,17 @@
 def _others(simulation, server, vm):
     """Return the requests of other VMs there, by their last reports."""
     fleet = simulation.fleet
-    here = _domain_of(simulation, vm)
-    near, _ = _snapshot(simulation, fleet.local_age_s)
-    far, _ = _snapshot(simulation, fleet.remote_age_s)
+    here = domain_of(simulation, vm)
+    near, _ = snapshot(simulation, fleet.local_age_s)
+    far, _ = snapshot(simulation, fleet.remote_age_s)
     return sum(
         number
         for sender, number in near[server.name].items()
-        if sender != vm and _domain_of(simulation, sender) == here
+        if sender != vm and domain_of(simulation, sender) == here
     ) + sum(
         number
         for sender, number in far[server.name].items()
-        if _domain_of(simulation, sender) != here
+        if domain_of(simulation, sender) != here
     )
 
 
@@ -336,7 +257,7 @@
     if not server.queue or len(server.running) >= server.slots:
         return
     vm, arrived_s = server.queue.popleft()
-    domain = _domain_of(simulation, vm)
+    domain = domain_of(simulation, vm)
     loss = simulation.fleet.lossy.get((domain, server.domain), 0.0)
     is_lost = simulation.random.random() < loss
     began_s = now_s + is_lost * LOST_S
@@ -348,7 +269,7 @@
     server.running.add(request)
     mean_s = simulation.fleet.work_s
     end_s = now_s + simulation.random.uniform(0.5, 1.5) * mean_s
-    _schedule(simulation, end_s, _finish, server, request, vm)
+    schedule(simulation, end_s, _finish, server, request, vm)
 
 
 def _record_link(shares: DomainShares, server, at_s, *, is_bad):
