Send each VM the messages in the form that its build reads

The old half of the fleet is then deaf to the new half: its loads, demand, ranks, limits and liveness.

Cause: appended is_cut_off and contact_age_s to both reports, and decoders refuse records that are longer than they know. The samples of older messages only tested that this build reads earlier ones, not that earlier ones read it.

Change: a VM announces with its address the version of the messages that it reads. Receivers of version 1 get the reports without the fields on links, and no RejectionLimitReport, which they do not know. A VM that announces no version reads 2 if it announces a forwarding address, else 1.

--- a/bluebellhub/adapters/peer_link.py
+++ b/bluebellhub/adapters/peer_link.py
@@ -17,7 +17,11 @@
 from bluebellhub.adapters.listening import listen_when_free
 from bluebellhub.errors import HubError, InvariantError, PeerMessageError
 from bluebellhub.faults import report_fault
-from bluebellhub.peer_messages import decode_message, encode_message
+from bluebellhub.peer_messages import (
+    MESSAGE_VERSION,
+    decode_message,
+    encode_for_version,
+)
 
 __all__ = [
     'PeerLink',
@@ -31,6 +35,7 @@
     'send',
     'send_all',
     'set_peer_address',
+    'set_peer_version',
 ]
 
 QUEUED_MESSAGES_MAX: Final = 1000
@@ -45,13 +50,17 @@
 
 
 class PeerLink(NamedTuple):
-    """Root of the aggregate: the sockets and addresses of the other VMs."""
+    """Root of the aggregate: the sockets and addresses of the other VMs.
+
+    ``versions`` holds the version of the messages that a VM reads.
+    """
 
     name: str
     context: zmq.Context
     inbox: zmq.Socket
     outboxes: dict[str, zmq.Socket]
     addresses: dict[str, str]
+    versions: dict[str, int]
     counters: Counter[tuple[str, str]]
 
 
@@ -69,7 +78,7 @@
     except zmq.ZMQError:
         context.destroy(linger=0)
         raise
-    return PeerLink(name, context, inbox, {}, {}, counters)
+    return PeerLink(name, context, inbox, {}, {}, {}, counters)
 
 
 async def open_peer_link(
@@ -90,6 +99,11 @@
         reconnect(link, name)
 
 
+def set_peer_version(link: PeerLink, name: str, version: int) -> None:
+    """Set the version of the messages that a peer reads."""
+    link.versions[name] = version
+
+
 def set_peer_address(link: PeerLink, name: str, address: str) -> None:
     """Set a peer's address; the first message to it opens a connection."""
     if name == link.name or link.addresses.get(name) == address:
@@ -147,10 +161,19 @@
 
 
 def send_all(link: PeerLink, names: Iterable[str], message: object) -> None:
-    """Send one message to several peers; unknown peers are skipped."""
-    encoded = encode_message(message)
+    """Send one message to several peers; unknown peers are skipped.
+
+    So are those of an earlier build that does not know such messages.
+    """
+    forms: dict[int, bytes | None] = {}
     for name in names:
-        if name in link.addresses:
+        if name not in link.addresses:
+            continue
+        version = link.versions.get(name, MESSAGE_VERSION)
+        if version not in forms:
+            forms[version] = encode_for_version(message, version)
+        encoded = forms[version]
+        if encoded is not None:
             _send_encoded(link, name, encoded)
 
 
--- a/bluebellhub/adapters/proxy/object_handlers.py
+++ b/bluebellhub/adapters/proxy/object_handlers.py
@@ -7,7 +7,11 @@
 import logbook
 import trio
 
-from bluebellhub.adapters.peer_link import PeerLink, set_peer_address
+from bluebellhub.adapters.peer_link import (
+    PeerLink,
+    set_peer_address,
+    set_peer_version,
+)
 from bluebellhub.adapters.proxy.state import Proxy
 from bluebellhub.clock import now_epoch_s, now_s
 from bluebellhub.errors import ObjectError
@@ -221,6 +225,7 @@
     set_vms(watcher.proxy.site, locations)
     for name, location in locations.items():
         set_peer_address(watcher.link, name, location.address)
+        set_peer_version(watcher.link, name, location.message_version)
 
 
 def apply_all_upstreams(watcher: Watcher, entries: list[StoredEntry]) -> None:
--- a/bluebellhub/adapters/proxy/vm_announcement.py
+++ b/bluebellhub/adapters/proxy/vm_announcement.py
@@ -1,4 +1,4 @@
-"""Publishes in the store where this VM listens for other VMs."""
+"""Publishes in the store where and how this VM is reached by other VMs."""
 
 from typing import Final
 
@@ -8,6 +8,7 @@
 from bluebellhub.adapters.proxy.object_handlers import Watcher
 from bluebellhub.errors import ConflictError, ObjectError, StoreError
 from bluebellhub.faults import isolate_fault
+from bluebellhub.peer_messages import MESSAGE_VERSION
 from bluebellhub.platform.object_codec import VM_KIND, read_vm, vm_spec
 from bluebellhub.platform.store import (
     create_entry,
@@ -54,6 +55,7 @@
         settings.peer_listen or '',
         settings.failure_domain,
         settings.site.forward_listen,
+        MESSAGE_VERSION,
     )
     try:
         if not await _is_announced(store, settings.vm, location):
--- a/bluebellhub/platform/object_codec.py
+++ b/bluebellhub/platform/object_codec.py
@@ -31,7 +31,7 @@
     Split,
     make_table,
 )
-from bluebellhub.site.vm_location import VmLocation
+from bluebellhub.site.vm_location import VmLocation, unannounced_version
 from bluebellhub.version_move import MoveCommand, MoveState
 
 __all__ = [
@@ -247,6 +247,7 @@
         'address': location.address,
         'failure_domain': location.domain,
         'forward_address': location.forward_address,
+        'message_version': location.message_version,
     }
 
 
@@ -264,5 +265,8 @@
     except (msgspec.ValidationError, SettingsError) as error:
         raise ObjectError(VM_KIND, entry.name, str(error)) from None
     return VmLocation(
-        wire['address'], wire.get('failure_domain', ''), forward_address
+        wire['address'],
+        wire.get('failure_domain', ''),
+        forward_address,
+        wire.get('message_version', unannounced_version(forward_address)),
     )
--- a/bluebellhub/platform/tests/test_object_codec.py
+++ b/bluebellhub/platform/tests/test_object_codec.py
@@ -194,3 +194,18 @@
     assert read_vm(StoredEntry('vm', 1, vm_spec(location))) == location
     without_domain = StoredEntry('vm', 1, {'address': '10.0.0.1:7600'})
     assert read_vm(without_domain) == VmLocation('10.0.0.1:7600')
+
+
+@pytest.mark.parametrize(
+    ('announced', 'expected'),
+    [
+        ({}, 1),
+        ({'forward_address': ''}, 1),
+        ({'forward_address': '10.0.0.1:7615'}, 2),
+        ({'forward_address': '', 'message_version': 2}, 2),
+        ({'message_version': 3, 'more': [1]}, 3),
+    ],
+)
+def test_version_that_a_vm_reads_follows_from_its_entry(announced, expected):
+    spec = {'address': '10.0.0.1:7600', **announced}
+    assert read_vm(StoredEntry('vm', 1, spec)).message_version == expected
--- a/bluebellhub/platform/wire.py
+++ b/bluebellhub/platform/wire.py
@@ -154,6 +154,7 @@
     address: str
     failure_domain: NotRequired[str]
     forward_address: NotRequired[str]
+    message_version: NotRequired[int]
 
 
 class WireQuarantine(TypedDict):
--- a/bluebellhub/site/reports.py
+++ b/bluebellhub/site/reports.py
@@ -1,8 +1,8 @@
 """Reports that VMs gossip several times a second, and the last received."""
 
-from typing import NamedTuple
+from typing import Any, Final, NamedTuple
 
-from bluebellhub.peer_messages import message_types
+from bluebellhub.peer_messages import message_types, older_forms
 from bluebellhub.quarantine import CrashReport, PassedPart
 from bluebellhub.upstream.speed import Speed
 from bluebellhub.version_move.comparison import RouteOutcomes
@@ -25,6 +25,11 @@
 ]
 
 
+# How many fields the reports had before those on the links of VMs.
+VM_FIELDS_WITHOUT_LINKS: Final = 13
+DOMAIN_FIELDS_WITHOUT_LINKS: Final = 18
+
+
 class MoveDecision(NamedTuple):
     """The decision of a version move's leader on the new version's share.
 
@@ -195,3 +200,27 @@
     report: VmReport
     received_at_s: float
     past_starts: frozenset[int] = frozenset()
+
+
+@older_forms.register('NewsBatch')
+def _batch_without_links(
+    batch: GossipBatch, version: int
+) -> tuple[list[tuple[str, tuple[Any, ...]]]]:
+    """Return a batch as VMs read it that know nothing of each other's links."""
+    items = [
+        (item.vm, item.report[:VM_FIELDS_WITHOUT_LINKS]) for item in batch.items
+    ]
+    return (items,)
+
+
+@older_forms.register('DomainNews')
+def _domain_without_links(
+    report: DomainReport, version: int
+) -> tuple[Any, ...]:
+    """Return a report as VMs read it that know nothing of others' links."""
+    return report[:DOMAIN_FIELDS_WITHOUT_LINKS]
+
+
+@older_forms.register('RejectionLimitReport')
+def _no_rejection_limits(report: RejectionLimitReport, version: int) -> None:
+    """Return nothing: VMs of version 1 know no such limits."""
