Measure how late a VM runs its work, decides and reads reports

A VM that has too little processor time is late for all requests, and those with short objectives lose first; a refusal says nothing of that.

--- a/bluebellhub/adapters/node.py
+++ b/bluebellhub/adapters/node.py
@@ -17,7 +17,11 @@
 from bluebellhub.clock import now_s
 from bluebellhub.contract import AccountLimits
 from bluebellhub.faults import isolate_fault
-from bluebellhub.latencies import Latencies, make_latencies
+from bluebellhub.latencies import (
+    Latencies,
+    make_latencies,
+    record_loop_lag,
+)
 from bluebellhub.reachability import CHECK_TIMEOUT_S, is_cut_off
 from bluebellhub.registry import Registry, make_registry
 from bluebellhub.request import Request
@@ -44,12 +48,14 @@
     'UpstreamProbe',
     'discard_attempt',
     'execute_events',
+    'lag_ms',
     'make_node',
     'release_request',
     'run_ticks',
     'start_request',
 ]
 
+MS_PER_S = 1000
 TICK_S = 0.05
 # A process that crashes may close its connections before it stops listening.
 CRASH_CHECK_DELAY_S = 0.05
@@ -168,6 +174,7 @@
             'reason': event.error.reason,
             'run': event.error.run,
             'detail': str(event.error),
+            'lag_ms': lag_ms(node),
         },
     )
     if exchange is not None:
@@ -248,4 +255,17 @@
     while True:
         with isolate_fault('tick'):
             execute_events(node, tick(node.scheduler, now_s()))
+        due_at_s = now_s() + TICK_S
         await trio.sleep(TICK_S)
+        _record_lag(node, now_s() - due_at_s)
+
+
+def _record_lag(node: Node, lag_s: float) -> None:
+    """Record how late the loop runs a task; clocks may differ by a little."""
+    node.scheduler.flags['loop_lag_s'] = max(0.0, lag_s)
+    record_loop_lag(node.latencies, max(0.0, lag_s))
+
+
+def lag_ms(node: Node) -> int:
+    """Return how late the loop last ran a task, in milliseconds."""
+    return round(node.scheduler.flags['loop_lag_s'] * MS_PER_S)
--- a/bluebellhub/adapters/proxy/caller_connection.py
+++ b/bluebellhub/adapters/proxy/caller_connection.py
@@ -58,13 +58,15 @@
     ``closes`` adds ``Connection: close`` to the next response head.
     ``is_aborted`` marks a truncated response, ``is_gone`` a caller that
     disconnected, and ``is_idle`` a connection that waits for a request;
-    cancelling ``idle_scope`` ends that wait.
+    cancelling ``idle_scope`` ends that wait.  The first byte of the present
+    request was read at ``began_at_s``.
     """
 
     closes: bool
     is_aborted: bool
     is_gone: bool
     is_idle: bool
+    began_at_s: float
     idle_scope: trio.CancelScope | None
 
 
@@ -84,11 +86,15 @@
 
 
 class ReceivedRequest(NamedTuple):
-    """A request that was read completely, its body in ``read_s`` seconds."""
+    """A request that was read completely, its body in ``read_s`` seconds.
+
+    Its first byte was read at ``began_at_s``.
+    """
 
     head: RequestHead
     body: bytes
     read_s: float
+    began_at_s: float
 
 
 def make_connection(
@@ -107,6 +113,7 @@
         'is_aborted': False,
         'is_gone': False,
         'is_idle': True,
+        'began_at_s': 0.0,
         'idle_scope': None,
     }
     reservation = make_reservation(memory)
--- a/bluebellhub/adapters/proxy/gossip.py
+++ b/bluebellhub/adapters/proxy/gossip.py
@@ -24,6 +24,7 @@
 from bluebellhub.adapters.proxy.usage_reports import receive_usage_report
 from bluebellhub.clock import now_s
 from bluebellhub.faults import isolate_fault
+from bluebellhub.latencies import record_report_delay
 from bluebellhub.registry import Registry, make_registry
 from bluebellhub.site.crash_evidence import apply_crash_evidence
 from bluebellhub.site.domain_loads import update_domain_shares
@@ -43,7 +44,11 @@
 )
 from bluebellhub.site.state import Site
 from bluebellhub.site.step_reports import apply_step_report
-from bluebellhub.site.vm_reports import apply_gossip, update_other_vms_load
+from bluebellhub.site.vm_reports import (
+    apply_gossip,
+    longest_delay_s,
+    update_other_vms_load,
+)
 from bluebellhub.usage import UsageReport
 
 __all__ = ['GossipHandler', 'gossip_handlers', 'receive_gossip', 'send_gossip']
@@ -64,6 +69,8 @@
         with isolate_fault('gossip'):
             current_s = now_s()
             update_other_vms_load(site, current_s)
+            delay_s = longest_delay_s(site, current_s)
+            record_report_delay(proxy.node.latencies, delay_s)
             _decide_shares(site, current_s)
             gossip_state, multicasts = make_multicasts(
                 site, gossip_state, current_s
--- a/bluebellhub/adapters/proxy/request_handling.py
+++ b/bluebellhub/adapters/proxy/request_handling.py
@@ -29,9 +29,11 @@
 from bluebellhub.adapters.proxy.http_exchange import CALLER_GONE
 from bluebellhub.adapters.proxy.peer_forwarding import forward_to_peer
 from bluebellhub.adapters.proxy.request_logs import (
+    FirstDecision,
     log_end,
     log_refused,
     log_sent,
+    record_first_decision,
 )
 from bluebellhub.adapters.proxy.response_forwarding import send_buffered
 from bluebellhub.adapters.proxy.state import (
@@ -72,6 +74,7 @@
         received, admission = admit_received(proxy, connection, received)
     except RefusalError as error:
         log_refused(received, error)
+        record_first_decision(proxy, received, 'refused')
         await send_refusal(connection, error)
         return
     request = admission.request
@@ -107,14 +110,27 @@
 
 async def _run_attempts(proxy: Proxy, context: RequestContext) -> None:
     """Run attempts until one succeeds or no other is allowed."""
+    is_first = True
     while not context.progress['outcome']:
         decision = await context.exchange.decision_receiver.receive()
+        if is_first:
+            record_first_decision(
+                proxy, context.received, _name_decision(decision)
+            )
+        is_first = False
         try:
             await _apply_decision(proxy, context, decision)
         except CallerGoneError:
             _set_outcome(context, CALLER_GONE)
 
 
+def _name_decision(decision: Dispatch | RefusalError) -> FirstDecision:
+    """Return what the scheduler decided, as the metrics name it."""
+    if isinstance(decision, CutOffError):
+        return 'forwarded'
+    return 'refused' if isinstance(decision, RefusalError) else 'sent'
+
+
 async def _apply_decision(
     proxy: Proxy, context: RequestContext, decision: Dispatch | RefusalError
 ) -> None:
--- a/bluebellhub/adapters/proxy/request_logs.py
+++ b/bluebellhub/adapters/proxy/request_logs.py
@@ -1,23 +1,32 @@
 """Log lines of a request: its refusal, where it was sent, and its end."""
 
-from typing import Final
+from typing import Final, Literal
 
 import logbook
 
+from bluebellhub.adapters.node import lag_ms
 from bluebellhub.adapters.proxy.caller_connection import ReceivedRequest
 from bluebellhub.adapters.proxy.state import Proxy, RequestContext
 from bluebellhub.clock import now_s
-from bluebellhub.latencies import record_request
+from bluebellhub.latencies import record_decision, record_request
 from bluebellhub.request import RefusalError
 from bluebellhub.site.liveness import live_vm_names
 from bluebellhub.upstream import Upstream
 
-__all__ = ['log_end', 'log_refused', 'log_sent']
+__all__ = [
+    'FirstDecision',
+    'log_end',
+    'log_refused',
+    'log_sent',
+    'record_first_decision',
+]
 
 MS_PER_S: Final = 1000
 
 log = logbook.Logger('bluebellhub.passing')
 
+FirstDecision = Literal['sent', 'refused', 'forwarded']
+
 
 def log_refused(received: ReceivedRequest, error: RefusalError) -> None:
     """Log that a request was refused before it was admitted."""
@@ -31,6 +40,14 @@
     )
 
 
+def record_first_decision(
+    proxy: Proxy, received: ReceivedRequest, decision: FirstDecision
+) -> None:
+    """Record the time that the first decision on a request took."""
+    decision_s = now_s() - received.began_at_s
+    record_decision(proxy.node.latencies, decision, decision_s)
+
+
 def log_sent(proxy: Proxy, context: RequestContext, upstream: Upstream) -> None:
     """Log a dispatch and the data behind the choice of the upstream.
 
@@ -46,6 +63,7 @@
             'request': context.received.head.request_id,
             'upstream': upstream.spec.name,
             'waited_ms': round((now - request.arrived_at_s) * MS_PER_S),
+            'lag_ms': lag_ms(proxy.node),
             'own_work': len(upstream.work),
             'others_work': upstream.other_vms_work,
             'predicted_ms': round(work.predicted_s * MS_PER_S)
--- a/bluebellhub/adapters/proxy/request_reading.py
+++ b/bluebellhub/adapters/proxy/request_reading.py
@@ -60,7 +60,8 @@
     )
     if body is None:
         return None
-    return ReceivedRequest(head, body, now_s() - started_at_s)
+    began_at_s = caller.state['began_at_s']
+    return ReceivedRequest(head, body, now_s() - started_at_s, began_at_s)
 
 
 async def _read_head(caller: CallerConnection) -> h11.Request | None:
@@ -80,6 +81,7 @@
     if caller.state['is_idle'] and not has_unread_bytes(caller.stream):
         return None
     caller.state['is_idle'] = False
+    caller.state['began_at_s'] = now_s()
     with trio.move_on_after(caller.limits.header_timeout_s):
         event = await _read_event(caller)
         return event if isinstance(event, h11.Request) else None
--- a/bluebellhub/scheduler/state.py
+++ b/bluebellhub/scheduler/state.py
@@ -59,7 +59,8 @@
     too small for a request, and ``checks_links`` if other VMs can serve the
     requests of this one when it is cut off from the upstreams.
     ``decisions`` counts routing decisions.  Loads
-    that other VMs report are up to ``report_age_s`` old.
+    that other VMs report are up to ``report_age_s`` old.  The periodic work
+    of this VM last began ``loop_lag_s`` seconds late.
     """
 
     draining: bool
@@ -71,6 +72,7 @@
     retry_credit: float
     vm_count: int
     report_age_s: float
+    loop_lag_s: float
     failure_domain: str
 
 
@@ -174,6 +176,7 @@
         'retry_credit': 10.0,
         'vm_count': 1,
         'report_age_s': 0.0,
+        'loop_lag_s': 0.0,
         'failure_domain': '',
     }
     random = Random(seed)
--- a/bluebellhub/site/reports.py
+++ b/bluebellhub/site/reports.py
@@ -194,12 +194,14 @@
     """The newest report of another VM and when it arrived.
 
     ``past_starts`` identifies the VM's earlier starts; reports of those are
-    late and are dropped.
+    late and are dropped.  The report took ``delay_s`` longer than the fastest
+    of this start.
     """
 
     report: VmReport
     received_at_s: float
     past_starts: frozenset[int] = frozenset()
+    delay_s: float = 0.0
 
 
 @older_forms.register('NewsBatch')
--- a/bluebellhub/site/tests/test_vm_reports.py
+++ b/bluebellhub/site/tests/test_vm_reports.py
@@ -16,6 +16,7 @@
 from bluebellhub.site.vm_location import VmLocation
 from bluebellhub.site.vm_reports import (
     apply_vm_report,
+    longest_delay_s,
     make_vm_report,
     update_other_vms_load,
 )
@@ -47,6 +48,28 @@
     assert bool(dispatched_upstreams(events)) is placed
 
 
+@pytest.mark.parametrize(
+    ('arrivals_s', 'starts', 'delay_s'),
+    [
+        ([10.0], [1], 0.0),
+        ([10.0, 11.0], [1, 1], 0.0),
+        ([10.0, 11.3], [1, 1], 0.3),
+        ([10.4, 11.0, 12.1], [1, 1, 1], 0.1),
+        ([10.0, 11.3, 12.3], [1, 1, 1], 0.3),
+        ([10.0, 11.3, 12.6], [1, 1, 2], 0.0),
+    ],
+)
+def test_delay_is_counted_from_the_fastest_report(arrivals_s, starts, delay_s):
+    site = make_small_site(make_registration())
+    for sent_s, (at_s, start_id) in enumerate(
+        zip(arrivals_s, starts, strict=True), start=1
+    ):
+        report = VmReport(start_id, float(sent_s), sent_s, {}, {}, {})
+        apply_vm_report(site, 'hub-2', report, at_s)
+    found_s = longest_delay_s(site, arrivals_s[-1])
+    assert found_s == pytest.approx(delay_s)
+
+
 def test_report_contains_work_and_usage():
     site = make_small_site(make_registration())
     send(site, tokens=TokenCounts(10, 2))
--- a/bluebellhub/site/vm_reports.py
+++ b/bluebellhub/site/vm_reports.py
@@ -44,6 +44,7 @@
     'apply_vm_report',
     'has_starting_peer',
     'learned_speeds',
+    'longest_delay_s',
     'make_vm_report',
     'merge_learned_speeds',
     'sum_counts',
@@ -132,7 +133,8 @@
         if item.vm == site.vm or (known and not _is_newer(item.report, known)):
             continue
         past = _past_starts(item.report, known)
-        site.peers[item.vm] = Peer(item.report, now_s, past)
+        delay_s = _delay_s(item.report, known, now_s)
+        site.peers[item.vm] = Peer(item.report, now_s, past, delay_s)
         newer.append((item, known))
     if not newer:
         return
@@ -195,6 +197,21 @@
     return known.past_starts | {known.report.start_id}
 
 
+def _delay_s(report: VmReport, known: Peer | None, now_s: float) -> float:
+    """Return how much longer a report took than the fastest of its start."""
+    if known is None or report.start_id != known.report.start_id:
+        return 0.0
+    sent_after_s = report.uptime_s - known.report.uptime_s
+    received_after_s = now_s - known.received_at_s
+    return max(0.0, known.delay_s + received_after_s - sent_after_s)
+
+
+def longest_delay_s(site: Site, now_s: float) -> float:
+    """Return the longest delay of the newest reports of the live VMs."""
+    delays_s = [peer.delay_s for peer in live_peers(site, now_s)]
+    return max(delays_s, default=0.0)
+
+
 def sum_counts(counts: Iterable[Mapping[str, int]]) -> Counter[str]:
     """Add up counts by name."""
     total: Counter[str] = Counter()
