Sum up the capacity once a decision, and skip full upstreams first

Change: the capacity and the demand are summed up once for each call that dispatches or refuses, and again after a dispatch. An upstream without room for any request is left out before its eligibility and its predictions. Decisions stay the same.

--- a/bluebellhub/scheduler/account_shares.py
+++ b/bluebellhub/scheduler/account_shares.py
@@ -1,14 +1,11 @@
 """What this VM may send of a rank, divided among the client accounts."""
 
-from collections.abc import Sequence
-
-from bluebellhub.scheduler.rank_ratios import admission_ratio
+from bluebellhub.scheduler.rank_ratios import Balance, admission_ratio
 from bluebellhub.scheduler.shares import (
     CREDIT_MAX,
     TargetShare,
     account_demand,
 )
-from bluebellhub.upstream import Upstream
 
 __all__ = ['fair_rate_per_s', 'has_credit', 'use_credit']
 
@@ -38,13 +35,13 @@
 
 def has_credit(
     share: TargetShare,
-    upstreams: Sequence[Upstream],
+    balance: Balance,
     rank: int,
     account: str,
     now_s: float,
 ) -> bool:
     """Return whether the account's share allows a request of the rank now."""
-    ratio = admission_ratio(share, upstreams, rank, now_s)
+    ratio = admission_ratio(balance, rank)
     found = share.accounts.get((rank, account))
     if found is None or ratio >= 1:
         return True
--- a/bluebellhub/scheduler/capacity.py
+++ b/bluebellhub/scheduler/capacity.py
@@ -29,6 +29,8 @@
     'disciplines',
     'full_window_slots',
     'has_capacity',
+    'has_shared_room',
+    'may_have_room',
     'prefer_unblocked',
     'unblocked_names',
     'unused_window_slots',
@@ -67,7 +69,11 @@
 
 Discipline = Callable[[Placement], bool]
 
+RoomRule = Callable[[Scheduler, str, Upstream, float], bool]
+
 disciplines: Registry[Discipline] = make_registry('scheduling discipline')
+# By discipline: whether an upstream has room for some request for a target.
+room_rules: Registry[RoomRule] = make_registry('room rule')
 
 
 def full_window_slots(upstream: Upstream, now_s: float) -> int:
@@ -145,15 +151,38 @@
     """
     scheduler = placement.scheduler
     upstream = placement.upstream
+    target = placement.request.target
+    if not has_shared_room(scheduler, target, upstream, placement.now_s):
+        return False
     slots = _ramped_slots(scheduler, upstream, placement.now_s)
+    is_free = slots - len(upstream.work) - upstream.other_vms_work >= 1
+    return is_free or not placement.candidate.is_late
+
+
+@room_rules.register('shared')
+def has_shared_room(
+    scheduler: Scheduler, target: str, upstream: Upstream, now_s: float
+) -> bool:
+    """Return whether a slot is free, or will be before a request arrives."""
+    slots = _ramped_slots(scheduler, upstream, now_s)
     if len(upstream.work) >= slots:
         return False
     if slots - len(upstream.work) - upstream.other_vms_work >= 1:
         return True
-    if placement.candidate.is_late:
-        return False
-    share = share_of(scheduler, placement.request.target)
-    return expected_free(share, upstream, slots, placement.now_s) > 0
+    share = share_of(scheduler, target)
+    return expected_free(share, upstream, slots, now_s) > 0
+
+
+def may_have_room(
+    scheduler: Scheduler, target: str, upstream: Upstream, now_s: float
+) -> bool:
+    """Return false if no request at all would be admitted at the upstream.
+
+    Under overload that is so for most upstreams, and it costs less to find out
+    than how a request would do there.
+    """
+    rule = room_rules.entries.get(scheduler.options.discipline)
+    return rule is None or rule(scheduler, target, upstream, now_s)
 
 
 def _has_slot(placement: Placement) -> bool:
--- a/bluebellhub/scheduler/credit.py
+++ b/bluebellhub/scheduler/credit.py
@@ -8,7 +8,11 @@
     has_credit,
     use_credit,
 )
-from bluebellhub.scheduler.rank_ratios import admission_ratio
+from bluebellhub.scheduler.rank_ratios import (
+    Balance,
+    admission_ratio,
+    make_balance,
+)
 from bluebellhub.scheduler.shares import (
     DEMAND_WINDOW_S,
     TargetShare,
@@ -26,6 +30,7 @@
 __all__ = [
     'capacity_ratio',
     'charge_credit',
+    'forget_balance',
     'is_within_share',
     'record_plain',
     'retry_after_s',
@@ -37,8 +42,22 @@
     scheduler: Scheduler, target: str, rank: int, now_s: float
 ) -> float:
     """Return which ratio of the requests of a rank can be sent now."""
-    upstreams = _serving_upstreams(scheduler, target, now_s)
-    return admission_ratio(share_of(scheduler, target), upstreams, rank, now_s)
+    return admission_ratio(_balance_of(scheduler, target, now_s), rank)
+
+
+def forget_balance(scheduler: Scheduler, target: str) -> None:
+    """Forget what was summed up for earlier decisions on a target."""
+    scheduler.balances.pop(target, None)
+
+
+def _balance_of(scheduler: Scheduler, target: str, now_s: float) -> Balance:
+    """Return the balance of a target, summed up once for several decisions."""
+    balance = scheduler.balances.get(target)
+    if balance is None:
+        upstreams = _serving_upstreams(scheduler, target, now_s)
+        balance = make_balance(share_of(scheduler, target), upstreams, now_s)
+        scheduler.balances[target] = balance
+    return balance
 
 
 def is_within_share(
@@ -48,15 +67,14 @@
     if scheduler.options.discipline != 'shared':
         return True
     target = request.target
-    upstreams = _serving_upstreams(scheduler, target, now_s)
+    balance = _balance_of(scheduler, target, now_s)
     share = share_of(scheduler, target)
-    return has_credit(
-        share, upstreams, request.tier.rank, request.account, now_s
-    )
+    return has_credit(share, balance, request.tier.rank, request.account, now_s)
 
 
 def charge_credit(scheduler: Scheduler, request: Request) -> None:
     """Charge a request that is sent now to the share."""
+    forget_balance(scheduler, request.target)
     share = share_of(scheduler, request.target)
     use_credit(share, request.tier.rank, request.account)
 
--- a/bluebellhub/scheduler/dispatch.py
+++ b/bluebellhub/scheduler/dispatch.py
@@ -25,10 +25,15 @@
 from bluebellhub.scheduler.capacity import (
     Placement,
     has_capacity,
+    may_have_room,
     prefer_unblocked,
     unblocked_names,
 )
-from bluebellhub.scheduler.credit import charge_credit, is_within_share
+from bluebellhub.scheduler.credit import (
+    charge_credit,
+    forget_balance,
+    is_within_share,
+)
 from bluebellhub.scheduler.eligibility import is_eligible
 from bluebellhub.scheduler.events import Dispatch, Event
 from bluebellhub.scheduler.finish import refuse
@@ -72,6 +77,7 @@
     if is_doubtful(scheduler.links):
         return events
     queue = queue_of(scheduler, target)
+    forget_balance(scheduler, target)
     is_changed = True
     while is_changed:
         is_changed = any(
@@ -189,6 +195,8 @@
 ) -> Candidate | None:
     """Return the upstream as a candidate if it may get the request now."""
     request = state.request
+    if not may_have_room(scheduler, request.target, upstream, now_s):
+        return None
     if not is_eligible(scheduler, request, upstream, now_s):
         return None
     candidate = make_candidate(
--- a/bluebellhub/scheduler/overdue.py
+++ b/bluebellhub/scheduler/overdue.py
@@ -9,7 +9,11 @@
 from bluebellhub.request import RefusalError, RequestState, execution_status
 from bluebellhub.request.refusal import ShedError, UpstreamFailedError
 from bluebellhub.scheduler.candidate import is_hopeless
-from bluebellhub.scheduler.credit import capacity_ratio, retry_after_s
+from bluebellhub.scheduler.credit import (
+    capacity_ratio,
+    forget_balance,
+    retry_after_s,
+)
 from bluebellhub.scheduler.events import Event
 from bluebellhub.scheduler.expiries import expiries
 from bluebellhub.scheduler.finish import refuse
@@ -32,6 +36,7 @@
 ) -> None:
     """Refuse requests that have been queued for as long as allowed."""
     queue = queue_of(scheduler, target)
+    forget_balance(scheduler, target)
     short = {
         rank
         for rank in ranks(queue)
--- a/bluebellhub/scheduler/rank_ratios.py
+++ b/bluebellhub/scheduler/rank_ratios.py
@@ -13,7 +13,7 @@
 
 from collections.abc import Mapping, Sequence
 from math import inf
-from typing import Final
+from typing import Final, NamedTuple
 
 from bluebellhub.scheduler.shares import (
     TargetShare,
@@ -24,7 +24,7 @@
 )
 from bluebellhub.upstream import Upstream, fill_ratio
 
-__all__ = ['admission_ratio']
+__all__ = ['Balance', 'admission_ratio', 'make_balance']
 
 # A VM always has a share, so that it notices when capacity is back.
 RATIO_MIN: Final = 0.02
@@ -42,6 +42,26 @@
 COST_MIN_PER_S: Final = 1e-9
 
 
+class Balance(NamedTuple):
+    """What all VMs may send per second, and what they get, by rank.
+
+    Both are in mean requests.
+    """
+
+    capacity_per_s: float
+    costs_per_s: Mapping[int, float]
+
+
+def make_balance(
+    share: TargetShare, upstreams: Sequence[Upstream], now_s: float
+) -> Balance:
+    """Return the balance of a target that these upstreams serve."""
+    return Balance(
+        _capacity_per_s(share, upstreams, now_s),
+        _costs_per_s(share, upstreams, now_s),
+    )
+
+
 def _capacity_per_s(
     share: TargetShare, upstreams: Sequence[Upstream], now_s: float
 ) -> float:
@@ -73,16 +93,13 @@
     return fill_ratio(upstream.window.slots, held_s, upstream.rejections_per_s)
 
 
-def admission_ratio(
-    share: TargetShare, upstreams: Sequence[Upstream], rank: int, now_s: float
-) -> float:
+def admission_ratio(balance: Balance, rank: int) -> float:
     """Return which ratio of the requests of a rank can be sent now.
 
     Higher ranks have their requests sent first, on all VMs, but for what is
     reserved for those below.  No rank is served more often than one above it.
     """
-    costs = _costs_per_s(share, upstreams, now_s)
-    capacity = _capacity_per_s(share, upstreams, now_s)
+    capacity, costs = balance
     left = capacity
     for other in sorted(costs):
         if other >= rank:
--- a/bluebellhub/scheduler/state.py
+++ b/bluebellhub/scheduler/state.py
@@ -29,6 +29,7 @@
 from bluebellhub.routing.output_length import OutputLengths, make_lengths
 from bluebellhub.routing.prefix import forget_upstream
 from bluebellhub.scheduler.options import SchedulerOptions
+from bluebellhub.scheduler.rank_ratios import Balance
 from bluebellhub.scheduler.shares import TargetShare
 from bluebellhub.upstream import Upstream
 from bluebellhub.version_move.comparison import OutcomeCounts
@@ -113,7 +114,8 @@
     receive no long prefill, by target.  ``expired_leases`` names the cold
     upstreams whose lease has expired and whose running requests must therefore
     stop.  ``domain_shares`` is what may leave the failure domain, and
-    ``shares`` this VM's part of the capacity, by target.
+    ``shares`` this VM's part of the capacity, by target.  ``balances`` are the
+    sums that the decisions of one moment share.
     """
 
     options: SchedulerOptions
@@ -149,6 +151,7 @@
     domain_shares: DomainShares
     counters: Counter[tuple[str, str]]
     shares: dict[str, TargetShare]
+    balances: dict[str, Balance]
 
 
 def unlimited_cold_share(upstream: Upstream) -> float:
@@ -214,6 +217,7 @@
         domain_shares=make_domain_shares(),
         counters=Counter(),
         shares={},
+        balances={},
     )
 
 
--- a/bluebellhub/site/tests/test_starved_kinds.py
+++ b/bluebellhub/site/tests/test_starved_kinds.py
@@ -8,7 +8,7 @@
 
 import pytest
 
-from bluebellhub.scheduler.rank_ratios import admission_ratio
+from bluebellhub.scheduler.rank_ratios import admission_ratio, make_balance
 from bluebellhub.scheduler.shares import (
     count_arrival,
     make_target_share,
@@ -81,10 +81,9 @@
 def test_lowest_rank_is_not_starved_by_those_above(per_s, works):
     """Ranks were strict: the higher ones left nothing for the lowest."""
     share = _make_share(per_s, works)
-    upstreams = _upstreams(4)
+    balance = make_balance(share, _upstreams(4), LATER_S)
     ratios = [
-        min(1.0, admission_ratio(share, upstreams, rank, LATER_S))
-        for rank in sorted(works)
+        min(1.0, admission_ratio(balance, rank)) for rank in sorted(works)
     ]
     assert ratios == sorted(ratios, reverse=True)
     served_per_s = sum(map(mul, ratios, per_s.values()))
@@ -98,4 +97,5 @@
     works = {0: LONG_WORK, **dict.fromkeys(range(1, 9), SHORT_WORK)}
     per_s = {0: 10.0, **dict.fromkeys(range(1, 9), low_per_s)}
     share = _make_share(per_s, works)
-    assert admission_ratio(share, _upstreams(4), 0, LATER_S) >= 0.8
+    balance = make_balance(share, _upstreams(4), LATER_S)
+    assert admission_ratio(balance, 0) >= 0.8
