Keep what is reserved for lower ranks under deep overload

Cause: what is reserved for the ranks below was added to what a rank asks for, and the rank got the same ratio of the capacity as of that sum. When it asks for several times the capacity, the reserve shrinks with the ratio: with 60 asked, 3 + 3 reserved and 25 left, the ranks below get 2.3, not 6, and the last of them nearly nothing.

Change: a rank gets the largest ratio that leaves the reserve whole. The reserve of a rank is at most what serves it three quarters as often as the rank above, so that the order stays visible, a tenth of the capacity at most, a quarter in all.

--- a/bluebellhub/scheduler/rank_ratios.py
+++ b/bluebellhub/scheduler/rank_ratios.py
@@ -28,10 +28,12 @@
 
 # A VM always has a share, so that it notices when capacity is back.
 RATIO_MIN: Final = 0.02
-# Shares of the capacity that are reserved for each rank that asks for it, and
-# for all ranks below another one.
+# Shares of the capacity that are reserved at most for each rank that asks for
+# it, and for all ranks below another one.
 RESERVED_SHARE: Final = 0.1
 RESERVED_SHARE_MAX: Final = 0.25
+# How often a rank is served out of its reserve, in relation to the one above.
+LOWER_RATIO: Final = 0.75
 # Part of the slots short of the target that is given out in a second.  With
 # more than the age of the reports allows, all VMs overshoot in turn.
 FREE_GAIN: Final = 1.0
@@ -39,29 +41,78 @@
 # Work that all VMs aim at, in relation to the slots: loads vary between two
 # reports, so with less, slots would be idle while requests are refused.
 WORK_TARGET_RATIO: Final = 1.15
-COST_MIN_PER_S: Final = 1e-9
+# Halvings of the interval in which the ratio of a rank lies.
+RATIO_STEPS: Final = 14
 
 
 class Balance(NamedTuple):
-    """What all VMs may send per second, and what they get, by rank.
+    """Which ratio of the requests of each rank all VMs can send now."""
 
-    Both are in mean requests.
-    """
-
-    capacity_per_s: float
-    costs_per_s: Mapping[int, float]
+    ratios: Mapping[int, float]
 
 
 def make_balance(
     share: TargetShare, upstreams: Sequence[Upstream], now_s: float
 ) -> Balance:
     """Return the balance of a target that these upstreams serve."""
-    return Balance(
-        _capacity_per_s(share, upstreams, now_s),
-        _costs_per_s(share, upstreams, now_s),
+    capacity = _capacity_per_s(share, upstreams, now_s)
+    costs = _costs_per_s(share, upstreams, now_s)
+    ratios: dict[int, float] = {}
+    left = capacity
+    ranks = sorted(costs)
+    for position, rank in enumerate(ranks, start=1):
+        lower = [costs[other] for other in ranks[position:]]
+        ratio = _ratio(costs[rank], lower, left, capacity)
+        left -= costs[rank] * min(1.0, ratio)
+        ratios[rank] = max(RATIO_MIN, ratio)
+    return Balance(ratios)
+
+
+def admission_ratio(balance: Balance, rank: int) -> float:
+    """Return which ratio of the requests of a rank can be sent now.
+
+    Higher ranks have their requests sent first, on all VMs, but for what is
+    reserved for those below.  No rank is served more often than one above it,
+    nor is one that nobody has asked for lately.
+    """
+    return min(
+        (ratio for known, ratio in balance.ratios.items() if known <= rank),
+        default=1.0,
     )
 
 
+def _ratio(
+    cost: float, lower: Sequence[float], left: float, capacity: float
+) -> float:
+    """Return the ratio of a rank's cost that leaves what is reserved below.
+
+    That is the largest one for which the rank and the reserve of those below
+    fit into what the ranks above have ``left``.  The reserve grows with the
+    ratio, since no lower rank is served more often.
+    """
+    whole = cost + _reserved_per_s(lower, 1.0, capacity)
+    if left >= whole:
+        return left / whole
+    least, most = 0.0, 1.0
+    for _ in range(RATIO_STEPS):
+        ratio = (least + most) / 2
+        if cost * ratio + _reserved_per_s(lower, ratio, capacity) > left:
+            most = ratio
+        else:
+            least = ratio
+    return least
+
+
+def _reserved_per_s(
+    lower: Sequence[float], ratio: float, capacity: float
+) -> float:
+    """Return what is reserved for lower ranks if the one above gets a ratio."""
+    most = RESERVED_SHARE * capacity
+    lower_ratio = ratio * LOWER_RATIO
+    reserved = sum(min(cost * lower_ratio, most) for cost in lower)
+    return min(reserved, RESERVED_SHARE_MAX * capacity)
+
+
 def _capacity_per_s(
     share: TargetShare, upstreams: Sequence[Upstream], now_s: float
 ) -> float:
@@ -93,35 +144,6 @@
     return fill_ratio(upstream.window.slots, held_s, upstream.rejections_per_s)
 
 
-def admission_ratio(balance: Balance, rank: int) -> float:
-    """Return which ratio of the requests of a rank can be sent now.
-
-    Higher ranks have their requests sent first, on all VMs, but for what is
-    reserved for those below.  No rank is served more often than one above it.
-    """
-    capacity, costs = balance
-    left = capacity
-    for other in sorted(costs):
-        if other >= rank:
-            break
-        needed = costs[other] + _reserved_per_s(costs, other, capacity)
-        left -= costs[other] * min(1.0, left / needed)
-    needed = costs.get(rank, 0.0) + _reserved_per_s(costs, rank, capacity)
-    return max(RATIO_MIN, left / max(needed, COST_MIN_PER_S))
-
-
-def _reserved_per_s(
-    costs: Mapping[int, float], rank: int, capacity: float
-) -> float:
-    """Return the mean requests per second reserved for the ranks below."""
-    reserved = sum(
-        min(cost, RESERVED_SHARE * capacity)
-        for lower, cost in costs.items()
-        if lower > rank
-    )
-    return min(reserved, RESERVED_SHARE_MAX * capacity)
-
-
 def _costs_per_s(
     share: TargetShare, upstreams: Sequence[Upstream], now_s: float
 ) -> dict[int, float]:
--- a/bluebellhub/site/tests/test_starved_kinds.py
+++ b/bluebellhub/site/tests/test_starved_kinds.py
@@ -76,6 +76,18 @@
             {0: 10.0, 1: 10.0, 2: 30.0},
             {0: LONG_WORK, 1: LONG_WORK, 2: SHORT_WORK},
         ),
+        (
+            {0: 30.0, 1: 40.0, 2: 60.0},
+            {0: LONG_WORK, 1: CHAT_WORK, 2: SHORT_WORK},
+        ),
+        (
+            {0: 60.0, 1: 80.0, 2: 120.0},
+            {0: LONG_WORK, 1: CHAT_WORK, 2: SHORT_WORK},
+        ),
+        (
+            {0: 10.0, 1: 60.0, 2: 80.0, 3: 120.0},
+            {0: SHORT_WORK, 1: LONG_WORK, 2: CHAT_WORK, 3: SHORT_WORK},
+        ),
     ],
 )
 def test_lowest_rank_is_not_starved_by_those_above(per_s, works):
