Leave out of a message only what the receiver's version lacks

The older forms ignored the version that they were asked for, so the next version would have shortened the messages for VMs of version 2 too. They compare it now; the test holds each message against each landing's shapes: it is changed if and only if the landing would refuse it as it is.

--- a/bluebellhub/site/reports.py
+++ b/bluebellhub/site/reports.py
@@ -25,7 +25,9 @@
 ]
 
 
-# How many fields the reports had before those on the links of VMs.
+# The version since which VMs know of each other's links and of rejection
+# limits, and how many fields the reports had before.
+LINKS_VERSION: Final = 2
 VM_FIELDS_WITHOUT_LINKS: Final = 13
 DOMAIN_FIELDS_WITHOUT_LINKS: Final = 18
 
@@ -207,8 +209,10 @@
 @older_forms.register('NewsBatch')
 def _batch_without_links(
     batch: GossipBatch, version: int
-) -> tuple[list[tuple[str, tuple[Any, ...]]]]:
-    """Return a batch as VMs read it that know nothing of each other's links."""
+) -> GossipBatch | tuple[list[tuple[str, tuple[Any, ...]]]]:
+    """Return a batch as VMs read it that may know nothing of others' links."""
+    if version >= LINKS_VERSION:
+        return batch
     items = [
         (item.vm, item.report[:VM_FIELDS_WITHOUT_LINKS]) for item in batch.items
     ]
@@ -219,10 +223,15 @@
 def _domain_without_links(
     report: DomainReport, version: int
 ) -> tuple[Any, ...]:
-    """Return a report as VMs read it that know nothing of others' links."""
+    """Return a report as VMs read it that may know nothing of others' links."""
+    if version >= LINKS_VERSION:
+        return report
     return report[:DOMAIN_FIELDS_WITHOUT_LINKS]
 
 
 @older_forms.register('RejectionLimitReport')
-def _no_rejection_limits(report: RejectionLimitReport, version: int) -> None:
-    """Return nothing: VMs of version 1 know no such limits."""
+def _known_rejection_limits(
+    report: RejectionLimitReport, version: int
+) -> RejectionLimitReport | None:
+    """Return the limits for VMs that know of such limits."""
+    return report if version >= LINKS_VERSION else None
--- a/bluebellhub/tests/test_outer_names.py
+++ b/bluebellhub/tests/test_outer_names.py
@@ -91,6 +91,10 @@
         return
     wire_name, plain = msgspec.msgpack.decode(encoded, strict=False)
     assert misfit(plain, shapes[wire_name]) is None
+    newest = encode_message(message)
+    _, plain = msgspec.msgpack.decode(newest, strict=False)
+    is_read_whole = misfit(plain, shapes[wire_name]) is None
+    assert (encoded == newest) is is_read_whole
 
 
 @pytest.mark.parametrize('name', MESSAGES)
