Refuse a message that is nested too deeply to decode

What was seen: reading the change, an array nested 5,000 times raised RecursionError, which is no error of the decoder's library: it was isolated and counted as a fault of the program instead of a refused message.

Change: it is a PeerMessageError like any malformed content. Added fields are skipped in maps of any type.

--- a/bluebellhub/added_fields.py
+++ b/bluebellhub/added_fields.py
@@ -4,7 +4,7 @@
 array that is longer than its type has fields is cut to their number.
 """
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
 from functools import cache
 from types import UnionType
 from typing import Any, Union, get_args, get_origin, get_type_hints
@@ -58,8 +58,9 @@
 def _map_kind(kind: Any) -> Any:
     """Return the type of what a map holds."""
     for option in _options(kind):
-        if get_origin(option) is dict:
-            return get_args(option)[1]
+        args = get_args(option)
+        if len(args) == 2 and issubclass(get_origin(option), Mapping):
+            return args[1]
     return Any
 
 
--- a/bluebellhub/peer_messages.py
+++ b/bluebellhub/peer_messages.py
@@ -101,5 +101,5 @@
         return _decode(name, raw)
     except UnknownEntryError as error:
         raise PeerMessageError(f'unknown message type {error.got!r}') from None
-    except msgspec.MsgspecError as error:
+    except (msgspec.MsgspecError, RecursionError) as error:
         raise PeerMessageError(f'cannot decode message: {error}') from None
--- a/bluebellhub/tests/test_outer_names.py
+++ b/bluebellhub/tests/test_outer_names.py
@@ -16,6 +16,7 @@
 from bluebellhub.adapters.chat import ErrorBody
 from bluebellhub.adapters.status import NodeStatus
 from bluebellhub.configuration.kinds import check_object
+from bluebellhub.errors import PeerMessageError
 from bluebellhub.metrics import LABELS
 from bluebellhub.order.record import decode_records, encode_records
 from bluebellhub.peer_messages import (
@@ -125,6 +126,17 @@
     return plain
 
 
+@pytest.mark.parametrize('name', ['NewsBatch', 'DutyReport'])
+@pytest.mark.parametrize(
+    'content',
+    [b'\x91' * 5000 + b'\x90', b'\x81\x91\x01\x02', b'\xc1', b'\x92\x01'],
+)
+def test_malformed_message_is_refused(name: str, content: bytes) -> None:
+    encoded = b'\x92' + msgspec.msgpack.encode(name) + content
+    with pytest.raises(PeerMessageError):
+        decode_message(encoded)
+
+
 def test_every_peer_message_has_a_sample() -> None:
     assert message_types.names() == sorted(MESSAGES)
 
