--- a/bluebellhub/scheduler/capacity.py
+++ b/bluebellhub/scheduler/capacity.py
@@ -7,12 +7,10 @@
 from collections.abc import Callable, Sequence
 from typing import Final, NamedTuple
 
-from bluebellhub.failure_domain import ramp_share
 from bluebellhub.registry import Registry, make_registry
 from bluebellhub.request import Request
 from bluebellhub.routing import Candidate
-from bluebellhub.scheduler.credit import share_of
-from bluebellhub.scheduler.shares import expected_free
+from bluebellhub.scheduler.room import has_shared_room, ramped_slots
 from bluebellhub.scheduler.state import (
     Scheduler,
     upstreams_for,
@@ -29,8 +27,6 @@
     'disciplines',
     'full_window_slots',
     'has_capacity',
-    'has_shared_room',
-    'may_have_room',
     'prefer_unblocked',
     'unblocked_names',
     'unused_window_slots',
@@ -69,11 +65,7 @@
 
 Discipline = Callable[[Placement], bool]
 
-RoomRule = Callable[[Scheduler, str, Upstream, float], bool]
-
 disciplines: Registry[Discipline] = make_registry('scheduling discipline')
-# By discipline: whether an upstream has room for some request for a target.
-room_rules: Registry[RoomRule] = make_registry('room rule')
 
 
 def full_window_slots(upstream: Upstream, now_s: float) -> int:
@@ -92,19 +84,7 @@
     After a failure domain has returned to service, its slots ramp up.
     """
     slots = min(scheduler.slots(upstream, now_s), upstream.window.slots)
-    return min(slots, _ramped_slots(scheduler, upstream, now_s))
-
-
-def _ramped_slots(
-    scheduler: Scheduler, upstream: Upstream, now_s: float
-) -> int:
-    """Return the slots of the upstream that all VMs may use now."""
-    ramping = scheduler.ramping_domains.get(upstream.spec.failure_domain)
-    if ramping is None:
-        return upstream.window.slots
-    domain, since_s = ramping
-    share = ramp_share(domain, now_s - since_s)
-    return max(1, int(upstream.window.slots * share))
+    return min(slots, ramped_slots(scheduler, upstream, now_s))
 
 
 def has_capacity(placement: Placement) -> bool:
@@ -154,37 +134,11 @@
     target = placement.request.target
     if not has_shared_room(scheduler, target, upstream, placement.now_s):
         return False
-    slots = _ramped_slots(scheduler, upstream, placement.now_s)
+    slots = ramped_slots(scheduler, upstream, placement.now_s)
     is_free = slots - len(upstream.work) - upstream.other_vms_work >= 1
     return is_free or not placement.candidate.is_late
 
 
-@room_rules.register('shared')
-def has_shared_room(
-    scheduler: Scheduler, target: str, upstream: Upstream, now_s: float
-) -> bool:
-    """Return whether a slot is free, or will be before a request arrives."""
-    slots = _ramped_slots(scheduler, upstream, now_s)
-    if len(upstream.work) >= slots:
-        return False
-    if slots - len(upstream.work) - upstream.other_vms_work >= 1:
-        return True
-    share = share_of(scheduler, target)
-    return expected_free(share, upstream, slots, now_s) > 0
-
-
-def may_have_room(
-    scheduler: Scheduler, target: str, upstream: Upstream, now_s: float
-) -> bool:
-    """Return false if no request at all would be admitted at the upstream.
-
-    Under overload that is so for most upstreams, and it costs less to find out
-    than how a request would do there.
-    """
-    rule = room_rules.entries.get(scheduler.options.discipline)
-    return rule is None or rule(scheduler, target, upstream, now_s)
-
-
 def _has_slot(placement: Placement) -> bool:
     """Return whether a slot is free; a straggler has one slot.
 
--- a/bluebellhub/scheduler/dispatch.py
+++ b/bluebellhub/scheduler/dispatch.py
@@ -25,7 +25,6 @@
 from bluebellhub.scheduler.capacity import (
     Placement,
     has_capacity,
-    may_have_room,
     prefer_unblocked,
     unblocked_names,
 )
@@ -39,6 +38,7 @@
 from bluebellhub.scheduler.finish import refuse
 from bluebellhub.scheduler.preemption import all_slots_used, find_victim
 from bluebellhub.scheduler.requeueing import requeue
+from bluebellhub.scheduler.room import may_have_room
 from bluebellhub.scheduler.state import (
     Scheduler,
     queue_of,
--- a/bluebellhub/tests/message_shapes.py
+++ b/bluebellhub/tests/message_shapes.py
@@ -25,7 +25,7 @@
 
 from bluebellhub.peer_messages import message_types
 
-__all__ = ['misfit', 'shape_of']
+__all__ = ['misfit', 'register_messages', 'shape_of']
 
 # The modules whose import registers all messages.
 MODULES: Final = (
@@ -139,10 +139,15 @@
     return next((found for found in misfits if found), None)
 
 
-def main() -> None:
-    """Print the shapes of all messages of this build."""
+def register_messages() -> None:
+    """Import the modules that define messages."""
     for module in MODULES:
         import_module(module)
+
+
+def main() -> None:
+    """Print the shapes of all messages of this build."""
+    register_messages()
     shapes = {
         name: shape_of(message_types.find(name))
         for name in message_types.names()
